Add the design, the kernel and the build

Cause: the project starts empty. Conclusion: the interfaces are agreed; the parts can be built side by side.

--- /dev/null
+++ b/src/balancer.h
@@ -0,0 +1,139 @@
+#ifndef RP_BALANCER_H
+#define RP_BALANCER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "load.h"
+#include "snapshot.h"
+
+/* The decisions of one entry VM for one service: which target gets a call,
+ * when, and which call is refused. No clock, socket or log inside. */
+struct rp_balancer;
+
+#define RP_BALANCER_AVOID 4
+#define RP_BALANCER_NO_TARGET UINT32_MAX
+
+struct rp_balancer_config {
+    const char *domain;   /* failure domain of this entry VM */
+    uint32_t fleet_size;  /* entry VMs that may share the targets */
+    uint32_t deciders;    /* entry VMs that callers are steered to now */
+    uint32_t queue_limit; /* calls that may wait */
+    uint64_t seed;
+};
+
+/* Flags of a call. */
+#define RP_CALL_REPEATABLE (1u << 0)
+#define RP_CALL_LONG (1u << 1)  /* known to be long */
+#define RP_CALL_RETRY (1u << 2) /* a further attempt of the same call */
+#define RP_CALL_HEDGE (1u << 3)
+
+struct rp_balancer_call {
+    uint64_t call_id;
+    uint64_t kind; /* hash of what tells long from short calls, e.g. path */
+    int64_t deadline_ns;
+    uint32_t flags;
+    uint32_t avoid[RP_BALANCER_AVOID]; /* targets tried already */
+    uint32_t avoid_count;
+};
+
+enum rp_balancer_action {
+    RP_BALANCER_SEND,
+    RP_BALANCER_WAIT, /* queued; rp_balancer_next gives the verdict later */
+    RP_BALANCER_REFUSE,
+};
+
+enum rp_refusal {
+    RP_REFUSAL_NONE,
+    RP_REFUSAL_NO_TARGET, /* no target of the service can be used */
+    RP_REFUSAL_QUEUE_FULL,
+    RP_REFUSAL_DEADLINE, /* cannot be met */
+    RP_REFUSAL_BUDGET,   /* retry or hedge over its budget */
+};
+
+struct rp_balancer_verdict {
+    uint64_t call_id;
+    enum rp_balancer_action action;
+    enum rp_refusal refusal;
+    uint32_t target;        /* stable number of the target, see below */
+    int64_t retry_after_ns; /* with REFUSE: when to come back */
+};
+
+enum rp_attempt_outcome {
+    RP_ATTEMPT_OK,        /* whole answer, status below 500 */
+    RP_ATTEMPT_ERROR,     /* whole answer, status 500 or more */
+    RP_ATTEMPT_NOT_RUN,   /* refused by the target's contract or connect */
+    RP_ATTEMPT_BROKEN,    /* answer cut off, or connection lost */
+    RP_ATTEMPT_TIMEOUT,   /* no answer in time */
+    RP_ATTEMPT_CANCELLED, /* given up by this side: caller gone, hedge won */
+    RP_ATTEMPT_SILENT,    /* connection was dead; a fresh one worked */
+};
+
+struct rp_attempt_report {
+    uint32_t target;
+    enum rp_attempt_outcome outcome;
+    uint32_t flags; /* of the call */
+    uint64_t kind;
+    int64_t sent_ns;
+    int64_t first_byte_ns; /* 0 when there was none */
+    bool has_load;
+    struct rp_load_report load;
+};
+
+/* What status shows of a target. */
+struct rp_balancer_target_view {
+    const char *name;
+    const char *address;
+    const char *estate;
+    const char *state; /* serving, cold, draining, ejected, suspect, gone */
+    uint32_t in_flight;
+    uint32_t limit;
+    int64_t report_age_ns; /* -1 when there is none */
+    uint64_t sent;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_balancer *rp_balancer_new(const struct rp_balancer_config *config);
+void rp_balancer_free(struct rp_balancer *balancer);
+void rp_balancer_set_service(struct rp_balancer *balancer,
+                             const struct rp_service *service, int64_t now_ns);
+void rp_balancer_set_deciders(struct rp_balancer *balancer, uint32_t deciders,
+                              int64_t now_ns);
+
+void rp_balancer_offer(struct rp_balancer *balancer,
+                       const struct rp_balancer_call *call, int64_t now_ns,
+                       struct rp_balancer_verdict *verdict);
+bool rp_balancer_next(struct rp_balancer *balancer, int64_t now_ns,
+                      struct rp_balancer_verdict *verdict);
+void rp_balancer_withdraw(struct rp_balancer *balancer, uint64_t call_id,
+                          int64_t now_ns);
+int64_t rp_balancer_due_ns(const struct rp_balancer *balancer);
+int64_t rp_balancer_hedge_delay_ns(const struct rp_balancer *balancer,
+                                   const struct rp_balancer_call *call);
+
+void rp_balancer_finish(struct rp_balancer *balancer,
+                        const struct rp_attempt_report *report,
+                        int64_t now_ns);
+void rp_balancer_observe(struct rp_balancer *balancer, const char *address,
+                         const struct rp_load_report *load, int64_t age_ns,
+                         int64_t now_ns);
+void rp_balancer_notice_pause(struct rp_balancer *balancer, int64_t gap_ns,
+                              int64_t now_ns);
+
+uint32_t rp_balancer_target_count(const struct rp_balancer *balancer);
+const char *rp_balancer_target_address(const struct rp_balancer *balancer,
+                                       uint32_t target);
+bool rp_balancer_target_usable(const struct rp_balancer *balancer,
+                               uint32_t target);
+void rp_balancer_view(const struct rp_balancer *balancer, uint32_t target,
+                      int64_t now_ns, struct rp_balancer_target_view *view);
+uint32_t rp_balancer_queued(const struct rp_balancer *balancer);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/context.h
@@ -0,0 +1,47 @@
+#ifndef RP_CONTEXT_H
+#define RP_CONTEXT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "counter.h"
+#include "event.h"
+
+#define RP_ID_BYTES 64
+#define RP_DOMAIN_BYTES 64
+#define RP_ADDRESS_BYTES 64
+
+/* Who an entry process is. The incarnation is chosen anew at each start and
+ * is greater than that of earlier starts of the same VM. */
+struct rp_identity {
+    char id[RP_ID_BYTES];
+    char domain[RP_DOMAIN_BYTES];
+    char address[RP_ADDRESS_BYTES];      /* for callers, "ip:port" */
+    char peer_address[RP_ADDRESS_BYTES]; /* for peers, "ip:port" */
+    uint64_t incarnation;
+    uint32_t fleet_size; /* greatest number of entry VMs, from settings */
+};
+
+/* What all tasks of one entry process share. The soak has one for each
+ * simulated process, so nothing of it is global. */
+struct rp_context {
+    struct rp_identity identity;
+    struct rp_counters counters;
+    struct rp_event_ring *events;
+    uint64_t invariant_failures[8];
+    GRand *random;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_context *rp_context_new(const struct rp_identity *identity,
+                                  uint32_t seed);
+void rp_context_free(struct rp_context *context);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/load.c
@@ -0,0 +1,87 @@
+#include "load.h"
+
+#include <string.h>
+
+#include "error.h"
+
+/* Greatest value of any number in a report; larger ones are a fault of the
+ * target and would distort every decision made from them. */
+#define MAX_VALUE 1000000000u
+
+static const char *const state_names[] = {"serving", "cold", "draining"};
+
+static bool
+parse_state(const char *text, enum rp_target_state *state)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(state_names); i++) {
+        if (strcmp(text, state_names[i]) == 0) {
+            *state = (enum rp_target_state)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+parse_field(const char *key, const char *value, struct rp_load_report *report)
+{
+    if (strcmp(key, "state") == 0) {
+        return parse_state(value, &report->state);
+    }
+    uint32_t *field = strcmp(key, "inflight") == 0     ? &report->in_flight
+                      : strcmp(key, "slots") == 0      ? &report->slots
+                      : strcmp(key, "queue") == 0      ? &report->queued
+                      : strcmp(key, "service_us") == 0 ? &report->service_us
+                                                       : NULL;
+    if (field == NULL) {
+        return true; /* a field of a later version */
+    }
+    guint64 number;
+    if (!g_ascii_string_to_unsigned(value, 10, 0, MAX_VALUE, &number, NULL)) {
+        return false;
+    }
+    *field = (uint32_t)number;
+    return true;
+}
+
+/* Reads a report such as "inflight=3, slots=6, queue=0, service_us=4200,
+ * state=serving". Unknown fields are passed over; missing ones are zero.
+ * Returns false with RP_ERROR_TARGET set, and the report unchanged, when a
+ * field has no value that can be used. */
+bool
+rp_load_parse(const char *text, struct rp_load_report *report, GError **error)
+{
+    struct rp_load_report parsed = {0};
+    char **fields = g_strsplit(text, ",", 16);
+    bool valid = true;
+    for (char **field = fields; *field != NULL && valid; field++) {
+        char *key = g_strstrip(*field);
+        char *equals = strchr(key, '=');
+        if (equals == NULL) {
+            valid = false;
+            break;
+        }
+        *equals = '\0';
+        valid = parse_field(key, equals + 1, &parsed);
+    }
+    g_strfreev(fields);
+    if (!valid) {
+        g_set_error(error, RP_ERROR, RP_ERROR_TARGET,
+                    "load report '%.80s' is malformed: the target must send "
+                    "key=value pairs separated by commas, numbers up to %u",
+                    text, MAX_VALUE);
+        return false;
+    }
+    *report = parsed;
+    return true;
+}
+
+/* Appends a report in the form that rp_load_parse reads. */
+void
+rp_load_format(const struct rp_load_report *report, GString *out)
+{
+    g_string_append_printf(
+        out, "inflight=%u, slots=%u, queue=%u, service_us=%u, state=%s",
+        report->in_flight, report->slots, report->queued, report->service_us,
+        state_names[report->state]);
+}
--- /dev/null
+++ b/src/load.h
@@ -0,0 +1,35 @@
+#ifndef RP_LOAD_H
+#define RP_LOAD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum rp_target_state {
+    RP_TARGET_SERVING,
+    RP_TARGET_COLD, /* started a short time ago, slower than usual */
+    RP_TARGET_DRAINING,
+};
+
+/* What a target says about itself in the RP-Load header or a probe answer. */
+struct rp_load_report {
+    uint32_t in_flight; /* requests in its slots */
+    uint32_t slots;
+    uint32_t queued;     /* requests waiting for a slot */
+    uint32_t service_us; /* recent mean time in a slot */
+    enum rp_target_state state;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+bool rp_load_parse(const char *text, struct rp_load_report *report,
+                   GError **error);
+void rp_load_format(const struct rp_load_report *report, GString *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/snapshot.h
@@ -0,0 +1,104 @@
+#ifndef RP_SNAPSHOT_H
+#define RP_SNAPSHOT_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define RP_SNAPSHOT_ESTATES 8
+
+/* Flags of a service: which methods may be repeated. */
+#define RP_METHOD_GET (1u << 0)
+#define RP_METHOD_HEAD (1u << 1)
+#define RP_METHOD_POST (1u << 2)
+#define RP_METHOD_PUT (1u << 3)
+#define RP_METHOD_DELETE (1u << 4)
+#define RP_METHOD_OPTIONS (1u << 5)
+#define RP_METHOD_PATCH (1u << 6)
+
+/* The methods that RFC 9110, section 9.2.2, calls idempotent. */
+#define RP_METHODS_IDEMPOTENT                                                 \
+    (RP_METHOD_GET | RP_METHOD_HEAD | RP_METHOD_PUT | RP_METHOD_DELETE |      \
+     RP_METHOD_OPTIONS)
+
+enum rp_length_class {
+    RP_LENGTH_MEASURED, /* learned from the answers */
+    RP_LENGTH_SHORT,
+    RP_LENGTH_LONG,
+};
+
+/* A server that answers requests of one service. */
+struct rp_target {
+    char *name;
+    char *address; /* "ip:port"; unique within a service */
+    char *domain;
+    uint32_t estate; /* index into the service's estates */
+    uint32_t slots;
+    uint32_t connections;
+    bool draining;
+};
+
+struct rp_estate {
+    char *name;
+    uint32_t share_permille; /* of the service's requests */
+};
+
+/* A service as all accepted records together describe it. */
+struct rp_service {
+    char *name;
+    char *host;        /* "" matches every host */
+    char *path_prefix; /* begins with "/" */
+    uint32_t timeout_ms;
+    uint32_t max_timeout_ms;
+    uint64_t max_body_bytes;
+    uint32_t repeatable_methods;
+    enum rp_length_class length_class;
+    uint32_t probes_per_10s; /* budget for each target, all entry VMs */
+    char *probe_path;
+    struct rp_estate estates[RP_SNAPSHOT_ESTATES];
+    uint32_t estate_count;
+    struct rp_target *targets;
+    uint32_t target_count;
+};
+
+/* The configuration in force: immutable and reference counted, so that a
+ * task may keep it while another puts a newer one in force. */
+struct rp_snapshot;
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_snapshot *rp_snapshot_new(void);
+struct rp_service *rp_snapshot_add_service(struct rp_snapshot *snapshot,
+                                           const char *name);
+struct rp_target *rp_service_add_target(struct rp_service *service,
+                                        const char *name, const char *address,
+                                        const char *domain,
+                                        const char *estate);
+void rp_snapshot_set_version(struct rp_snapshot *snapshot, uint64_t digest,
+                             uint64_t revision);
+struct rp_snapshot *rp_snapshot_ref(struct rp_snapshot *snapshot);
+void rp_snapshot_unref(struct rp_snapshot *snapshot);
+uint64_t rp_snapshot_digest(const struct rp_snapshot *snapshot);
+uint64_t rp_snapshot_revision(const struct rp_snapshot *snapshot);
+uint32_t rp_snapshot_service_count(const struct rp_snapshot *snapshot);
+const struct rp_service *
+rp_snapshot_get_service(const struct rp_snapshot *snapshot, uint32_t index);
+const struct rp_service *
+rp_snapshot_find_service(const struct rp_snapshot *snapshot, const char *name);
+const struct rp_service *rp_snapshot_match(const struct rp_snapshot *snapshot,
+                                           const char *host, const char *path);
+
+/* Body of RP_MSG_SNAPSHOT: holds one reference, released by the kernel. */
+struct rp_snapshot_message {
+    struct rp_snapshot *snapshot;
+    bool ready; /* the entry process may serve */
+};
+void rp_snapshot_message_release(void *body);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
