--- /dev/null
+++ b/src/call.h
@@ -0,0 +1,184 @@
+#ifndef RP_CALL_H
+#define RP_CALL_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "balancer.h"
+#include "context.h"
+#include "load.h"
+#include "stream.h"
+
+/* Names of the tasks that a call passes through. */
+#define RP_TASK_ENTRY "entry"
+#define RP_TASK_DISPATCH "dispatch"
+#define RP_TASK_UPSTREAM "upstream"
+
+#define RP_REQUEST_ID_BYTES 64
+#define RP_TICKET_BYTES 256
+#define RP_ATTEMPTS_UNSET UINT32_MAX
+#define RP_LENGTH_UNKNOWN INT64_C(-1)
+
+/* End-to-end header fields in order of arrival, as "name\0value\0" pairs in
+ * one buffer. */
+struct rp_fields {
+    GString *text;
+    uint32_t count;
+};
+
+/* One request of a caller: set by the entry task before RP_MSG_CALL_START and
+ * not changed afterwards, but for the request stream. Reference counted. */
+struct rp_call {
+    uint64_t id;
+    uint32_t references;
+    uint32_t method_flag; /* RP_METHOD_..., 0 for any other method */
+    char *method;
+    char *target; /* path with query, as the caller sent it */
+    char *host;   /* "" when the caller named none */
+    struct rp_fields fields;
+    char request_id[RP_REQUEST_ID_BYTES];
+    char *ticket;           /* NULL when the caller sent none */
+    uint32_t timeout_ms;    /* RP-Timeout-Ms; 0 when the caller set none */
+    uint32_t attempts_left; /* RP-Attempts-Left or RP_ATTEMPTS_UNSET */
+    int64_t received_ns;
+    int64_t body_bytes;        /* announced; RP_LENGTH_UNKNOWN when chunked */
+    struct rp_stream *request; /* NULL when there is no body */
+};
+
+/* The head of a target's answer. Reference counted. The body comes through
+ * the stream that the attempt was started with. */
+struct rp_answer {
+    uint32_t references;
+    uint32_t status;
+    bool refused; /* the target says by contract that it did not run it */
+    bool has_load;
+    int64_t body_bytes;     /* announced; RP_LENGTH_UNKNOWN when chunked */
+    int64_t retry_after_ms; /* 0 when the target named none */
+    struct rp_load_report load;
+    struct rp_fields fields;
+};
+
+/* What an answer that the system makes itself says of the request. */
+enum rp_outcome {
+    RP_OUTCOME_NONE, /* a target's answer */
+    RP_OUTCOME_NOT_RUN,
+    RP_OUTCOME_UNKNOWN,
+};
+
+/* RP_MSG_CALL_START, entry to dispatch: holds one reference. */
+struct rp_call_start {
+    struct rp_call *call;
+};
+
+enum rp_gone_reason {
+    RP_GONE_CALLER,    /* the caller closed its connection: no answer */
+    RP_GONE_BODY,      /* the caller broke off its body: no answer */
+    RP_GONE_TOO_LARGE, /* the body is over the limit: still to be answered */
+};
+
+/* RP_MSG_CALL_GONE, entry to dispatch. After the reasons CALLER and BODY the
+ * entry task takes no reply to this call. */
+struct rp_call_gone {
+    uint64_t call_id;
+    enum rp_gone_reason reason;
+};
+
+/* RP_MSG_CALL_REPLY, dispatch to entry: holds one reference to answer and
+ * one to body. Sent exactly once for each call, unless it is gone. A body
+ * that breaks later ends the caller's connection. */
+struct rp_call_reply {
+    uint64_t call_id;
+    enum rp_outcome outcome;  /* NONE: answer and body are set */
+    uint32_t status;          /* with an outcome: of the system's answer */
+    int64_t retry_after_ms;   /* with an outcome; 0 when there is none */
+    const char *reason;       /* with an outcome: a constant text */
+    struct rp_answer *answer; /* else NULL */
+    struct rp_stream *body;   /* else NULL */
+};
+
+/* Flags of an attempt. */
+#define RP_ATTEMPT_FRESH (1u << 0)      /* on a new connection only */
+#define RP_ATTEMPT_REPEATABLE (1u << 1) /* libcurl may send it again */
+#define RP_ATTEMPT_PASS_ON (1u << 2)    /* to the ticket's entry VM */
+
+/* RP_MSG_ATTEMPT_START, dispatch to upstream: holds one reference to call
+ * and one to body. Upstream reads call->request from where it stands and
+ * writes the answer's body to body. */
+struct rp_attempt_start {
+    uint64_t call_id;
+    uint32_t generation;
+    uint32_t flags;
+    struct rp_call *call;
+    struct rp_stream *body;
+    int64_t deadline_ns;
+    uint32_t number;        /* RP-Attempt: 1 for the first */
+    uint32_t attempts_left; /* RP-Attempts-Left for the target */
+    char address[RP_ADDRESS_BYTES];
+};
+
+/* RP_MSG_ATTEMPT_CANCEL, dispatch to upstream. No ATTEMPT_DONE follows. */
+struct rp_attempt_cancel {
+    uint64_t call_id;
+    uint32_t generation;
+    bool silent; /* no byte came in time: leave connections of that age */
+};
+
+/* RP_MSG_ATTEMPT_HEAD, upstream to dispatch: holds one reference. */
+struct rp_attempt_head {
+    uint64_t call_id;
+    uint32_t generation;
+    bool reused; /* the connection had served another request */
+    struct rp_answer *answer;
+};
+
+enum rp_attempt_end {
+    RP_END_WHOLE,     /* the whole answer is in the body stream */
+    RP_END_NOT_SENT,  /* no byte of the request left this process */
+    RP_END_BROKEN,    /* the connection was lost or the answer cut off */
+    RP_END_SILENT,    /* no progress in time */
+    RP_END_CALLER,    /* the request body broke off */
+    RP_END_MALFORMED, /* the answer breaks a rule of HTTP or a limit */
+};
+
+/* RP_MSG_ATTEMPT_DONE, upstream to dispatch; exactly one for each attempt
+ * that was not cancelled, after its ATTEMPT_HEAD if there is one. */
+struct rp_attempt_done {
+    uint64_t call_id;
+    uint32_t generation;
+    enum rp_attempt_end end;
+    bool reused;
+    int64_t first_byte_ns; /* 0 when there was none */
+    uint64_t body_bytes;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+void rp_fields_add(struct rp_fields *fields, const char *name,
+                   const char *value);
+bool rp_fields_next(const struct rp_fields *fields, uint32_t *position,
+                    const char **name, const char **value);
+const char *rp_fields_get(const struct rp_fields *fields, const char *name);
+void rp_fields_clear(struct rp_fields *fields);
+
+struct rp_call *rp_call_new(uint64_t id, const char *method,
+                            const char *target, const char *host);
+struct rp_call *rp_call_ref(struct rp_call *call);
+void rp_call_unref(struct rp_call *call);
+
+struct rp_answer *rp_answer_new(uint32_t status);
+struct rp_answer *rp_answer_ref(struct rp_answer *answer);
+void rp_answer_unref(struct rp_answer *answer);
+
+void rp_call_start_release(void *body);
+void rp_call_reply_release(void *body);
+void rp_attempt_start_release(void *body);
+void rp_attempt_head_release(void *body);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
