Add the body stream, HTTP rules and the upstream task

Cause: a call needs a way to a target. Change: stream.c buffers bodies, http_rules.c judges heads, upstream.c and upstream_attempt.c carry attempts over libcurl under the loop.

--- a/src/call.h
+++ b/src/call.h
@@ -46,6 +46,13 @@
     struct rp_stream *request; /* NULL when there is no body */
 };
 
+/* What an answer that the system makes itself says of the request. */
+enum rp_outcome {
+    RP_OUTCOME_NONE, /* a target's answer */
+    RP_OUTCOME_NOT_RUN,
+    RP_OUTCOME_UNKNOWN,
+};
+
 /* The head of a target's answer. Reference counted. The body comes through
  * the stream that the attempt was started with. */
 struct rp_answer {
@@ -53,19 +60,13 @@
     uint32_t status;
     bool refused; /* the target says by contract that it did not run it */
     bool has_load;
-    int64_t body_bytes;     /* announced; RP_LENGTH_UNKNOWN when chunked */
-    int64_t retry_after_ms; /* 0 when the target named none */
+    enum rp_outcome outcome; /* RP-Outcome; NONE when absent */
+    int64_t body_bytes;      /* announced; RP_LENGTH_UNKNOWN when chunked */
+    int64_t retry_after_ms;  /* 0 when the target named none */
     struct rp_load_report load;
     struct rp_fields fields;
 };
 
-/* What an answer that the system makes itself says of the request. */
-enum rp_outcome {
-    RP_OUTCOME_NONE, /* a target's answer */
-    RP_OUTCOME_NOT_RUN,
-    RP_OUTCOME_UNKNOWN,
-};
-
 /* RP_MSG_CALL_START, entry to dispatch: holds one reference. */
 struct rp_call_start {
     struct rp_call *call;
--- /dev/null
+++ b/src/stream.c
@@ -0,0 +1,243 @@
+#include "stream.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* The buffer starts small, since most bodies are. */
+#define FIRST_CAPACITY_BYTES 2048
+
+struct rp_stream {
+    uint32_t references;
+    uint32_t capacity_bytes; /* a power of two; 0 before the first write */
+    uint8_t *ring;
+    uint64_t kept_from; /* oldest byte that is still in the ring */
+    uint64_t read_to;
+    uint64_t written;
+    enum rp_stream_state state;
+    void (*on_readable)(void *data);
+    void *reader;
+    void (*on_writable)(void *data);
+    void *writer;
+};
+
+/* Creates an empty open stream with one reference. */
+struct rp_stream *
+rp_stream_new(void)
+{
+    struct rp_stream *stream = g_new0(struct rp_stream, 1);
+    stream->references = 1;
+    return stream;
+}
+
+/* Takes one more reference and returns the stream. */
+struct rp_stream *
+rp_stream_ref(struct rp_stream *stream)
+{
+    stream->references++;
+    return stream;
+}
+
+/* Gives up a reference; the last one frees the stream. NULL is allowed. */
+void
+rp_stream_unref(struct rp_stream *stream)
+{
+    if (stream == NULL || --stream->references > 0) {
+        return;
+    }
+    g_free(stream->ring);
+    g_free(stream);
+}
+
+/* Sets what is called when bytes or the end have come. NULL for none; it
+ * must be reset before data goes. */
+void
+rp_stream_set_reader(struct rp_stream *stream, void (*on_readable)(void *data),
+                     void *data)
+{
+    stream->on_readable = on_readable;
+    stream->reader = data;
+}
+
+/* Sets what is called when a reader has made room or found nothing to read.
+ * NULL for none; it must be reset before data goes. */
+void
+rp_stream_set_writer(struct rp_stream *stream, void (*on_writable)(void *data),
+                     void *data)
+{
+    stream->on_writable = on_writable;
+    stream->writer = data;
+}
+
+static void
+wake_reader(struct rp_stream *stream)
+{
+    if (stream->on_readable != NULL) {
+        stream->on_readable(stream->reader);
+    }
+}
+
+static void
+wake_writer(struct rp_stream *stream)
+{
+    if (stream->on_writable != NULL) {
+        stream->on_writable(stream->writer);
+    }
+}
+
+/* Returns how many bytes can be written now. */
+uint32_t
+rp_stream_room(const struct rp_stream *stream)
+{
+    if (stream->state != RP_STREAM_OPEN) {
+        return 0;
+    }
+    return RP_STREAM_CAPACITY_BYTES -
+           (uint32_t)(stream->written - stream->read_to);
+}
+
+static void
+copy_in(struct rp_stream *stream, const uint8_t *bytes, uint32_t count)
+{
+    uint32_t at = (uint32_t)(stream->written & (stream->capacity_bytes - 1));
+    uint32_t first = MIN(count, stream->capacity_bytes - at);
+    memcpy(stream->ring + at, bytes, first);
+    memcpy(stream->ring, bytes + first, count - first);
+    stream->written += count;
+}
+
+static void
+copy_out(const struct rp_stream *stream, uint64_t from, uint8_t *bytes,
+         uint32_t count)
+{
+    uint32_t at = (uint32_t)(from & (stream->capacity_bytes - 1));
+    uint32_t first = MIN(count, stream->capacity_bytes - at);
+    memcpy(bytes, stream->ring + at, first);
+    memcpy(bytes + first, stream->ring, count - first);
+}
+
+/* Grows the ring to hold what is kept and count bytes more, or, at its
+ * greatest size, gives up the oldest bytes that were read. */
+static void
+make_room(struct rp_stream *stream, uint32_t count)
+{
+    uint64_t kept = stream->written - stream->kept_from;
+    uint32_t capacity = MAX(stream->capacity_bytes, FIRST_CAPACITY_BYTES);
+    while (capacity < kept + count && capacity < RP_STREAM_CAPACITY_BYTES) {
+        capacity *= 2;
+    }
+    if (capacity != stream->capacity_bytes) {
+        uint8_t *ring = g_malloc(capacity);
+        struct rp_stream grown = *stream;
+        grown.ring = ring;
+        grown.capacity_bytes = capacity;
+        grown.written = stream->kept_from;
+        for (uint64_t at = stream->kept_from; at < stream->written;) {
+            uint8_t part[2048];
+            uint32_t bytes = (uint32_t)MIN(sizeof(part), stream->written - at);
+            copy_out(stream, at, part, bytes);
+            copy_in(&grown, part, bytes);
+            at += bytes;
+        }
+        g_free(stream->ring);
+        stream->ring = ring;
+        stream->capacity_bytes = capacity;
+    }
+    if (kept + count > capacity) {
+        stream->kept_from = stream->written + count - capacity;
+    }
+}
+
+/* Writes as many of count bytes as there is room for and returns their
+ * number; the writer keeps the others until it is called for more. */
+uint32_t
+rp_stream_write(struct rp_stream *stream, const void *bytes, uint32_t count)
+{
+    uint32_t accepted = MIN(count, rp_stream_room(stream));
+    if (accepted == 0) {
+        return 0;
+    }
+    make_room(stream, accepted);
+    copy_in(stream, bytes, accepted);
+    wake_reader(stream);
+    return accepted;
+}
+
+/* Marks the stream as whole. Has no effect on one that is not open. */
+void
+rp_stream_end(struct rp_stream *stream)
+{
+    if (stream->state == RP_STREAM_OPEN) {
+        stream->state = RP_STREAM_ENDED;
+        wake_reader(stream);
+    }
+}
+
+/* Marks the stream as broken off. Has no effect on one that is not open. */
+void
+rp_stream_break(struct rp_stream *stream)
+{
+    if (stream->state == RP_STREAM_OPEN) {
+        stream->state = RP_STREAM_BROKEN;
+        wake_reader(stream);
+    }
+}
+
+/* Returns whether and how the stream has ended. */
+enum rp_stream_state
+rp_stream_state(const struct rp_stream *stream)
+{
+    return stream->state;
+}
+
+/* Returns how many bytes have been written in all. */
+uint64_t
+rp_stream_written(const struct rp_stream *stream)
+{
+    return stream->written;
+}
+
+/* Returns whether every byte since the start is still there. */
+bool
+rp_stream_can_rewind(const struct rp_stream *stream)
+{
+    return stream->kept_from == 0 && stream->state != RP_STREAM_BROKEN;
+}
+
+/* Lets the next reader read from the start again. */
+void
+rp_stream_rewind(struct rp_stream *stream)
+{
+    g_return_if_fail(stream->kept_from == 0);
+    stream->read_to = 0;
+}
+
+/* Returns whether everything was read and the stream is whole. */
+bool
+rp_stream_at_end(const struct rp_stream *stream)
+{
+    return stream->state == RP_STREAM_ENDED &&
+           stream->read_to == stream->written;
+}
+
+/* Returns how many bytes can be read now. */
+uint32_t
+rp_stream_available(const struct rp_stream *stream)
+{
+    return (uint32_t)(stream->written - stream->read_to);
+}
+
+/* Reads at most count bytes and returns their number; 0 when there are none
+ * at present or the stream has ended. */
+uint32_t
+rp_stream_read(struct rp_stream *stream, void *bytes, uint32_t count)
+{
+    uint32_t taken = MIN(count, rp_stream_available(stream));
+    if (taken > 0) {
+        copy_out(stream, stream->read_to, bytes, taken);
+        stream->read_to += taken;
+    }
+    if (stream->state == RP_STREAM_OPEN) {
+        wake_writer(stream);
+    }
+    return taken;
+}
--- /dev/null
+++ b/src/upstream_attempt.h
@@ -0,0 +1,49 @@
+#ifndef RP_UPSTREAM_ATTEMPT_H
+#define RP_UPSTREAM_ATTEMPT_H
+
+#include <curl/curl.h>
+
+#include "call.h"
+#include "http_rules.h"
+
+struct rp_upstream;
+
+/* One attempt as libcurl carries it; internal to the upstream task. */
+struct rp_upstream_attempt {
+    struct rp_upstream *upstream;
+    CURL *easy;
+    struct curl_slist *headers;
+    struct rp_call *call;
+    struct rp_stream *body;
+    struct rp_answer *answer;
+    struct rp_http_framing framing;
+    uint32_t generation;
+    uint32_t flags;
+    uint32_t sends; /* times that libcurl was about to send the request */
+    int paused;     /* CURLPAUSE_... bits */
+    uint32_t status;
+    bool reads_request;
+    bool resumable;
+    bool head_done;
+    bool malformed;
+    int64_t started_ns;
+    int64_t first_byte_ns;
+    int64_t progress_ns;
+    char address[RP_ADDRESS_BYTES];
+};
+
+CURL *rp_upstream_easy_new(uint32_t connect_timeout_ms);
+void rp_upstream_attempt_init(struct rp_upstream_attempt *attempt,
+                              const struct rp_attempt_start *start, bool fresh,
+                              int64_t greatest_age_s, int64_t now_ns);
+void rp_upstream_attempt_clear(struct rp_upstream_attempt *attempt);
+void rp_upstream_attempt_resume(struct rp_upstream_attempt *attempt);
+bool rp_upstream_attempt_reused(const struct rp_upstream_attempt *attempt);
+bool rp_upstream_attempt_stalled(const struct rp_upstream_attempt *attempt,
+                                 int64_t limit_ns, int64_t now_ns);
+enum rp_attempt_end
+rp_upstream_attempt_end(const struct rp_upstream_attempt *attempt,
+                        CURLcode code);
+void rp_upstream_report_head(struct rp_upstream_attempt *attempt);
+
+#endif
