--- a/src/message_list.h
+++ b/src/message_list.h
@@ -1,5 +1,6 @@
 /* RP_MESSAGE(identifier): kinds of messages between tasks. One line each;
  * the header of the task that receives a kind defines its body. */
+/* clang-format off */
 RP_MESSAGE(PAUSE_NOTICED)
 RP_MESSAGE(STOP)
 RP_MESSAGE(SNAPSHOT)
@@ -16,3 +17,5 @@
 RP_MESSAGE(PLATFORM_VMS)
 RP_MESSAGE(WIRE_SEND)
 RP_MESSAGE(WIRE_RECEIVED)
+RP_MESSAGE(STATUS_WANT)
+RP_MESSAGE(STATUS_PART)
