--- a/cli/main.c
+++ b/cli/main.c
@@ -1,14 +1,73 @@
 #include <stdio.h>
 #include <string.h>
+#include <sysexits.h>
 
-/* Prints the version. */
+#include "cli.h"
+
+static int
+version_main(int argc, char **argv)
+{
+    (void)argc;
+    (void)argv;
+    puts("rosemarypulley " RP_VERSION);
+    return 0;
+}
+
+static int help_main(int argc, char **argv);
+
+struct subcommand {
+    const char *name;
+    int (*run)(int argc, char **argv);
+    const char *help;
+};
+
+static const struct subcommand subcommands[] = {
+    {"status", cli_status_main, "show what entry VMs are doing"},
+    {"timeline", cli_timeline_main, "print one time line of all entry VMs"},
+    {"version", version_main, "print the version"},
+    {"help", help_main, "print this list"},
+};
+
+#define SUBCOMMAND_COUNT (sizeof(subcommands) / sizeof(subcommands[0]))
+
+static void
+print_usage(FILE *out)
+{
+    fputs("Usage: rosemarypulley COMMAND [OPTION...]\n\nCommands:\n", out);
+    for (size_t i = 0; i < SUBCOMMAND_COUNT; i++) {
+        fprintf(out, "  %-10s %s\n", subcommands[i].name, subcommands[i].help);
+    }
+    fputs("\n'rosemarypulley COMMAND --help' describes a command.\n", out);
+}
+
+static int
+help_main(int argc, char **argv)
+{
+    (void)argc;
+    (void)argv;
+    print_usage(stdout);
+    return 0;
+}
+
+/* Runs the subcommand that the first argument names. */
 int
 main(int argc, char **argv)
 {
-    if (argc == 2 && strcmp(argv[1], "version") == 0) {
-        puts("rosemarypulley " RP_VERSION);
-        return 0;
+    if (argc < 2) {
+        print_usage(stderr);
+        return EX_USAGE;
+    }
+    const char *name = strcmp(argv[1], "--help") == 0      ? "help"
+                       : strcmp(argv[1], "--version") == 0 ? "version"
+                                                           : argv[1];
+    for (size_t i = 0; i < SUBCOMMAND_COUNT; i++) {
+        if (strcmp(subcommands[i].name, name) == 0) {
+            return subcommands[i].run(argc - 1, argv + 1);
+        }
     }
-    fputs("usage: rosemarypulley version\n", stderr);
-    return 64;
+    fprintf(stderr,
+            "rosemarypulley: unknown command '%s'; 'rosemarypulley help' "
+            "lists them\n",
+            name);
+    return EX_USAGE;
 }
--- /dev/null
+++ b/cli/status.c
@@ -0,0 +1,201 @@
+#include <argp.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+
+#include "cli.h"
+#include "fetch.h"
+
+#define TIMEOUT_MS 3000
+
+struct status_options {
+    const char *at;
+    bool all;
+    bool json;
+};
+
+static const struct argp_option options[] = {
+    {"at", 'a', "IP:PORT,...", 0, "operators' addresses to ask", 0},
+    {"all", 'A', NULL, 0, "ask all members that they know of", 0},
+    {"json", 'j', NULL, 0, "JSON, one document on a line", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+    struct status_options *chosen = state->input;
+    switch (key) {
+    case 'a':
+        chosen->at = value;
+        return 0;
+    case 'A':
+        chosen->all = true;
+        return 0;
+    case 'j':
+        chosen->json = true;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const char *
+get_text(json_t *object, const char *key)
+{
+    const char *text = json_string_value(json_object_get(object, key));
+    return text == NULL ? "-" : text;
+}
+
+static long long
+get_number(json_t *object, const char *key)
+{
+    return json_integer_value(json_object_get(object, key));
+}
+
+static void
+print_config(json_t *document)
+{
+    json_t *config = json_object_get(document, "config");
+    printf("%s (%s, %s) version %s\n", get_text(document, "id"),
+           get_text(document, "domain"), get_text(document, "address"),
+           get_text(document, "version"));
+    printf("  configuration: %s, digest %s, revision %lld, platform heard "
+           "%lld ms ago\n",
+           get_text(config, "state"), get_text(config, "digest"),
+           get_number(config, "revision"),
+           get_number(config, "platform_age_ms"));
+    size_t index;
+    json_t *record;
+    json_array_foreach(json_object_get(config, "records"), index, record)
+    {
+        printf("    record %-32s version %-6lld schema %lld%s\n",
+               get_text(record, "key"), get_number(record, "version"),
+               get_number(record, "schema"),
+               json_is_true(json_object_get(record, "retired")) ? " retired"
+                                                                : "");
+    }
+    json_array_foreach(json_object_get(config, "refused"), index, record)
+    {
+        printf("    refused %-31s %s\n", get_text(record, "key"),
+               get_text(record, "reason"));
+    }
+}
+
+static void
+print_service(json_t *service)
+{
+    printf("  service %s: queued %lld, in progress %lld, refused %lld\n",
+           get_text(service, "name"), get_number(service, "queued"),
+           get_number(service, "in_progress"), get_number(service, "refused"));
+    size_t index;
+    json_t *item;
+    json_array_foreach(json_object_get(service, "estates"), index, item)
+    {
+        printf("    estate %-10s share wanted %lld/1000, given %lld/1000\n",
+               get_text(item, "name"), get_number(item, "wanted_permille"),
+               get_number(item, "given_permille"));
+    }
+    json_array_foreach(json_object_get(service, "targets"), index, item)
+    {
+        printf("    target %-14s %-21s %-8s %-9s in flight %lld of %lld, "
+               "sent %lld, report age %lld ms\n",
+               get_text(item, "name"), get_text(item, "address"),
+               get_text(item, "estate"), get_text(item, "state"),
+               get_number(item, "in_flight"), get_number(item, "limit"),
+               get_number(item, "sent"), get_number(item, "report_age_ms"));
+    }
+}
+
+static void
+print_document(json_t *document)
+{
+    print_config(document);
+    size_t index;
+    json_t *item;
+    json_array_foreach(json_object_get(document, "services"), index, item)
+    {
+        print_service(item);
+    }
+    json_array_foreach(json_object_get(document, "members"), index, item)
+    {
+        printf("  peer %-10s %-21s %-12s %-8s heard %lld ms ago\n",
+               get_text(item, "id"), get_text(item, "address"),
+               get_text(item, "domain"), get_text(item, "state"),
+               get_number(item, "age_ms"));
+    }
+}
+
+static GPtrArray *
+fetch_all(const struct status_options *chosen)
+{
+    char **listed = cli_fetch_addresses(chosen->at);
+    GPtrArray *list = cli_fetch_list_new();
+    if (chosen->all) {
+        GPtrArray *found = cli_fetch_discover(listed, TIMEOUT_MS);
+        for (guint i = 0; i < found->len; i++) {
+            cli_fetch_list_add(list, g_ptr_array_index(found, i), "/status");
+        }
+        g_ptr_array_unref(found);
+    }
+    else {
+        for (char **address = listed; *address != NULL; address++) {
+            cli_fetch_list_add(list, *address, "/status");
+        }
+    }
+    cli_fetch_list_run(list, TIMEOUT_MS);
+    g_strfreev(listed);
+    return list;
+}
+
+/* Shows what entry VMs are doing. Returns 0; EX_UNAVAILABLE when one did not
+ * answer; 1 when configurations in force differ or a VM is not in force. */
+int
+cli_status_main(int argc, char **argv)
+{
+    static const struct argp argp = {
+        options,
+        parse_option,
+        NULL,
+        "Show the configuration in force, services, targets, budgets and "
+        "peers of one or all entry VMs.",
+        NULL,
+        NULL,
+        NULL,
+    };
+    struct status_options chosen = {0};
+    argp_parse(&argp, argc, argv, 0, NULL, &chosen);
+    GPtrArray *list = fetch_all(&chosen);
+    const char *digest = NULL;
+    int status = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const struct cli_fetch *fetch = g_ptr_array_index(list, i);
+        if (fetch->document == NULL) {
+            fprintf(stderr, "status: %s did not answer: %s\n", fetch->address,
+                    fetch->failure);
+            status = EX_UNAVAILABLE;
+            continue;
+        }
+        if (chosen.json) {
+            char *text =
+                json_dumps(fetch->document, JSON_COMPACT | JSON_SORT_KEYS);
+            puts(text);
+            free(text);
+        }
+        else {
+            print_document(fetch->document);
+        }
+        json_t *config = json_object_get(fetch->document, "config");
+        const char *own = get_text(config, "digest");
+        bool differs = digest != NULL && strcmp(digest, own) != 0;
+        bool waiting = strcmp(get_text(config, "state"), "in force") != 0;
+        if (status == 0 && (differs || waiting)) {
+            status = 1;
+        }
+        digest = own;
+    }
+    g_ptr_array_unref(list);
+    return status;
+}
--- a/src/admin.c
+++ b/src/admin.c
@@ -1,11 +1,11 @@
 #include "admin.h"
 
-#include <arpa/inet.h>
+#include <errno.h>
 #include <jansson.h>
-#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "address.h"
 #include "error.h"
 #include "event_json.h"
 #include "mhd_loop.h"
@@ -265,21 +265,6 @@
     .on_remove = on_remove,
 };
 
-static bool
-parse_address(const char *address, struct sockaddr_in *out)
-{
-    char **parts = g_strsplit(address, ":", 2);
-    memset(out, 0, sizeof(*out));
-    out->sin_family = AF_INET;
-    bool valid = g_strv_length(parts) == 2 &&
-                 inet_pton(AF_INET, parts[0], &out->sin_addr) == 1;
-    if (valid) {
-        out->sin_port = htons((uint16_t)atoi(parts[1]));
-    }
-    g_strfreev(parts);
-    return valid;
-}
-
 /* Starts the task named admin, which serves operators on address ("ip:port")
  * with /metrics, /status, /timeline and /healthz. It belongs to the loop's
  * kernel. Returns NULL with RP_ERROR_SYSTEM set when it cannot listen. */
@@ -288,7 +273,7 @@
 {
     struct rp_admin *admin = g_new0(struct rp_admin, 1);
     struct sockaddr_in socket_address;
-    if (parse_address(address, &socket_address)) {
+    if (rp_address_parse(address, &socket_address)) {
         admin->daemon = MHD_start_daemon(
             MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
             on_request, admin, MHD_OPTION_SOCK_ADDR, &socket_address,
--- a/src/setting.c
+++ b/src/setting.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "address.h"
 #include "error.h"
 
 #define NAME_LIMIT_BYTES 63
@@ -49,17 +50,8 @@
 static bool
 is_address(const char *value)
 {
-    const char *colon = strrchr(value, ':');
-    guint64 port;
-    if (colon == NULL ||
-        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL))
-    {
-        return false;
-    }
-    char *host = g_strndup(value, (gsize)(colon - value));
-    bool valid = g_hostname_is_ip_address(host) && strchr(host, ':') == NULL;
-    g_free(host);
-    return valid;
+    struct sockaddr_in address;
+    return rp_address_parse(value, &address);
 }
 
 static void
