--- /dev/null
+++ b/src/address_answer.c
@@ -0,0 +1,173 @@
+#include "address_answer.h"
+
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <xxhash.h>
+
+/* A member so much more loaded than another, in parts per thousand, is
+ * named after it. Coarse, since loads are old when they arrive. */
+#define LOAD_STEP_PERMILLE 250
+
+struct candidate {
+    uint32_t index;
+    uint32_t rank;  /* smaller is better */
+    uint64_t place; /* in the rendezvous order of the service */
+    uint64_t shuffle;
+};
+
+static int
+compare_places(gconstpointer a, gconstpointer b)
+{
+    const struct candidate *left = a;
+    const struct candidate *right = b;
+    if (left->rank / 4 != right->rank / 4) {
+        return left->rank / 4 < right->rank / 4 ? -1 : 1;
+    }
+    return left->place > right->place   ? -1
+           : left->place < right->place ? 1
+                                        : 0;
+}
+
+static int
+compare_ranks(gconstpointer a, gconstpointer b)
+{
+    const struct candidate *left = a;
+    const struct candidate *right = b;
+    if (left->rank != right->rank) {
+        return left->rank < right->rank ? -1 : 1;
+    }
+    return left->shuffle < right->shuffle ? -1 : 1;
+}
+
+static GArray *
+collect(const struct rp_address_question *question)
+{
+    GArray *found = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+    uint64_t seed = XXH3_64bits(question->service, strlen(question->service));
+    for (uint32_t i = 0; i < question->member_count; i++) {
+        const struct rp_address_member *member = &question->members[i];
+        if (member->state == RP_ADDRESS_UNUSABLE) {
+            continue;
+        }
+        struct candidate candidate = {
+            .index = i,
+            .rank = (uint32_t)member->state * 4,
+            .place =
+                XXH3_64bits_withSeed(member->id, strlen(member->id), seed),
+        };
+        candidate.shuffle = XXH3_64bits_withSeed(
+            &candidate.place, sizeof(candidate.place), question->random);
+        g_array_append_val(found, candidate);
+    }
+    return found;
+}
+
+/* The serving members that rendezvous hashing gives to the service, each
+ * failure domain ranked by the caller's own first and by load. */
+static void
+rank(const struct rp_address_question *question, GArray *found)
+{
+    g_array_sort(found, compare_places);
+    for (guint i = 0; i < found->len; i++) {
+        struct candidate *candidate =
+            &g_array_index(found, struct candidate, i);
+        const struct rp_address_member *member =
+            &question->members[candidate->index];
+        bool outside = i >= MAX(question->subset, 1);
+        bool far = question->domain[0] != '\0' &&
+                   strcmp(question->domain, member->domain) != 0;
+        candidate->rank =
+            candidate->rank * 1000 + (outside ? 500 : 0) + (far ? 100 : 0) +
+            MIN(member->load_permille, 9999) / LOAD_STEP_PERMILLE;
+    }
+    g_array_sort(found, compare_ranks);
+}
+
+static bool
+domain_is_new(const struct rp_address_question *question,
+              const uint32_t *picked, uint32_t count, uint32_t index)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(question->members[picked[i]].domain,
+                   question->members[index].domain) == 0)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Chooses the members to name, in order of preference, and returns their
+ * number. The second is of another failure domain when there is one, so that
+ * the loss of a domain leaves the caller an address. Suspect members are
+ * named only when there are no others. */
+uint32_t
+rp_address_answer_pick(const struct rp_address_question *question,
+                       uint32_t picked[RP_ADDRESS_ANSWER_COUNT])
+{
+    GArray *found = collect(question);
+    rank(question, found);
+    uint32_t count = 0;
+    for (guint i = 0; i < found->len && count < RP_ADDRESS_ANSWER_COUNT; i++) {
+        uint32_t index = g_array_index(found, struct candidate, i).index;
+        if (question->members[index].state == RP_ADDRESS_SUSPECT && i > 0 &&
+            question->members[picked[0]].state != RP_ADDRESS_SUSPECT)
+        {
+            break;
+        }
+        picked[count++] = index;
+    }
+    for (guint i = 2; count > 1 && i < found->len; i++) {
+        if (domain_is_new(question, picked, 1, picked[1])) {
+            break;
+        }
+        uint32_t index = g_array_index(found, struct candidate, i).index;
+        if (question->members[index].state ==
+                question->members[picked[1]].state &&
+            domain_is_new(question, picked, 1, index))
+        {
+            for (uint32_t j = 2; j < count; j++) {
+                if (picked[j] == index) {
+                    picked[j] = picked[1];
+                }
+            }
+            picked[1] = index;
+        }
+    }
+    g_array_unref(found);
+    return count;
+}
+
+/* Builds the JSON body of an answer, which the caller frees with g_free, or
+ * returns NULL when no VM can be named. */
+char *
+rp_address_answer_format(const struct rp_address_question *question)
+{
+    uint32_t picked[RP_ADDRESS_ANSWER_COUNT];
+    uint32_t count = rp_address_answer_pick(question, picked);
+    if (count == 0) {
+        return NULL;
+    }
+    json_t *addresses = json_array();
+    for (uint32_t i = 0; i < count; i++) {
+        const struct rp_address_member *member = &question->members[picked[i]];
+        json_array_append_new(
+            addresses, json_pack("{s:s, s:s, s:s, s:s}", "id", member->id,
+                                 "address", member->address, "domain",
+                                 member->domain, "ticket", member->ticket));
+    }
+    char digest[32];
+    g_snprintf(digest, sizeof(digest), "%016" G_GINT64_MODIFIER "x",
+               question->digest);
+    json_t *answer = json_pack(
+        "{s:s, s:I, s:{s:s, s:I}, s:o}", "service", question->service,
+        "ttl_ms", (json_int_t)question->ttl_ms, "config", "digest", digest,
+        "revision", (json_int_t)question->revision, "addresses", addresses);
+    char *dumped = json_dumps(answer, JSON_COMPACT);
+    json_decref(answer);
+    char *text = g_strdup(dumped);
+    free(dumped);
+    return text;
+}
--- /dev/null
+++ b/src/address_answer.h
@@ -0,0 +1,53 @@
+#ifndef RP_ADDRESS_ANSWER_H
+#define RP_ADDRESS_ANSWER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Addresses in one answer. */
+#define RP_ADDRESS_ANSWER_COUNT 4
+
+enum rp_address_state {
+    RP_ADDRESS_SERVING,
+    RP_ADDRESS_PROVISIONAL, /* on an unconfirmed configuration: last */
+    RP_ADDRESS_SUSPECT,     /* silent: only when nothing else is left */
+    RP_ADDRESS_UNUSABLE,    /* leaving, dead or not ready: never named */
+};
+
+/* An entry VM as address answers see it. The strings are borrowed. */
+struct rp_address_member {
+    const char *id;
+    const char *address; /* for callers, "ip:port" */
+    const char *domain;
+    const char *ticket; /* prefix issued by that VM; "" when unknown */
+    enum rp_address_state state;
+    uint64_t incarnation;
+    uint32_t load_permille;
+};
+
+/* What one answer is made from. */
+struct rp_address_question {
+    const char *service;
+    const char *domain; /* of the caller; "" when it named none */
+    const struct rp_address_member *members;
+    uint32_t member_count;
+    uint32_t subset; /* entry VMs that serve a service at present */
+    uint32_t ttl_ms;
+    uint64_t digest; /* of the configuration in force */
+    uint64_t revision;
+    uint64_t random; /* spreads callers over equal addresses */
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+uint32_t rp_address_answer_pick(const struct rp_address_question *question,
+                                uint32_t picked[RP_ADDRESS_ANSWER_COUNT]);
+char *rp_address_answer_format(const struct rp_address_question *question);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/dispatch.c
@@ -0,0 +1,445 @@
+#include "dispatch.h"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "dispatch_call.h"
+#include "snapshot.h"
+
+/* Fewer than a mailbox holds, so that a reply always finds room. */
+#define MAX_CALLS 16000
+#define NOT_READY_RETRY_MS 1000
+#define FULL_RETRY_MS 100
+#define DEFAULT_ATTEMPTS_LEFT 2u
+#define MAX_ATTEMPTS_LEFT 5u
+#define DEFAULT_FIRST_BYTE_MS 2000
+#define MIN_FIRST_BYTE_MS 50
+
+enum dispatch_timer {
+    TIMER_CALLS,
+    TIMER_BALANCERS,
+};
+
+/* Answers a call without a target. */
+void
+dispatch_refuse(struct rp_dispatch *dispatch, uint64_t call_id,
+                enum rp_outcome outcome, uint32_t status,
+                int64_t retry_after_ms, const char *reason)
+{
+    struct rp_call_reply reply = {
+        .call_id = call_id,
+        .outcome = outcome,
+        .status = status,
+        .retry_after_ms = retry_after_ms,
+        .reason = reason,
+    };
+    rp_counter_add(&dispatch->context->counters,
+                   outcome == RP_OUTCOME_NOT_RUN ? RP_COUNTER_CALLS_REFUSED
+                                                 : RP_COUNTER_CALLS_UNKNOWN,
+                   1);
+    struct rp_task *entry =
+        rp_kernel_find_task(rp_task_kernel(dispatch->task), RP_TASK_ENTRY);
+    rp_task_send(dispatch->task, entry, RP_MSG_CALL_REPLY, &reply,
+                 sizeof(reply));
+}
+
+static struct dispatch_call *
+find_call(struct rp_dispatch *dispatch, uint64_t id)
+{
+    return g_hash_table_lookup(dispatch->calls, GSIZE_TO_POINTER(id));
+}
+
+static void
+show_open_calls(struct rp_dispatch *dispatch)
+{
+    rp_counter_set(&dispatch->context->counters, RP_COUNTER_CALLS_OPEN,
+                   g_hash_table_size(dispatch->calls));
+}
+
+/* Forgets a call and frees it. */
+void
+dispatch_remove_call(struct dispatch_call *call)
+{
+    struct rp_dispatch *dispatch = call->dispatch;
+    g_hash_table_remove(dispatch->calls, GSIZE_TO_POINTER(call->call->id));
+    show_open_calls(dispatch);
+}
+
+/* Takes over the verdicts that a balancer has ready, after anything that may
+ * have changed its mind. */
+void
+dispatch_touch_service(struct rp_dispatch *dispatch,
+                       struct dispatch_service *service, int64_t now_ns)
+{
+    struct rp_balancer_verdict verdict;
+    while (rp_balancer_next(service->balancer, now_ns, &verdict)) {
+        struct dispatch_call *call = find_call(dispatch, verdict.call_id);
+        if (call != NULL) {
+            dispatch_call_verdict(call, &verdict, now_ns);
+        }
+    }
+    int64_t due_ns = rp_balancer_due_ns(service->balancer);
+    if (due_ns < dispatch->balancer_due_ns) {
+        dispatch->balancer_due_ns = due_ns;
+        rp_task_set_timer(dispatch->task, TIMER_BALANCERS, due_ns);
+    }
+}
+
+static void
+touch_all_services(struct rp_dispatch *dispatch, int64_t now_ns)
+{
+    dispatch->balancer_due_ns = RP_KERNEL_NEVER_NS;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, dispatch->services);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        dispatch_touch_service(dispatch, value, now_ns);
+    }
+}
+
+/* Hash of the method and the first two segments of the path: what follows
+ * usually names single things. */
+static uint64_t
+call_kind(const struct rp_call *call)
+{
+    size_t bytes = 0;
+    for (uint32_t slashes = 0; call->target[bytes] != '\0'; bytes++) {
+        slashes += call->target[bytes] == '/';
+        if (slashes == 3 || call->target[bytes] == '?') {
+            break;
+        }
+    }
+    return XXH3_64bits_withSeed(call->target, bytes, call->method_flag);
+}
+
+static int64_t
+first_byte_limit_ns(const struct rp_dispatch *dispatch,
+                    const struct rp_service *service, int64_t timeout_ms)
+{
+    int64_t most_ms = dispatch->config.first_byte_ms;
+    if (service->length_class == RP_LENGTH_LONG) {
+        most_ms = timeout_ms / 2;
+    }
+    int64_t limit_ms = CLAMP(timeout_ms / 4, MIN_FIRST_BYTE_MS,
+                             MAX(most_ms, MIN_FIRST_BYTE_MS));
+    return limit_ms * 1000000;
+}
+
+static struct dispatch_call *
+make_call(struct rp_dispatch *dispatch, struct rp_call *call,
+          struct dispatch_service *service)
+{
+    const struct rp_service *record = service->service;
+    uint32_t timeout_ms =
+        call->timeout_ms > 0 ? call->timeout_ms : record->timeout_ms;
+    timeout_ms = MIN(timeout_ms, record->max_timeout_ms);
+    struct dispatch_call *made = g_new0(struct dispatch_call, 1);
+    made->dispatch = dispatch;
+    made->call = rp_call_ref(call);
+    made->service = service;
+    made->repeatable = (call->method_flag & record->repeatable_methods) != 0;
+    made->flags = (made->repeatable ? RP_CALL_REPEATABLE : 0) |
+                  (record->length_class == RP_LENGTH_LONG ? RP_CALL_LONG : 0);
+    made->kind = call_kind(call);
+    made->attempts_left = call->attempts_left == RP_ATTEMPTS_UNSET
+                              ? DEFAULT_ATTEMPTS_LEFT
+                              : MIN(call->attempts_left, MAX_ATTEMPTS_LEFT);
+    made->deadline_ns = call->received_ns + (int64_t)timeout_ms * 1000000;
+    made->first_byte_limit_ns =
+        first_byte_limit_ns(dispatch, record, timeout_ms);
+    made->hedge_at_ns = RP_KERNEL_NEVER_NS;
+    made->first_byte_at_ns = RP_KERNEL_NEVER_NS;
+    made->retry_at_ns = RP_KERNEL_NEVER_NS;
+    return made;
+}
+
+static void
+start_call(struct rp_dispatch *dispatch, struct rp_call *call, int64_t now_ns)
+{
+    rp_counter_add(&dispatch->context->counters, RP_COUNTER_CALLS, 1);
+    if (!dispatch->ready) {
+        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 503,
+                        NOT_READY_RETRY_MS,
+                        "this entry VM has no configuration yet");
+        return;
+    }
+    const struct rp_service *record =
+        rp_snapshot_match(dispatch->snapshot, call->host, call->target);
+    if (record == NULL) {
+        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 404, 0,
+                        "no service has this host and path");
+        return;
+    }
+    if (call->body_bytes > 0 &&
+        (uint64_t)call->body_bytes > record->max_body_bytes)
+    {
+        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 413, 0,
+                        "the body is over the limit of the service");
+        return;
+    }
+    if (g_hash_table_size(dispatch->calls) >= MAX_CALLS) {
+        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 503,
+                        FULL_RETRY_MS, "too many calls in progress");
+        return;
+    }
+    struct dispatch_service *service =
+        g_hash_table_lookup(dispatch->services, record->name);
+    struct dispatch_call *made = make_call(dispatch, call, service);
+    g_hash_table_insert(dispatch->calls, GSIZE_TO_POINTER(call->id), made);
+    show_open_calls(dispatch);
+    if (call->request != NULL) {
+        rp_stream_set_limit(call->request, record->max_body_bytes);
+        if (rp_stream_over_limit(call->request)) {
+            dispatch_call_gone(made, RP_GONE_TOO_LARGE, now_ns);
+            return;
+        }
+    }
+    dispatch_call_begin(made, now_ns);
+    dispatch_touch_service(dispatch, service, now_ns);
+}
+
+static struct dispatch_service *
+find_or_add_service(struct rp_dispatch *dispatch, const char *name)
+{
+    struct dispatch_service *service =
+        g_hash_table_lookup(dispatch->services, name);
+    if (service != NULL) {
+        return service;
+    }
+    const struct rp_identity *identity = &dispatch->context->identity;
+    struct rp_balancer_config config = {
+        .domain = identity->domain,
+        .fleet_size = MAX(identity->fleet_size, 1),
+        .deciders = MAX(identity->fleet_size, 1),
+        .queue_limit = 1024,
+        .seed =
+            XXH3_64bits_withSeed(name, strlen(name), identity->incarnation),
+    };
+    service = g_new0(struct dispatch_service, 1);
+    service->name = g_strdup(name);
+    service->balancer = rp_balancer_new(&config);
+    g_hash_table_insert(dispatch->services, service->name, service);
+    return service;
+}
+
+static void
+free_service(gpointer data)
+{
+    struct dispatch_service *service = data;
+    rp_balancer_free(service->balancer);
+    g_free(service->name);
+    g_free(service);
+}
+
+/* Puts a configuration in force. A service that it lacks keeps its balancer,
+ * without targets. */
+static void
+take_snapshot(struct rp_dispatch *dispatch,
+              const struct rp_snapshot_message *message, int64_t now_ns)
+{
+    struct rp_snapshot *old = dispatch->snapshot;
+    dispatch->snapshot = rp_snapshot_ref(message->snapshot);
+    dispatch->ready = message->ready;
+    for (uint32_t i = 0; i < rp_snapshot_service_count(message->snapshot); i++)
+    {
+        find_or_add_service(
+            dispatch, rp_snapshot_get_service(message->snapshot, i)->name);
+    }
+    struct rp_service empty = {0};
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, dispatch->services);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct dispatch_service *service = value;
+        service->service =
+            rp_snapshot_find_service(message->snapshot, service->name);
+        empty.name = service->name;
+        rp_balancer_set_service(
+            service->balancer,
+            service->service == NULL ? &empty : service->service, now_ns);
+    }
+    rp_snapshot_unref(old);
+    touch_all_services(dispatch, now_ns);
+}
+
+static void
+notice_pause(struct rp_dispatch *dispatch, const struct rp_pause *pause,
+             int64_t now_ns)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, dispatch->services);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct dispatch_service *service = value;
+        rp_balancer_notice_pause(service->balancer, pause->gap_ns, now_ns);
+    }
+}
+
+static void
+run_due_calls(struct rp_dispatch *dispatch, int64_t now_ns)
+{
+    struct rp_due_item *first;
+    while ((first = rp_due_first(&dispatch->due)) != NULL &&
+           first->at_ns <= now_ns)
+    {
+        struct dispatch_call *call = (struct dispatch_call *)first;
+        struct dispatch_service *service = call->service;
+        dispatch_call_due(call, now_ns);
+        dispatch_touch_service(dispatch, service, now_ns);
+    }
+}
+
+static void
+set_call_timer(struct rp_dispatch *dispatch)
+{
+    struct rp_due_item *first = rp_due_first(&dispatch->due);
+    if (first == NULL) {
+        rp_task_cancel_timer(dispatch->task, TIMER_CALLS);
+    }
+    else {
+        rp_task_set_timer(dispatch->task, TIMER_CALLS, first->at_ns);
+    }
+}
+
+static void
+on_call_message(struct rp_dispatch *dispatch, const struct rp_message *message,
+                int64_t now_ns)
+{
+    /* Each of these bodies begins with the call's id, but CALL_START's. */
+    uint64_t id;
+    memcpy(&id, message->body, sizeof(id));
+    struct dispatch_call *call = find_call(dispatch, id);
+    if (call == NULL) {
+        return; /* late: the call is over */
+    }
+    struct dispatch_service *service = call->service;
+    switch (message->kind) {
+    case RP_MSG_CALL_GONE:
+        dispatch_call_gone(
+            call, ((const struct rp_call_gone *)message->body)->reason,
+            now_ns);
+        break;
+    case RP_MSG_ATTEMPT_HEAD:
+        dispatch_call_head(call, message->body, now_ns);
+        break;
+    case RP_MSG_ATTEMPT_DONE:
+        dispatch_call_done(call, message->body, now_ns);
+        break;
+    default:
+        break;
+    }
+    dispatch_touch_service(dispatch, service, now_ns);
+}
+
+static void
+on_message(struct rp_task *task, const struct rp_message *message,
+           int64_t now_ns, void *data)
+{
+    (void)task;
+    struct rp_dispatch *dispatch = data;
+    switch (message->kind) {
+    case RP_MSG_PAUSE_NOTICED:
+        notice_pause(dispatch, message->body, now_ns);
+        break;
+    case RP_MSG_SNAPSHOT:
+        take_snapshot(dispatch, message->body, now_ns);
+        break;
+    case RP_MSG_CALL_START:
+        start_call(dispatch,
+                   ((const struct rp_call_start *)message->body)->call,
+                   now_ns);
+        break;
+    case RP_MSG_CALL_GONE:
+    case RP_MSG_ATTEMPT_HEAD:
+    case RP_MSG_ATTEMPT_DONE:
+        on_call_message(dispatch, message, now_ns);
+        break;
+    default:
+        break;
+    }
+    set_call_timer(dispatch);
+}
+
+static void
+on_timer(struct rp_task *task, uint32_t timer, int64_t now_ns, void *data)
+{
+    (void)task;
+    struct rp_dispatch *dispatch = data;
+    if (timer == TIMER_BALANCERS) {
+        touch_all_services(dispatch, now_ns);
+    }
+    run_due_calls(dispatch, now_ns);
+    set_call_timer(dispatch);
+}
+
+static void
+free_call(gpointer data)
+{
+    dispatch_call_free(data);
+}
+
+static void
+on_remove(struct rp_task *task, void *data)
+{
+    (void)task;
+    struct rp_dispatch *dispatch = data;
+    g_hash_table_unref(dispatch->calls);
+    g_hash_table_unref(dispatch->services);
+    rp_snapshot_unref(dispatch->snapshot);
+    rp_due_clear(&dispatch->due);
+    g_free(dispatch);
+}
+
+static const struct rp_task_ops dispatch_ops = {on_message, on_timer,
+                                                on_remove};
+
+/* Adds the task "dispatch", which decides about calls. It has no clock and no
+ * socket, so that it also runs in virtual time. It is freed with the kernel.
+ * Returns NULL with an error set when the task cannot be added. */
+struct rp_dispatch *
+rp_dispatch_new(struct rp_kernel *kernel,
+                const struct rp_dispatch_config *config, GError **error)
+{
+    struct rp_dispatch *dispatch = g_new0(struct rp_dispatch, 1);
+    dispatch->task = rp_kernel_add_task(kernel, RP_TASK_DISPATCH,
+                                        &dispatch_ops, dispatch, error);
+    if (dispatch->task == NULL) {
+        g_free(dispatch);
+        return NULL;
+    }
+    dispatch->context = rp_kernel_context(kernel);
+    dispatch->config = *config;
+    if (dispatch->config.first_byte_ms == 0) {
+        dispatch->config.first_byte_ms = DEFAULT_FIRST_BYTE_MS;
+    }
+    dispatch->calls = g_hash_table_new_full(NULL, NULL, NULL, free_call);
+    dispatch->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    dispatch->balancer_due_ns = RP_KERNEL_NEVER_NS;
+    return dispatch;
+}
+
+/* Returns the number of calls in progress. */
+uint32_t
+rp_dispatch_calls(const struct rp_dispatch *dispatch)
+{
+    return g_hash_table_size(dispatch->calls);
+}
+
+/* Calls visit for each service and its balancer, for status. */
+void
+rp_dispatch_each_service(struct rp_dispatch *dispatch,
+                         void (*visit)(const char *service,
+                                       struct rp_balancer *balancer,
+                                       void *data),
+                         void *data)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, dispatch->services);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct dispatch_service *service = value;
+        visit(service->name, service->balancer, data);
+    }
+}
--- /dev/null
+++ b/src/dispatch_call.h
@@ -0,0 +1,104 @@
+#ifndef RP_DISPATCH_CALL_H
+#define RP_DISPATCH_CALL_H
+
+#include "call.h"
+#include "dispatch.h"
+#include "due.h"
+
+/* Attempts of one call, those beside silent connections included. */
+#define RP_DISPATCH_ATTEMPTS 8
+
+/* A service and its balancer. It stays when the service is retired, since
+ * calls in progress belong to it. */
+struct dispatch_service {
+    char *name;
+    struct rp_balancer *balancer;
+    const struct rp_service *service; /* of the snapshot; NULL: retired */
+    double fresh_trials; /* tokens for attempts beside silent connections */
+};
+
+enum attempt_state {
+    ATTEMPT_RUNNING,
+    ATTEMPT_HELD, /* small answer, kept back until it is whole */
+    ATTEMPT_OVER,
+};
+
+struct dispatch_attempt {
+    enum attempt_state state;
+    uint32_t generation;
+    uint32_t target;
+    uint32_t flags;   /* RP_CALL_... of the verdict */
+    uint32_t partner; /* index of the attempt it stands beside, plus 1 */
+    bool owns_slot;   /* the balancer still waits for its end */
+    bool head_seen;
+    bool not_run;       /* it is certain that the target did not run it */
+    bool beside_silent; /* it answered while its partner was silent */
+    int64_t sent_ns;
+    struct rp_answer *answer;
+    struct rp_stream *body;
+};
+
+enum call_state {
+    CALL_QUEUED,  /* at the balancer */
+    CALL_RUNNING, /* one or more attempts */
+    CALL_PAUSING, /* until a retry is due */
+    CALL_REPLIED, /* the body of the answer follows */
+};
+
+struct dispatch_call {
+    struct rp_due_item due; /* first member */
+    struct rp_dispatch *dispatch;
+    struct rp_call *call;
+    struct dispatch_service *service;
+    enum call_state state;
+    bool repeatable;
+    bool may_have_run;
+    bool over;      /* answered or gone; to be removed */
+    uint32_t flags; /* RP_CALL_... */
+    uint64_t kind;
+    uint32_t offer_flags; /* RP_CALL_RETRY when queued as a retry */
+    uint32_t retries;
+    uint32_t attempts_left;
+    int64_t deadline_ns;
+    int64_t first_byte_limit_ns;
+    int64_t hedge_at_ns;
+    int64_t first_byte_at_ns;
+    int64_t retry_at_ns;
+    uint32_t winner;
+    uint32_t attempt_count;
+    struct dispatch_attempt attempts[RP_DISPATCH_ATTEMPTS];
+};
+
+struct rp_dispatch {
+    struct rp_task *task;
+    struct rp_context *context;
+    struct rp_dispatch_config config;
+    GHashTable *calls;    /* struct dispatch_call by id */
+    GHashTable *services; /* struct dispatch_service by name */
+    struct rp_snapshot *snapshot;
+    struct rp_due due;
+    int64_t balancer_due_ns;
+    bool ready;
+};
+
+void dispatch_call_begin(struct dispatch_call *call, int64_t now_ns);
+void dispatch_call_verdict(struct dispatch_call *call,
+                           const struct rp_balancer_verdict *verdict,
+                           int64_t now_ns);
+void dispatch_call_head(struct dispatch_call *call,
+                        const struct rp_attempt_head *head, int64_t now_ns);
+void dispatch_call_done(struct dispatch_call *call,
+                        const struct rp_attempt_done *done, int64_t now_ns);
+void dispatch_call_due(struct dispatch_call *call, int64_t now_ns);
+void dispatch_call_gone(struct dispatch_call *call, enum rp_gone_reason reason,
+                        int64_t now_ns);
+void dispatch_call_free(struct dispatch_call *call);
+
+void dispatch_remove_call(struct dispatch_call *call);
+void dispatch_touch_service(struct rp_dispatch *dispatch,
+                            struct dispatch_service *service, int64_t now_ns);
+void dispatch_refuse(struct rp_dispatch *dispatch, uint64_t call_id,
+                     enum rp_outcome outcome, uint32_t status,
+                     int64_t retry_after_ms, const char *reason);
+
+#endif
--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,29 @@
+#ifndef RP_ENTRY_H
+#define RP_ENTRY_H
+
+#include "kernel.h"
+#include "loop.h"
+
+struct rp_entry;
+
+struct rp_entry_config {
+    uint32_t connection_limit;
+    uint32_t idle_timeout_s; /* of a caller's connection */
+    uint32_t answer_ttl_ms;  /* of address answers */
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_entry *rp_entry_new(struct rp_loop *loop,
+                              const struct rp_entry_config *config,
+                              GError **error);
+uint16_t rp_entry_port(const struct rp_entry *entry);
+bool rp_entry_finished(const struct rp_entry *entry);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/stream.c
+++ b/src/stream.c
@@ -13,6 +13,8 @@
     uint64_t kept_from; /* oldest byte that is still in the ring */
     uint64_t read_to;
     uint64_t written;
+    uint64_t limit_bytes;
+    bool over_limit;
     enum rp_stream_state state;
     void (*on_readable)(void *data);
     void *reader;
@@ -26,6 +28,7 @@
 {
     struct rp_stream *stream = g_new0(struct rp_stream, 1);
     stream->references = 1;
+    stream->limit_bytes = UINT64_MAX;
     return stream;
 }
 
@@ -84,6 +87,25 @@
     }
 }
 
+/* Sets the greatest length of the whole; a write beyond it breaks the
+ * stream. */
+void
+rp_stream_set_limit(struct rp_stream *stream, uint64_t limit_bytes)
+{
+    stream->limit_bytes = limit_bytes;
+    if (stream->written > limit_bytes) {
+        stream->over_limit = true;
+        rp_stream_break(stream);
+    }
+}
+
+/* Returns whether the stream is broken because it went over its limit. */
+bool
+rp_stream_over_limit(const struct rp_stream *stream)
+{
+    return stream->over_limit;
+}
+
 /* Returns how many bytes can be written now. */
 uint32_t
 rp_stream_room(const struct rp_stream *stream)
@@ -152,6 +174,12 @@
 uint32_t
 rp_stream_write(struct rp_stream *stream, const void *bytes, uint32_t count)
 {
+    if (stream->state == RP_STREAM_OPEN &&
+        count > stream->limit_bytes - stream->written)
+    {
+        stream->over_limit = true;
+        rp_stream_break(stream);
+    }
     uint32_t accepted = MIN(count, rp_stream_room(stream));
     if (accepted == 0) {
         return 0;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -307,7 +307,7 @@
 
 static void
 cancel_attempt(struct rp_upstream *upstream,
-               const struct rp_attempt_cancel *cancel, int64_t now_ns)
+               const struct rp_attempt_cancel *cancel)
 {
     uint64_t key = attempt_key(cancel->call_id, cancel->generation);
     struct rp_upstream_attempt *attempt =
@@ -316,8 +316,9 @@
         return;
     }
     if (cancel->silent) {
-        g_hash_table_insert(upstream->silent, g_strdup(attempt->address),
-                            g_memdup2(&now_ns, sizeof(now_ns)));
+        g_hash_table_insert(
+            upstream->silent, g_strdup(attempt->address),
+            g_memdup2(&attempt->started_ns, sizeof(attempt->started_ns)));
     }
     rp_stream_break(attempt->body);
     g_hash_table_remove(upstream->attempts, GSIZE_TO_POINTER(key));
@@ -333,7 +334,7 @@
         start_attempt(data, message->body, now_ns);
         break;
     case RP_MSG_ATTEMPT_CANCEL:
-        cancel_attempt(data, message->body, now_ns);
+        cancel_attempt(data, message->body);
         break;
     default:
         break;
--- /dev/null
+++ b/standin/target.c
@@ -0,0 +1,598 @@
+#include "target.h"
+
+#include <argp.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <sysexits.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <xxhash.h>
+
+#include "address.h"
+#include "loop.h"
+#include "standin.h"
+
+#define READ_BYTES 65536
+#define HEAD_LIMIT_BYTES 131072u
+#define OUT_LIMIT_BYTES 262144u
+
+enum connection_state {
+    STATE_HEAD,
+    STATE_BODY,
+    STATE_WORK,   /* in the queue or in a slot */
+    STATE_ANSWER, /* head sent, body follows */
+    STATE_DONE,   /* nothing more is sent */
+};
+
+static void advance(struct target_connection *connection);
+
+static void
+watch(struct target_connection *connection, int events)
+{
+    ev_io *io = &connection->io;
+    if (io->events == events) {
+        return;
+    }
+    ev_io_stop(connection->target->ev, io);
+    ev_io_set(io, io->fd, events);
+    ev_io_start(connection->target->ev, io);
+}
+
+static void
+leave_slot(struct target_connection *connection)
+{
+    struct target *target = connection->target;
+    if (connection->queued) {
+        g_queue_remove(&target->queue, connection);
+        connection->queued = false;
+    }
+    if (!connection->in_slot) {
+        return;
+    }
+    connection->in_slot = false;
+    target->in_flight--;
+    double us =
+        (double)(rp_loop_now_ns() - connection->slot_since_ns) / 1000.0;
+    target->service_us += (us - target->service_us) / 16.0;
+}
+
+static void start_next(struct target *target);
+
+static void
+close_connection(struct target_connection *connection)
+{
+    struct target *target = connection->target;
+    if (connection->state == STATE_WORK || connection->state == STATE_ANSWER) {
+        target->cancelled_total++;
+    }
+    leave_slot(connection);
+    ev_io_stop(target->ev, &connection->io);
+    ev_timer_stop(target->ev, &connection->timer);
+    if (connection->reset) {
+        struct linger linger = {.l_onoff = 1, .l_linger = 0};
+        setsockopt(connection->io.fd, SOL_SOCKET, SO_LINGER, &linger,
+                   sizeof(linger));
+    }
+    close(connection->io.fd);
+    g_byte_array_unref(connection->in);
+    g_byte_array_unref(connection->out);
+    g_free(connection);
+    target->connections_open--;
+    start_next(target);
+}
+
+/* Sends what is queued; false when the connection is gone. */
+static bool
+flush(struct target_connection *connection)
+{
+    GByteArray *out = connection->out;
+    while (connection->out_sent < out->len) {
+        ssize_t sent =
+            send(connection->io.fd, out->data + connection->out_sent,
+                 out->len - connection->out_sent, MSG_NOSIGNAL);
+        if (sent < 0) {
+            if (errno == EAGAIN) {
+                watch(connection, EV_READ | EV_WRITE);
+                return true;
+            }
+            return false;
+        }
+        connection->out_sent += (guint)sent;
+    }
+    g_byte_array_set_size(out, 0);
+    connection->out_sent = 0;
+    watch(connection, EV_READ);
+    return true;
+}
+
+static void
+simple_answer(struct target_connection *connection, uint32_t status,
+              const char *extra, const char *text)
+{
+    target_print(connection,
+                 "HTTP/1.1 %u Answer\r\nContent-Length: %zu\r\n%s\r\n", status,
+                 strlen(text), extra);
+    g_byte_array_append(connection->out, (const guint8 *)text,
+                        (guint)strlen(text));
+    connection->promised = 0;
+    connection->produced = 0;
+    connection->state = STATE_ANSWER;
+}
+
+static void
+refuse(struct target_connection *connection)
+{
+    connection->target->refused_total++;
+    GString *extra = g_string_new("RP-Outcome: not-run\r\nRP-Load: ");
+    struct rp_load_report report = {
+        .in_flight = connection->target->in_flight,
+        .slots = connection->target->slots,
+        .queued = connection->target->queue.length,
+        .state = connection->target->draining ? RP_TARGET_DRAINING
+                                              : RP_TARGET_SERVING,
+    };
+    rp_load_format(&report, extra);
+    g_string_append(extra, "\r\n");
+    simple_answer(connection, 503, extra->str, "");
+    g_string_free(extra, TRUE);
+}
+
+static void
+answer_own(struct target_connection *connection)
+{
+    struct target *target = connection->target;
+    const char *path = connection->request.path;
+    GString *text = g_string_new(NULL);
+    if (strcmp(path, "/ran") == 0 && connection->request.id[0] != '\0') {
+        gpointer count =
+            g_hash_table_lookup(target->ran, connection->request.id);
+        g_string_printf(text, "%u\n", GPOINTER_TO_UINT(count));
+    }
+    else if (strcmp(path, "/ran") == 0) {
+        GHashTableIter iterator;
+        gpointer key;
+        gpointer value;
+        g_hash_table_iter_init(&iterator, target->ran);
+        while (g_hash_table_iter_next(&iterator, &key, &value)) {
+            g_string_append_printf(text, "%s %u\n", (char *)key,
+                                   GPOINTER_TO_UINT(value));
+        }
+    }
+    else if (strcmp(path, "/drain") == 0 || strcmp(path, "/serve") == 0) {
+        target->draining = strcmp(path, "/drain") == 0;
+    }
+    else {
+        g_string_printf(text,
+                        "ran %" G_GUINT64_FORMAT " refused %" G_GUINT64_FORMAT
+                        " cancelled %" G_GUINT64_FORMAT
+                        " connections %" G_GUINT64_FORMAT " open %u\n",
+                        target->run_total, target->refused_total,
+                        target->cancelled_total, target->connections_total,
+                        target->connections_open);
+    }
+    GString *extra = g_string_new("RP-Load: ");
+    struct rp_load_report report = {
+        .in_flight = target->in_flight,
+        .slots = target->slots,
+        .queued = target->queue.length,
+        .service_us = (uint32_t)target->service_us,
+        .state = target->draining ? RP_TARGET_DRAINING : RP_TARGET_SERVING,
+    };
+    rp_load_format(&report, extra);
+    g_string_append(extra, "\r\n");
+    simple_answer(connection, 200, extra->str, text->str);
+    g_string_free(extra, TRUE);
+    g_string_free(text, TRUE);
+}
+
+static void
+start_answer(struct target_connection *connection)
+{
+    connection->state = STATE_ANSWER;
+    if (target_fault_starts(connection)) {
+        connection->state = STATE_DONE;
+        leave_slot(connection);
+        return;
+    }
+    target_write_head(connection, &connection->request);
+}
+
+static void
+on_timer(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    struct target_connection *connection = watcher->data;
+    if (connection->state == STATE_WORK) {
+        start_answer(connection);
+    }
+    advance(connection);
+}
+
+static void
+run_request(struct target_connection *connection)
+{
+    struct target *target = connection->target;
+    connection->in_slot = true;
+    connection->slot_since_ns = rp_loop_now_ns();
+    target->in_flight++;
+    target->run_total++;
+    const char *id = connection->request.id;
+    gpointer count = g_hash_table_lookup(target->ran, id);
+    if (id[0] != '\0' && (count != NULL || strncmp(id, "load", 4) != 0)) {
+        g_hash_table_insert(target->ran, g_strdup(id),
+                            GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+    }
+    uint32_t sleep_ms = connection->request.sleep_ms;
+    if (sleep_ms == 0) {
+        start_answer(connection);
+        return;
+    }
+    ev_now_update(target->ev);
+    ev_timer_set(&connection->timer, sleep_ms / 1e3, 0.0);
+    ev_timer_start(target->ev, &connection->timer);
+}
+
+static void
+start_next(struct target *target)
+{
+    while (target->in_flight < target->slots && target->queue.length > 0) {
+        struct target_connection *connection =
+            g_queue_pop_head(&target->queue);
+        connection->queued = false;
+        if (connection->request.deadline_ns > 0 &&
+            rp_loop_now_ns() > connection->request.deadline_ns)
+        {
+            refuse(connection);
+        }
+        else {
+            run_request(connection);
+        }
+        advance(connection);
+    }
+}
+
+/* The whole request is read: runs it, queues it or refuses it. */
+static void
+take_request(struct target_connection *connection)
+{
+    struct target *target = connection->target;
+    struct target_request *request = &connection->request;
+    static const char *const own[] = {"/load", "/ran", "/drain", "/serve",
+                                      "/counts"};
+    connection->state = STATE_WORK;
+    for (guint i = 0; i < G_N_ELEMENTS(own); i++) {
+        if (strcmp(request->path, own[i]) == 0) {
+            answer_own(connection);
+            return;
+        }
+    }
+    if (request->sleep_ms == 0) {
+        request->sleep_ms = target->default_sleep_ms;
+    }
+    if (target->draining || request->fault == FAULT_REFUSE ||
+        target->queue.length >= target->queue_limit)
+    {
+        refuse(connection);
+    }
+    else if (target->in_flight < target->slots) {
+        run_request(connection);
+    }
+    else {
+        connection->queued = true;
+        g_queue_push_tail(&target->queue, connection);
+    }
+}
+
+static bool
+read_head(struct target_connection *connection)
+{
+    GByteArray *in = connection->in;
+    char *end = memmem(in->data, in->len, "\r\n\r\n", 4);
+    if (end == NULL) {
+        return false;
+    }
+    *end = '\0';
+    guint bytes = (guint)(end + 4 - (char *)in->data);
+    struct target_request *request = &connection->request;
+    memset(request, 0, sizeof(*request));
+    if (!target_parse_head((const char *)in->data, request)) {
+        connection->close_after = true;
+        connection->state = STATE_DONE;
+        return false;
+    }
+    g_byte_array_remove_range(in, 0, bytes);
+    if (request->expect) {
+        target_print(connection, "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    connection->state = STATE_BODY;
+    if (request->fault == FAULT_EARLY) {
+        request->keep_alive = false;
+        request->body_chunked = false;
+        request->body_left = 0;
+    }
+    return true;
+}
+
+static void
+take_bytes(struct target_connection *connection, uint64_t bytes)
+{
+    struct target_request *request = &connection->request;
+    request->body_hash = XXH3_64bits_withSeed(&bytes, 0, request->body_hash);
+    for (guint i = 0; i < bytes; i++) {
+        request->body_hash = request->body_hash * 31 + connection->in->data[i];
+    }
+    request->body_bytes += bytes;
+    request->body_left -= bytes;
+    g_byte_array_remove_range(connection->in, 0, (guint)bytes);
+}
+
+/* Reads the body as far as it has come; true when it is whole. */
+static bool
+read_body(struct target_connection *connection)
+{
+    struct target_request *request = &connection->request;
+    for (;;) {
+        uint64_t part = MIN(request->body_left, connection->in->len);
+        if (part > 0) {
+            take_bytes(connection, part);
+        }
+        if (!request->body_chunked || request->body_left > 0) {
+            return request->body_left == 0;
+        }
+        GByteArray *in = connection->in;
+        /* After a chunk's bytes an empty line comes before the next size. */
+        guint skip = in->len >= 2 && in->data[0] == '\r' ? 2 : 0;
+        char *end = in->len <= skip
+                        ? NULL
+                        : memmem(in->data + skip, in->len - skip, "\r\n", 2);
+        if (end == NULL) {
+            return false;
+        }
+        request->body_left =
+            g_ascii_strtoull((char *)in->data + skip, NULL, 16);
+        bool last = request->body_left == 0;
+        guint bytes = (guint)(end + 2 - (char *)in->data);
+        if (last && in->len < bytes + 2) {
+            return false;
+        }
+        g_byte_array_remove_range(in, 0, bytes + (last ? 2 : 0));
+        if (last) {
+            return true;
+        }
+    }
+}
+
+static bool
+fault_is_due(const struct target_connection *connection)
+{
+    return connection->request.fault != FAULT_NONE &&
+           connection->produced * 2 >= connection->promised &&
+           connection->promised > 0;
+}
+
+/* Queues as much of the answer as may go now; true when all is queued. */
+static bool
+answer(struct target_connection *connection)
+{
+    while (connection->produced < connection->promised) {
+        if (fault_is_due(connection) && target_fault_in_body(connection)) {
+            connection->state = STATE_DONE;
+            leave_slot(connection);
+            return false;
+        }
+        if (connection->out->len > OUT_LIMIT_BYTES) {
+            return false;
+        }
+        target_produce(connection);
+        if (connection->request.rate_bytes_s > 0 &&
+            connection->produced < connection->promised)
+        {
+            ev_timer_set(&connection->timer, 0.02, 0.0);
+            ev_timer_start(connection->target->ev, &connection->timer);
+            return false;
+        }
+    }
+    if (connection->promised == 0) {
+        if (connection->request.chunked && connection->produced == 0 &&
+            connection->in_slot &&
+            strcmp(connection->request.method, "HEAD") != 0)
+        {
+            target_print(connection, "0\r\n\r\n");
+        }
+    }
+    return true;
+}
+
+static void
+finish_answer(struct target_connection *connection)
+{
+    leave_slot(connection);
+    connection->served++;
+    connection->state = STATE_HEAD;
+    if (!connection->request.keep_alive) {
+        connection->state = STATE_DONE;
+        connection->close_after = true;
+    }
+    connection->promised = 0;
+    connection->produced = 0;
+}
+
+/* Takes a connection as far as it goes now. */
+static void
+advance(struct target_connection *connection)
+{
+    struct target *target = connection->target;
+    bool go_on = true;
+    while (go_on) {
+        go_on = false;
+        if (connection->state == STATE_HEAD) {
+            go_on = read_head(connection);
+        }
+        if (connection->state == STATE_BODY && read_body(connection)) {
+            take_request(connection);
+        }
+        if (connection->state == STATE_ANSWER && answer(connection)) {
+            finish_answer(connection);
+            go_on = connection->in->len > 0;
+        }
+    }
+    if (!flush(connection) ||
+        (connection->close_after && connection->out->len == 0))
+    {
+        close_connection(connection);
+        return;
+    }
+    start_next(target);
+}
+
+static void
+on_io(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    struct target_connection *connection = watcher->data;
+    if ((events & EV_READ) != 0) {
+        static uint8_t buffer[READ_BYTES];
+        ssize_t bytes = recv(watcher->fd, buffer, sizeof(buffer), 0);
+        if (bytes == 0 || (bytes < 0 && errno != EAGAIN) ||
+            connection->in->len > HEAD_LIMIT_BYTES)
+        {
+            close_connection(connection);
+            return;
+        }
+        if (bytes > 0) {
+            g_byte_array_append(connection->in, buffer, (guint)bytes);
+        }
+    }
+    advance(connection);
+}
+
+static void
+on_accept(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)events;
+    struct target *target = watcher->data;
+    int socket;
+    while ((socket = accept4(watcher->fd, NULL, NULL,
+                             SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+    {
+        int one = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+        struct target_connection *connection =
+            g_new0(struct target_connection, 1);
+        connection->target = target;
+        connection->in = g_byte_array_new();
+        connection->out = g_byte_array_new();
+        ev_io_init(&connection->io, on_io, socket, EV_READ);
+        ev_timer_init(&connection->timer, on_timer, 0.0, 0.0);
+        connection->io.data = connection;
+        connection->timer.data = connection;
+        ev_io_start(ev, &connection->io);
+        target->connections_total++;
+        target->connections_open++;
+    }
+}
+
+static void
+on_end(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)watcher;
+    (void)events;
+    ev_break(ev, EVBREAK_ALL);
+}
+
+struct target_options {
+    struct target *target;
+    const char *address;
+    double life_s;
+};
+
+static error_t
+parse_option(int key, char *argument, struct argp_state *state)
+{
+    struct target_options *options = state->input;
+    switch (key) {
+    case 'a':
+        options->address = argument;
+        return 0;
+    case 's':
+        options->target->slots = (uint32_t)strtoul(argument, NULL, 10);
+        return 0;
+    case 'q':
+        options->target->queue_limit = (uint32_t)strtoul(argument, NULL, 10);
+        return 0;
+    case 'w':
+        options->target->default_sleep_ms =
+            (uint32_t)strtoul(argument, NULL, 10);
+        return 0;
+    case 'l':
+        options->life_s = strtod(argument, NULL);
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static int
+listen_at(const char *text)
+{
+    struct sockaddr_in address;
+    if (!rp_address_parse(text, &address)) {
+        return -1;
+    }
+    int one = 1;
+    int socket_fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    setsockopt(socket_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(socket_fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
+        listen(socket_fd, 1024) != 0)
+    {
+        close(socket_fd);
+        return -1;
+    }
+    return socket_fd;
+}
+
+/* Serves until it is killed or its life is over. */
+int
+standin_target_main(int argc, char **argv)
+{
+    static const struct argp_option option_list[] = {
+        {"address", 'a', "IP:PORT", 0, "where to listen", 0},
+        {"slots", 's', "N", 0, "requests at work at once (6)", 0},
+        {"queue", 'q', "N", 0, "requests that may wait (64)", 0},
+        {"work-ms", 'w', "MS", 0, "time in a slot without sleep_ms", 0},
+        {"life-s", 'l', "S", 0, "ends by itself after this time (600)", 0},
+        {0},
+    };
+    static const struct argp argp = {
+        option_list, parse_option, NULL, "A target for tests.",
+        NULL,        NULL,         NULL};
+    struct target target = {.slots = 6, .queue_limit = 64};
+    struct target_options options = {.target = &target, .life_s = 600.0};
+    argp_parse(&argp, argc, argv, 0, NULL, &options);
+    int socket = options.address == NULL ? -1 : listen_at(options.address);
+    if (socket < 0) {
+        g_printerr("rp-standin target: cannot listen; give --address "
+                   "IP:PORT with a free port\n");
+        return EX_UNAVAILABLE;
+    }
+    target.ev = ev_loop_new(EVFLAG_AUTO);
+    target.ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    ev_io_init(&target.listen, on_accept, socket, EV_READ);
+    ev_timer_init(&target.end, on_end, options.life_s, 0.0);
+    target.listen.data = &target;
+    ev_io_start(target.ev, &target.listen);
+    ev_timer_start(target.ev, &target.end);
+    ev_run(target.ev, 0);
+    close(socket);
+    g_hash_table_unref(target.ran);
+    ev_loop_destroy(target.ev);
+    return EX_OK;
+}
--- /dev/null
+++ b/standin/target.h
@@ -0,0 +1,116 @@
+#ifndef STANDIN_TARGET_H
+#define STANDIN_TARGET_H
+
+#include <ev.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "load.h"
+
+/* How an answer goes wrong; see fault_names in target_fault.c. */
+enum target_fault {
+    FAULT_NONE,
+    FAULT_CLOSE_BEFORE,
+    FAULT_IN_HEAD,
+    FAULT_AFTER_HEAD,
+    FAULT_IN_BODY,
+    FAULT_CHUNK_EDGE,
+    FAULT_IN_CHUNK,
+    FAULT_BAD_CHUNK,
+    FAULT_SHORT_LENGTH,
+    FAULT_RESET,
+    FAULT_RESET_BODY,
+    FAULT_SILENT,
+    FAULT_SILENT_BODY,
+    FAULT_REFUSE,
+    FAULT_CLOSE_REUSED,
+    FAULT_SILENT_REUSED,
+    FAULT_TWO_LENGTHS,
+    FAULT_LENGTH_AND_CHUNKED,
+    FAULT_NO_LENGTH,
+    FAULT_TRAILER,
+    FAULT_GARBAGE,
+    FAULT_BIG_HEAD,
+    FAULT_INTERIM,
+    FAULT_SWITCH,
+    FAULT_EARLY,
+    FAULT_COUNT
+};
+
+/* What a request asks of the target. */
+struct target_request {
+    char method[16];
+    char path[128];
+    char id[80];
+    enum target_fault fault;
+    uint32_t attempt;
+    uint32_t sleep_ms;
+    uint32_t rate_bytes_s; /* 0: as fast as the connection takes it */
+    uint64_t bytes;
+    uint32_t status;
+    bool chunked; /* the answer */
+    bool keep_alive;
+    bool has_length; /* the request body */
+    bool body_chunked;
+    bool expect;
+    uint64_t body_left;
+    uint64_t body_bytes;
+    uint64_t body_hash;
+    int64_t deadline_ns; /* 0: none */
+};
+
+struct target;
+
+/* A connection; it serves one request at a time. */
+struct target_connection {
+    struct target *target;
+    ev_io io;
+    ev_timer timer;
+    GByteArray *in;
+    GByteArray *out;
+    guint out_sent;
+    uint32_t served;
+    int state;
+    uint64_t produced; /* bytes of the body so far */
+    uint64_t promised;
+    bool close_after;
+    bool in_slot;
+    bool queued;
+    bool reset;
+    int64_t slot_since_ns;
+    struct target_request request;
+};
+
+struct target {
+    struct ev_loop *ev;
+    ev_io listen;
+    ev_timer end;
+    uint32_t slots;
+    uint32_t queue_limit;
+    uint32_t default_sleep_ms;
+    uint32_t in_flight;
+    double service_us;
+    bool draining;
+    GQueue queue;    /* of struct target_connection */
+    GHashTable *ran; /* request id: times it ran */
+    uint64_t run_total;
+    uint64_t refused_total;
+    uint64_t cancelled_total;
+    uint64_t connections_total;
+    uint32_t connections_open;
+};
+
+bool target_parse_head(const char *head, struct target_request *request);
+enum target_fault target_fault_parse(const char *name);
+bool target_fault_starts(struct target_connection *connection);
+void target_write_head(struct target_connection *connection,
+                       const struct target_request *request);
+void target_produce(struct target_connection *connection);
+bool target_fault_in_body(struct target_connection *connection);
+void target_fill(const struct target_request *request, uint64_t offset,
+                 uint8_t *bytes, uint32_t count);
+void target_print(struct target_connection *connection, const char *format,
+                  ...) __attribute__((format(printf, 2, 3)));
+
+#endif
--- /dev/null
+++ b/standin/target_fault.c
@@ -0,0 +1,271 @@
+#include "target.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define PART_BYTES 16384u
+
+static const char *const fault_names[FAULT_COUNT] = {
+    [FAULT_NONE] = "none",
+    [FAULT_CLOSE_BEFORE] = "close-before",
+    [FAULT_IN_HEAD] = "in-head",
+    [FAULT_AFTER_HEAD] = "after-head",
+    [FAULT_IN_BODY] = "in-body",
+    [FAULT_CHUNK_EDGE] = "chunk-edge",
+    [FAULT_IN_CHUNK] = "in-chunk",
+    [FAULT_BAD_CHUNK] = "bad-chunk",
+    [FAULT_SHORT_LENGTH] = "short-length",
+    [FAULT_RESET] = "reset",
+    [FAULT_RESET_BODY] = "reset-body",
+    [FAULT_SILENT] = "silent",
+    [FAULT_SILENT_BODY] = "silent-body",
+    [FAULT_REFUSE] = "refuse",
+    [FAULT_CLOSE_REUSED] = "close-reused",
+    [FAULT_SILENT_REUSED] = "silent-reused",
+    [FAULT_TWO_LENGTHS] = "two-lengths",
+    [FAULT_LENGTH_AND_CHUNKED] = "length-and-chunked",
+    [FAULT_NO_LENGTH] = "no-length",
+    [FAULT_TRAILER] = "trailer",
+    [FAULT_GARBAGE] = "garbage",
+    [FAULT_BIG_HEAD] = "big-head",
+    [FAULT_INTERIM] = "interim",
+    [FAULT_SWITCH] = "switch",
+    [FAULT_EARLY] = "early",
+};
+
+/* Returns the fault of that name, FAULT_COUNT when there is none. */
+enum target_fault
+target_fault_parse(const char *name)
+{
+    int fault = 0;
+    while (fault < FAULT_COUNT && strcmp(fault_names[fault], name) != 0) {
+        fault++;
+    }
+    return (enum target_fault)fault;
+}
+
+/* Appends text to what is to be sent. */
+void
+target_print(struct target_connection *connection, const char *format, ...)
+{
+    char text[1024];
+    va_list arguments;
+    va_start(arguments, format);
+    int bytes = g_vsnprintf(text, sizeof(text), format, arguments);
+    va_end(arguments);
+    g_byte_array_append(connection->out, (const guint8 *)text,
+                        MIN((guint)bytes, (guint)sizeof(text) - 1));
+}
+
+/* Fills in a part of a body: the request id and a dot, over and over, so
+ * that a caller can tell its own answer and a gap in it. */
+void
+target_fill(const struct target_request *request, uint64_t offset,
+            uint8_t *bytes, uint32_t count)
+{
+    uint32_t period = (uint32_t)strlen(request->id) + 1;
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t at = (uint32_t)((offset + i) % period);
+        bytes[i] = at == period - 1 ? '.' : (uint8_t)request->id[at];
+    }
+}
+
+static void
+append_load(struct target_connection *connection)
+{
+    const struct target *target = connection->target;
+    struct rp_load_report report = {
+        .in_flight = target->in_flight,
+        .slots = target->slots,
+        .queued = target->queue.length,
+        .service_us = (uint32_t)target->service_us,
+        .state = target->draining ? RP_TARGET_DRAINING : RP_TARGET_SERVING,
+    };
+    GString *text = g_string_new(NULL);
+    rp_load_format(&report, text);
+    target_print(connection, "RP-Load: %s\r\n", text->str);
+    g_string_free(text, TRUE);
+}
+
+static bool
+is_bodyless(const struct target_request *request)
+{
+    return strcmp(request->method, "HEAD") == 0 || request->status == 204 ||
+           request->status == 304;
+}
+
+/* Queues the head of the answer and sets how many bytes of body follow. */
+void
+target_write_head(struct target_connection *connection,
+                  const struct target_request *request)
+{
+    bool chunked = request->chunked;
+    target_print(connection, "HTTP/1.1 %u Answer\r\n", request->status);
+    append_load(connection);
+    target_print(connection,
+                 "Body-Bytes: %" G_GUINT64_FORMAT "\r\n"
+                 "Body-Hash: %016" G_GINT64_MODIFIER "x\r\n",
+                 request->body_bytes, request->body_hash);
+    uint64_t length = request->bytes;
+    switch (request->fault) {
+    case FAULT_SHORT_LENGTH:
+        length = request->bytes / 2;
+        break;
+    case FAULT_TWO_LENGTHS:
+        target_print(connection, "Content-Length: 1\r\n");
+        break;
+    case FAULT_LENGTH_AND_CHUNKED:
+        target_print(connection, "Transfer-Encoding: chunked\r\n");
+        break;
+    case FAULT_BIG_HEAD:
+        for (int i = 0; i < 80; i++) {
+            target_print(connection, "Filler-%d: %0500d\r\n", i, i);
+        }
+        break;
+    case FAULT_TRAILER:
+        chunked = true;
+        break;
+    default:
+        break;
+    }
+    if (chunked) {
+        target_print(connection, "Transfer-Encoding: chunked\r\n");
+    }
+    else if (request->fault != FAULT_NO_LENGTH && request->status != 204) {
+        target_print(connection, "Content-Length: %" G_GUINT64_FORMAT "\r\n",
+                     length);
+    }
+    if (!request->keep_alive) {
+        target_print(connection, "Connection: close\r\n");
+    }
+    target_print(connection, "\r\n");
+    connection->promised = is_bodyless(request) ? 0 : request->bytes;
+    connection->produced = 0;
+}
+
+static void
+produce_part(struct target_connection *connection, uint32_t count)
+{
+    uint8_t part[PART_BYTES];
+    const struct target_request *request = &connection->request;
+    bool chunked = request->chunked || request->fault == FAULT_TRAILER;
+    target_fill(request, connection->produced, part, count);
+    if (chunked) {
+        target_print(connection, "%x\r\n", count);
+    }
+    g_byte_array_append(connection->out, part, count);
+    if (chunked) {
+        target_print(connection, "\r\n");
+    }
+    connection->produced += count;
+}
+
+/* Queues the next part of the body, and the end after the last. */
+void
+target_produce(struct target_connection *connection)
+{
+    const struct target_request *request = &connection->request;
+    uint64_t left = connection->promised - connection->produced;
+    uint32_t most = PART_BYTES;
+    if (request->rate_bytes_s > 0) {
+        most = MIN(most, MAX(request->rate_bytes_s / 50, 1));
+    }
+    if (request->fault != FAULT_NONE) {
+        most = MIN(most, MAX((uint32_t)(request->bytes / 4), 1));
+    }
+    if (left > 0) {
+        produce_part(connection, (uint32_t)MIN(left, most));
+    }
+    if (connection->produced == connection->promised && !is_bodyless(request))
+    {
+        if (request->fault == FAULT_TRAILER) {
+            target_print(connection, "0\r\nLate-Field: x\r\n\r\n");
+        }
+        else if (request->chunked) {
+            target_print(connection, "0\r\n\r\n");
+        }
+    }
+}
+
+/* Misbehaves once half of the body is queued. Returns true when the answer
+ * ends here. */
+bool
+target_fault_in_body(struct target_connection *connection)
+{
+    switch (connection->request.fault) {
+    case FAULT_IN_CHUNK:
+        target_print(connection, "ff\r\nhalf of it");
+        connection->close_after = true;
+        return true;
+    case FAULT_BAD_CHUNK:
+        target_print(connection, "xyz\r\nbad\r\n");
+        connection->close_after = true;
+        return true;
+    case FAULT_IN_BODY:
+    case FAULT_CHUNK_EDGE:
+        connection->close_after = true;
+        return true;
+    case FAULT_RESET_BODY:
+        connection->close_after = true;
+        connection->reset = true;
+        return true;
+    case FAULT_SILENT_BODY:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/* Misbehaves before the body. Returns true when the answer ends here. */
+bool
+target_fault_starts(struct target_connection *connection)
+{
+    struct target_request *request = &connection->request;
+    switch (request->fault) {
+    case FAULT_RESET:
+        connection->reset = true;
+        connection->close_after = true;
+        return true;
+    case FAULT_CLOSE_BEFORE:
+        connection->close_after = true;
+        return true;
+    case FAULT_CLOSE_REUSED:
+        connection->close_after = connection->served > 0;
+        return connection->served > 0;
+    case FAULT_SILENT:
+        return true;
+    case FAULT_SILENT_REUSED:
+        return connection->served > 0;
+    case FAULT_IN_HEAD:
+        target_print(connection, "HTTP/1.1 200 OK\r\nContent-Le");
+        connection->close_after = true;
+        return true;
+    case FAULT_AFTER_HEAD:
+        target_write_head(connection, request);
+        connection->close_after = true;
+        return true;
+    case FAULT_GARBAGE:
+        target_print(connection, "this is no answer\r\n\r\n");
+        connection->close_after = true;
+        return true;
+    case FAULT_SWITCH:
+        target_print(connection, "HTTP/1.1 101 Switch\r\nUpgrade: x\r\n"
+                                 "Connection: upgrade\r\n\r\n");
+        return true;
+    case FAULT_INTERIM:
+        target_print(connection,
+                     "HTTP/1.1 100 Continue\r\n\r\n"
+                     "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n");
+        return false;
+    case FAULT_CHUNK_EDGE:
+    case FAULT_IN_CHUNK:
+    case FAULT_BAD_CHUNK:
+        request->chunked = true;
+        return false;
+    case FAULT_NO_LENGTH:
+        request->keep_alive = false;
+        return false;
+    default:
+        return false;
+    }
+}
