Test the path against bad answers and broken connections

Cause: libcurl sends a request again on its own over reused connections that close before an answer, any method included and up to five times. Conclusion: neither the read/seek guard nor a fresh connection alone covers bodyless requests and repeatable ones; the guard before each send does.

--- /dev/null
+++ b/scripts/path_cases.sh
@@ -0,0 +1,286 @@
+#!/bin/bash
+# Runs bad answers, broken connections and malformed requests through real
+# processes on loopback. For each case it compares what the caller was told
+# with what the targets counted. Guards against a partial answer that looks
+# whole, a wrong answer, a second run of a request that may not be repeated,
+# and a false not-run. Usage: scripts/path_cases.sh BUILD_DIR
+set -u
+build=$1
+base=$((20000 + $$ % 400 * 25))
+entry=127.0.0.1:$base
+reuse=127.0.0.1:$((base + 1))
+target_a=127.0.0.1:$((base + 5))
+target_b=127.0.0.1:$((base + 6))
+closed=127.0.0.1:$((base + 7))
+pids=()
+serve_pids=()
+failures=0
+cases=0
+
+cleanup() {
+    kill -KILL "${pids[@]}" 2>/dev/null
+    wait 2>/dev/null
+}
+trap cleanup EXIT
+
+serve() { # ADDRESS PEER_PORT [OPTION...]
+    local address=$1 peer=$2
+    shift 2
+    "$build/rosemarypulley" serve --id "vm-$peer" --domain Bilbo \
+        --caller-address "$address" --peer-address "127.0.0.1:$peer" \
+        --admin-address "127.0.0.1:$((peer + 1))" --log-level warning \
+        --fleet-size 1 --address-ttl-ms 500 --first-byte-ms 250 --progress-ms 600 \
+        --trial-service "two,timeout=1500,body=100000@$target_a,$target_b" \
+        --trial-service "one,timeout=1500@$target_a" \
+        --trial-service "half,timeout=1500@$closed,$target_a" \
+        --trial-service "none,timeout=1500@$closed" "$@" &
+    pids+=($!)
+    serve_pids+=($!)
+}
+
+for address in "$target_a" "$target_b"; do
+    "$build/rp-standin" target --address "$address" --life-s 120 --queue 4 &
+    pids+=($!)
+done
+serve "$entry" $((base + 10))
+serve "$reuse" $((base + 12)) --trial-reuse
+
+for address in "$entry" "$reuse" "$target_a" "$target_b"; do
+    for _ in $(seq 100); do
+        curl -s -o /dev/null "http://$address/" && break
+        sleep 0.05
+    done
+done
+
+ran() { # ID
+    local a b
+    a=$(curl -s "http://$target_a/ran?id=$1")
+    b=$(curl -s "http://$target_b/ran?id=$1")
+    echo $((${a:-0} + ${b:-0}))
+}
+
+counts() { # FIELD: sum over both targets
+    for address in "$target_a" "$target_b"; do
+        curl -s "http://$address/counts"
+    done | tr ' ' '\n' | grep -A1 "^$1\$" | grep -v -e "^$1\$" -e -- |
+        awk '{ sum += $1 } END { print sum }'
+}
+
+fail() { # NAME WHAT
+    failures=$((failures + 1))
+    echo "FAILED $1: $2"
+}
+
+check() { # NAME GOT PATTERN RAN MIN MAX
+    cases=$((cases + 1))
+    [[ $2 =~ $3 ]] || fail "$1" "expected /$3/, got: $2"
+    ((${4:-0} >= $5 && ${4:-0} <= $6)) ||
+        fail "$1" "the targets ran it $4 times, expected $5 to $6"
+    # What no case may show, whatever it expects.
+    [[ $2 =~ outcome=not-run ]] && ((${4:-0} > 0)) &&
+        fail "$1" "false not-run: it ran $4 times"
+    [[ $2 =~ own=0 ]] && fail "$1" "somebody else's answer: $2"
+}
+
+whole='code=0 status=200 outcome=- bytes='
+unknown='code=0 status=50[24] outcome=unknown'
+not_run='code=0 status=503 outcome=not-run'
+broken='code=(18|56) .*whole=0'
+
+# name | method | path | expected | least runs | most runs | caller options
+while IFS='|' read -r name method path expected least most options; do
+    [[ -z $name || $name = \#* ]] && continue
+    id="case-$name"
+    # shellcheck disable=SC2086  # options are split into words on purpose
+    got=$("$build/rp-standin" caller --entry "$entry" --service two \
+        --method "$method" --id "$id" --path "$path" $options 2>&1)
+    case $expected in
+    whole | unknown | not_run | broken) expected=${!expected} ;;
+    esac
+    check "$name" "$got" "$expected" "$(ran "$id")" "$least" "$most"
+done <<'TABLE'
+plain|GET|/two?bytes=10|whole|1|1|
+plain-chunked|GET|/two?bytes=50000&chunked=1|whole|1|1|
+large|GET|/two?bytes=3000000|code=0 status=200 outcome=- bytes=3000000|1|1|
+head|HEAD|/two?bytes=5000|code=0 status=200 outcome=- bytes=0|1|1|
+head-chunked|HEAD|/two?bytes=5000&chunked=1|code=0 status=200 outcome=- bytes=0|1|1|
+no-content|GET|/two?status=204|code=0 status=204 outcome=- bytes=0|1|1|
+not-modified|GET|/two?status=304&bytes=10|code=0 status=304 outcome=- bytes=0|1|1|
+error-status|GET|/two?status=500&bytes=10|code=0 status=500 outcome=- bytes=10|1|1|
+post|POST|/two?bytes=10|whole|1|1|--upload 20000
+post-empty|POST|/two?bytes=10|whole|1|1|--upload 0
+post-chunked|POST|/two?bytes=10|whole|1|1|--upload 90000 --chunked
+post-continue|POST|/two?bytes=10|whole|1|1|--upload 9000 --header Expect:100-continue
+interim|GET|/two?bytes=10&fault=interim|whole|1|1|
+too-large|POST|/two|code=0 status=413 outcome=not-run|0|0|--upload 100001
+too-large-continue|POST|/two|code=0 status=413 outcome=not-run|0|0|--upload 100001 --header Expect:100-continue
+too-large-chunked|POST|/two|code=0 status=413 outcome=unknown|0|0|--upload 150000 --chunked
+# Before any byte of the answer: a repeatable request is tried elsewhere.
+close-get|GET|/two?fault=close-before&only_attempt=1|whole|2|2|
+close-put|PUT|/two?fault=close-before&only_attempt=1|whole|2|2|--upload 30000
+close-post|POST|/two?fault=close-before&only_attempt=1|unknown|1|1|--upload 30000
+close-post-empty|POST|/two?fault=close-before&only_attempt=1|unknown|1|1|
+close-always|GET|/two?fault=close-before|unknown|2|3|
+reset-get|GET|/two?fault=reset&only_attempt=1|whole|2|2|
+reset-post|POST|/two?fault=reset&only_attempt=1|unknown|1|1|--upload 100
+in-head-get|GET|/two?fault=in-head&only_attempt=1|whole|2|2|
+in-head-post|POST|/two?fault=in-head&only_attempt=1|unknown|1|1|--upload 100
+garbage-get|GET|/two?fault=garbage&only_attempt=1|whole|2|2|
+garbage-post|POST|/two?fault=garbage|unknown|1|1|--upload 100
+switch-get|GET|/two?fault=switch&only_attempt=1|whole|2|2|
+two-lengths-get|GET|/two?fault=two-lengths&only_attempt=1|whole|2|2|
+two-lengths-post|POST|/two?fault=two-lengths|unknown|1|1|--upload 100
+length-and-chunked|GET|/two?fault=length-and-chunked&only_attempt=1|whole|2|2|
+no-length|GET|/two?fault=no-length&only_attempt=1|whole|2|2|
+big-head|GET|/two?fault=big-head&only_attempt=1|whole|2|2|
+early-post|POST|/two?fault=early&bytes=10|code=0 status=200|1|1|--upload 90000
+# A small answer that is cut off has not been passed on yet.
+after-head-get|GET|/two?bytes=1000&fault=after-head&only_attempt=1|whole|2|2|
+after-head-post|POST|/two?bytes=1000&fault=after-head&only_attempt=1|unknown|1|1|--upload 100
+in-body-get|GET|/two?bytes=1000&fault=in-body&only_attempt=1|whole|2|2|
+in-body-post|POST|/two?bytes=1000&fault=in-body&only_attempt=1|unknown|1|1|--upload 100
+reset-body-get|GET|/two?bytes=1000&fault=reset-body&only_attempt=1|whole|2|2|
+short-length|GET|/two?bytes=1000&fault=short-length|code=0 status=200 outcome=- bytes=500|1|1|
+# A large or chunked one has: the caller's connection breaks visibly.
+in-body-large|GET|/two?bytes=200000&fault=in-body|broken|1|1|
+in-body-large-post|POST|/two?bytes=200000&fault=in-body|broken|1|1|--upload 10
+reset-body-large|GET|/two?bytes=200000&fault=reset-body|broken|1|1|
+chunk-edge|GET|/two?bytes=4000&fault=chunk-edge|broken|1|1|
+chunk-edge-post|POST|/two?bytes=4000&fault=chunk-edge|broken|1|1|--upload 10
+in-chunk|GET|/two?bytes=4000&fault=in-chunk|broken|1|1|
+bad-chunk|GET|/two?bytes=4000&fault=bad-chunk|broken|1|1|
+trailer|GET|/two?bytes=4000&fault=trailer|broken|1|1|
+silent-body|GET|/two?bytes=200000&fault=silent-body|broken|1|1|
+# Late and silent answers.
+late|GET|/two?sleep_ms=400&bytes=10|whole|1|2|
+late-post|POST|/two?sleep_ms=400&bytes=10|whole|1|1|--upload 10
+past-deadline|GET|/two?sleep_ms=900|unknown|1|2|--timeout-ms 300
+past-deadline-post|POST|/two?sleep_ms=900|unknown|1|1|--timeout-ms 300 --upload 10
+silent-get|GET|/two?fault=silent&only_attempt=1&bytes=10|whole|2|2|
+silent-post|POST|/two?fault=silent|unknown|1|1|--timeout-ms 400 --upload 10
+# Refusals by contract and targets that cannot be reached.
+refuse-get|GET|/two?fault=refuse&only_attempt=1|whole|1|1|
+refuse-post|POST|/two?fault=refuse&only_attempt=1|whole|1|1|--upload 30000
+refuse-always|POST|/two?fault=refuse|not_run|0|0|--upload 10
+attempts-spent|GET|/two?fault=refuse&only_attempt=1|not_run|0|0|--header RP-Attempts-Left:0
+unreachable-get|GET|/half?bytes=10|whole|1|1|
+unreachable-post|POST|/half?bytes=10|whole|1|1|--upload 30000
+unreachable-all|POST|/none|not_run|0|0|--upload 10
+no-service|GET|/other|code=0 status=404 outcome=not-run|0|0|
+no-method|TRACE|/two|code=0 status=501 outcome=not-run|0|0|
+bad-timeout|GET|/two|code=0 status=400 outcome=not-run|0|0|--header RP-Timeout-Ms:soon
+slow-reader|GET|/two?bytes=400000|code=0 status=200 outcome=- bytes=400000|1|1|--rate 600000
+slow-answer|GET|/two?bytes=20000&rate=40000|code=0 status=200 outcome=- bytes=20000|1|1|
+TABLE
+
+# Connections that close or go silent after they were used. Over reused
+# connections libcurl would send again on its own, POST included.
+reused_case() { # NAME ENTRY METHOD FAULT EXPECTED LEAST MOST [OPTION...]
+    local name=$1 at=$2 method=$3 fault=$4 expected=$5 least=$6 most=$7 got
+    shift 7
+    curl -s -o /dev/null "http://$at/one?bytes=10"
+    got=$("$build/rp-standin" caller --entry "$at" --service one \
+        --method "$method" --id "case-$name" \
+        --path "/one?bytes=10&fault=$fault" "$@" 2>&1)
+    check "$name" "$got" "$expected" "$(ran "case-$name")" "$least" "$most"
+}
+reused_case reused-get "$entry" GET close-reused "$whole" 2 2
+reused_case reused-post "$entry" POST close-reused "$whole" 1 1 --upload 10
+reused_case reused-post-empty "$entry" POST close-reused "$whole" 1 1
+reused_case guarded-get "$reuse" GET close-reused "$whole" 2 2
+reused_case guarded-post "$reuse" POST close-reused "$unknown" 1 1 --upload 10
+reused_case guarded-empty "$reuse" POST close-reused "$unknown" 1 1
+reused_case guarded-large "$reuse" POST close-reused "$unknown" 1 1 \
+    --upload 70000
+reused_case silent-reused-get "$entry" GET silent-reused "$whole" 2 2
+# Within a second of a silent connection every one to that target is fresh.
+sleep 1.1
+reused_case silent-reused-put "$entry" PUT silent-reused "$whole" 2 2 \
+    --upload 100
+reused_case silent-reused-post "$entry" POST silent-reused "$whole" 1 1 \
+    --upload 100
+
+# A caller that leaves cancels the work of the target; the first request has
+# a second attempt on a fresh connection by then or not.
+before=$(counts cancelled)
+curl -s -o /dev/null --max-time 0.3 "http://$entry/one?sleep_ms=5000"
+curl -s -o /dev/null --max-time 0.3 "http://$entry/one?bytes=900000&rate=9000"
+curl -s -o /dev/null --max-time 0.3 -X POST -d x \
+    "http://$entry/one?sleep_ms=5000"
+sleep 0.2
+after=$(counts cancelled)
+check caller-gone "cancelled=$((after - before))" '^cancelled=[34]$' 0 0 0
+
+# A caller that leaves in the middle of its body.
+exec 3<>"/dev/tcp/127.0.0.1/$base"
+printf 'POST /one HTTP/1.1\r\nHost: x\r\nRP-Request-Id: case-cut\r\n' >&3
+printf 'Content-Length: 1000\r\n\r\nhalf' >&3
+exec 3>&-
+sleep 0.2
+check cut-upload "ran=$(ran case-cut)" '^ran=0$' 0 0 0
+
+# Requests that two readers could take in two ways.
+raw_case() { # NAME EXPECTED REQUEST
+    local got id="case-$1"
+    exec 3<>"/dev/tcp/127.0.0.1/$base"
+    printf '%b' "${3//@ID/RP-Request-Id: $id}" >&3
+    got=$(timeout 1 head -n 1 <&3 | tr -d '\r')
+    exec 3>&- 3<&-
+    check "$1" "$got" "$2" "$(ran "$id")" 0 "${4:-0}"
+}
+post='POST /one HTTP/1.1\r\nHost: x\r\n@ID\r\n'
+get='GET /one HTTP/1.1\r\n'
+raw_case length-and-coding ' 400 ' \
+    "${post}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+raw_case two-equal-lengths ' 400 ' \
+    "${post}Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"
+raw_case two-codings ' 400 ' \
+    "${post}Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"
+raw_case signed-length ' 400 ' "${post}Content-Length: +3\r\n\r\nabc"
+raw_case huge-length ' 4[01][03] ' \
+    "${post}Content-Length: 99999999999999999999\r\n\r\nabc"
+raw_case chunked-http-1.0 ' 400 ' \
+    "POST /one HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+raw_case bare-cr ' 400 ' \
+    "${get}Host: x\r\n@ID\r\nA: b\rContent-Length: 3\r\n\r\nabc"
+# RFC 9112 allows both of these (sections 2.2 and 5.2), and what goes to the
+# target is written anew.
+raw_case bare-lf ' 200 ' "${get}Host: x\n@ID\n\n" 1
+raw_case folded-field ' 200 ' \
+    "${get}Host: x\r\n@ID\r\nA: b\r\n c\r\n\r\n" 1
+raw_case space-before-colon ' 400 ' \
+    "${post}Content-Length : 3\r\n\r\nabc"
+raw_case no-host ' 400 ' "${get}@ID\r\n\r\n"
+raw_case two-hosts ' 400 ' "${get}Host: x\r\nHost: y\r\n@ID\r\n\r\n"
+raw_case absolute-target ' 400 ' \
+    "GET http://x/one HTTP/1.1\r\nHost: x\r\n@ID\r\n\r\n"
+raw_case trailer-announced ' 400 ' \
+    "${post}Trailer: A\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n\r\n"
+raw_case other-expectation ' 417 ' \
+    "${post}Expect: more\r\nContent-Length: 0\r\n\r\n"
+filler=$(printf 'x%.0s' $(seq 33000))
+raw_case large-header ' 4(31|00|14) ' \
+    "${get}Host: x\r\n@ID\r\nA: $filler\r\n\r\n"
+raw_case pipelined ' 200 ' \
+    "${get}Host: x\r\n@ID\r\n\r\n${get}Host: x\r\n\r\n" 1
+
+told=$(mktemp)
+# A stop while a request is at work: it is finished, and the process ends by
+# itself without an error (with sanitizers, without a leak).
+"$build/rp-standin" caller --entry "$entry" --service one --id case-stop \
+    --path '/one?sleep_ms=700&bytes=10' --method POST --upload 10 \
+    >"$told" 2>&1 &
+caller=$!
+sleep 0.2
+kill -TERM "${serve_pids[@]}"
+wait "$caller"
+got=$(cat "$told")
+rm -f "$told"
+check stop-finishes-work "$got" "$whole" "$(ran case-stop)" 1 1
+for pid in "${serve_pids[@]}"; do
+    wait "$pid"
+    check clean-exit "status=$?" '^status=0$' 0 0 0
+done
+
+echo "path cases: $cases run, $failures failed"
+((failures == 0))
--- a/src/call.h
+++ b/src/call.h
@@ -100,7 +100,7 @@
 
 /* Flags of an attempt. */
 #define RP_ATTEMPT_FRESH (1u << 0)      /* on a new connection only */
-#define RP_ATTEMPT_REPEATABLE (1u << 1) /* libcurl may send it again */
+#define RP_ATTEMPT_REPEATABLE (1u << 1) /* may use an old connection */
 #define RP_ATTEMPT_PASS_ON (1u << 2)    /* to the ticket's entry VM */
 
 /* RP_MSG_ATTEMPT_START, dispatch to upstream: holds one reference to call
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -218,6 +218,7 @@
     };
     service = g_new0(struct dispatch_service, 1);
     service->name = g_strdup(name);
+    service->fresh_trials = DISPATCH_FRESH_TRIAL_BURST;
     service->balancer = rp_balancer_new(&config);
     g_hash_table_insert(dispatch->services, service->name, service);
     return service;
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -12,7 +12,6 @@
 
 /* Attempts beside silent connections: a tenth of the calls of a service. */
 #define FRESH_TRIAL_SHARE 0.1
-#define FRESH_TRIAL_BURST 10.0
 
 static void
 report(struct dispatch_call *call, struct dispatch_attempt *attempt,
@@ -284,8 +283,9 @@
 void
 dispatch_call_begin(struct dispatch_call *call, int64_t now_ns)
 {
-    call->service->fresh_trials = MIN(
-        call->service->fresh_trials + FRESH_TRIAL_SHARE, FRESH_TRIAL_BURST);
+    call->service->fresh_trials =
+        MIN(call->service->fresh_trials + FRESH_TRIAL_SHARE,
+            DISPATCH_FRESH_TRIAL_BURST);
     struct rp_balancer_call offer;
     struct rp_balancer_verdict verdict;
     fill_offer(call, 0, &offer);
@@ -406,6 +406,35 @@
     }
 }
 
+/* A reused connection that closes without an answer byte was most likely
+ * closed by the target while it was idle. The same target is tried once over
+ * a fresh connection, and this is not held against it. */
+static bool
+try_stale(struct dispatch_call *call, uint32_t index,
+          const struct rp_attempt_done *done, int64_t now_ns)
+{
+    struct dispatch_attempt *stale = &call->attempts[index];
+    struct rp_stream *request = call->call->request;
+    if (!done->reused || done->first_byte_ns != 0 ||
+        done->end != RP_END_BROKEN || !call->repeatable || call->tried_stale ||
+        call->attempts_left == 0 ||
+        call->attempt_count == RP_DISPATCH_ATTEMPTS ||
+        (request != NULL && !rp_stream_can_rewind(request)))
+    {
+        return false;
+    }
+    call->tried_stale = true;
+    call->attempts_left--;
+    call->may_have_run = true;
+    stale->state = ATTEMPT_OVER;
+    struct dispatch_attempt *attempt =
+        add_attempt(call, stale->target, RP_CALL_RETRY, now_ns);
+    attempt->owns_slot = stale->owns_slot;
+    stale->owns_slot = false;
+    send_start(call, attempt, true, now_ns);
+    return true;
+}
+
 static uint32_t
 find_attempt(const struct dispatch_call *call, uint32_t generation)
 {
@@ -532,6 +561,9 @@
              now_ns);
         return;
     }
+    if (try_stale(call, index, done, now_ns)) {
+        return;
+    }
     attempt_failed(call, index,
                    refused ? RP_ATTEMPT_NOT_RUN : outcome_of(attempt, done),
                    refused || done->end == RP_END_NOT_SENT, now_ns);
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -8,6 +8,9 @@
 /* Attempts of one call, those beside silent connections included. */
 #define RP_DISPATCH_ATTEMPTS 8
 
+/* Attempts beside silent connections that may come at once. */
+#define DISPATCH_FRESH_TRIAL_BURST 10.0
+
 /* A service and its balancer. It stays when the service is retired, since
  * calls in progress belong to it. */
 struct dispatch_service {
@@ -53,8 +56,9 @@
     enum call_state state;
     bool repeatable;
     bool may_have_run;
-    bool over;      /* answered or gone; to be removed */
-    uint32_t flags; /* RP_CALL_... */
+    bool tried_stale; /* a connection had closed while it was idle */
+    bool over;        /* answered or gone; to be removed */
+    uint32_t flags;   /* RP_CALL_... */
     uint64_t kind;
     uint32_t offer_flags; /* RP_CALL_RETRY when queued as a retry */
     uint32_t retries;
--- a/src/upstream_attempt.c
+++ b/src/upstream_attempt.c
@@ -24,8 +24,8 @@
 
 /* Called by libcurl each time it has a connection and is about to send. Over
  * a reused connection that closes before the answer libcurl would send again
- * on its own, any method included; a request that may not be repeated is
- * stopped here. */
+ * on its own, any method included and up to five times. It is stopped here,
+ * so that dispatch decides about every further attempt. */
 static int
 before_send(void *data, char *peer_ip, char *local_ip, int peer_port,
             int local_port)
@@ -35,7 +35,7 @@
     (void)peer_port;
     (void)local_port;
     struct rp_upstream_attempt *attempt = data;
-    if (attempt->sends > 0 && (attempt->flags & RP_ATTEMPT_REPEATABLE) == 0) {
+    if (attempt->sends > 0) {
         return CURL_PREREQFUNC_ABORT;
     }
     attempt->sends++;
@@ -66,19 +66,14 @@
     }
 }
 
+/* libcurl rewinds only to send again on its own. */
 static int
-seek_request(void *data, curl_off_t offset, int origin)
+refuse_seek(void *data, curl_off_t offset, int origin)
 {
-    struct rp_upstream_attempt *attempt = data;
-    struct rp_stream *request = attempt->call->request;
-    if ((attempt->flags & RP_ATTEMPT_REPEATABLE) == 0 || offset != 0 ||
-        origin != SEEK_SET || request == NULL ||
-        !rp_stream_can_rewind(request))
-    {
-        return CURL_SEEKFUNC_FAIL;
-    }
-    rp_stream_rewind(request);
-    return CURL_SEEKFUNC_OK;
+    (void)data;
+    (void)offset;
+    (void)origin;
+    return CURL_SEEKFUNC_FAIL;
 }
 
 static size_t
@@ -259,7 +254,7 @@
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_send);
     curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_request);
-    curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, seek_request);
+    curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, refuse_seek);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_body);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
     return easy;
@@ -379,7 +374,6 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, attempt);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, attempt);
     curl_easy_setopt(easy, CURLOPT_READDATA, attempt);
-    curl_easy_setopt(easy, CURLOPT_SEEKDATA, attempt);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, attempt);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, attempt);
     set_method(attempt);
--- a/standin/caller.c
+++ b/standin/caller.c
@@ -1,7 +1,7 @@
 #include <argp.h>
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <glib.h>
 #include <string.h>
 #include <sysexits.h>
 
--- a/standin/target.c
+++ b/standin/target.c
@@ -442,12 +442,15 @@
             finish_answer(connection);
             go_on = connection->in->len > 0;
         }
-    }
-    if (!flush(connection) ||
-        (connection->close_after && connection->out->len == 0))
-    {
-        close_connection(connection);
-        return;
+        if (!flush(connection) ||
+            (connection->close_after && connection->out->len == 0))
+        {
+            close_connection(connection);
+            return;
+        }
+        go_on |= connection->state == STATE_ANSWER &&
+                 connection->out->len == 0 &&
+                 !ev_is_active(&connection->timer);
     }
     start_next(target);
 }
--- a/standin/target_fault.c
+++ b/standin/target_fault.c
@@ -192,9 +192,13 @@
 bool
 target_fault_in_body(struct target_connection *connection)
 {
+    uint8_t part[10];
     switch (connection->request.fault) {
     case FAULT_IN_CHUNK:
-        target_print(connection, "ff\r\nhalf of it");
+        target_print(connection, "ffff\r\n");
+        target_fill(&connection->request, connection->produced, part,
+                    sizeof(part));
+        g_byte_array_append(connection->out, part, sizeof(part));
         connection->close_after = true;
         return true;
     case FAULT_BAD_CHUNK:
