Notice callers that leave before their request is whole

Cause: libmicrohttpd misses the end of a connection that comes together with bytes, and edges of suspended connections are seen once only; such a request stayed until the idle time-out and held a stop up for 30 s. Change: the entry task remembers each end it sees and makes the daemon look at the connection again; path_cases checks that a stop takes under 10 s.

--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -277,10 +277,13 @@
 got=$(cat "$told")
 rm -f "$told"
 check stop-finishes-work "$got" "$whole" "$(ran case-stop)" 1 1
+seconds=$SECONDS
 for pid in "${serve_pids[@]}"; do
     wait "$pid"
     check clean-exit "status=$?" '^status=0$' 0 0 0
 done
+# A request that is never forgotten would hold the stop up for 30 s.
+check no-request-left "seconds=$((SECONDS - seconds))" '^seconds=[0-9]$' 0 0 0
 
 echo "path cases: $cases run, $failures failed"
 ((failures == 0))
--- a/src/entry.c
+++ b/src/entry.c
@@ -29,16 +29,6 @@
     }
 }
 
-/* Takes a request out of the daemon's hands until entry_resume. */
-void
-entry_suspend(struct entry_request *request)
-{
-    if (!request->suspended) {
-        request->suspended = true;
-        MHD_suspend_connection(request->mhd);
-    }
-}
-
 /* Lets the daemon go on with a request. */
 void
 entry_resume(struct entry_request *request)
@@ -76,6 +66,29 @@
     entry_send(request->entry, RP_MSG_CALL_GONE, &gone, sizeof(gone), NULL);
 }
 
+/* Ends a request whose caller has closed its connection. */
+static void
+give_up(struct entry_request *request)
+{
+    send_gone(request, RP_GONE_CALLER);
+    request->abort = true;
+    entry_resume(request);
+}
+
+/* Takes a request out of the daemon's hands until entry_resume. */
+void
+entry_suspend(struct entry_request *request)
+{
+    if (request->suspended) {
+        return;
+    }
+    request->suspended = true;
+    MHD_suspend_connection(request->mhd);
+    if (request->connection->gone) {
+        give_up(request);
+    }
+}
+
 struct field_scan {
     struct rp_http_framing framing;
     struct rp_call *call;
@@ -326,7 +339,9 @@
     (void)mhd;
     (void)url;
     struct entry_request *request = *context;
-    if (request->abort) {
+    if (request->abort ||
+        (request->phase == ENTRY_NEW && request->connection->gone))
+    {
         return MHD_NO;
     }
     switch (request->phase) {
@@ -438,10 +453,14 @@
     for (int i = 0; i < count; i++) {
         struct entry_connection *connection = ready[i].data.ptr;
         struct entry_request *request = connection->request;
+        connection->gone = true;
         if (request != NULL && request->suspended) {
-            send_gone(request, RP_GONE_CALLER);
-            request->abort = true;
-            entry_resume(request);
+            give_up(request);
+        }
+        else if (request != NULL && request->phase != ENTRY_ANSWERED) {
+            /* The daemon misses an end that came together with bytes; it
+             * looks again at a connection that is suspended and resumed. */
+            entry_suspend(request);
         }
     }
 }
--- a/src/entry_reply.c
+++ b/src/entry_reply.c
@@ -65,9 +65,9 @@
 }
 
 static void
-add_closing(const struct rp_entry *entry, struct MHD_Response *response)
+add_closing(const struct entry_request *request, struct MHD_Response *response)
 {
-    if (entry->closing) {
+    if (request->entry->closing || request->connection->gone) {
         MHD_add_response_header(response, "Connection", "close");
     }
 }
@@ -90,7 +90,7 @@
     }
     MHD_add_response_header(response, "RP-Request-Id",
                             request->call->request_id);
-    add_closing(request->entry, response);
+    add_closing(request, response);
     request->phase = ENTRY_ANSWERED;
     enum MHD_Result result =
         MHD_queue_response(request->mhd, reply->answer->status, response);
@@ -125,7 +125,7 @@
                    retry_after_ms);
         MHD_add_response_header(response, "RP-Retry-After-Ms", number);
     }
-    add_closing(request->entry, response);
+    add_closing(request, response);
     request->phase = ENTRY_ANSWERED;
     enum MHD_Result result =
         MHD_queue_response(request->mhd, status, response);
@@ -159,7 +159,7 @@
     g_snprintf(control, sizeof(control), "max-age=%u", ttl_ms / 1000);
     MHD_add_response_header(response, "Content-Type", "application/json");
     MHD_add_response_header(response, "Cache-Control", control);
-    add_closing(request->entry, response);
+    add_closing(request, response);
     request->phase = ENTRY_ANSWERED;
     enum MHD_Result result = MHD_queue_response(request->mhd, 200, response);
     MHD_destroy_response(response);
--- a/src/entry_request.h
+++ b/src/entry_request.h
@@ -38,6 +38,7 @@
 struct entry_connection {
     struct entry_request *request;
     int socket;
+    bool gone; /* the caller closed it */
 };
 
 enum entry_phase {
