Add the serve command over checked settings

Cause: tasks need a process that starts them and stops on a signal. Change: cli/serve.c takes all settings as flags or variables, src/node.c creates the tasks. libmicrohttpd is run once more after a connection is resumed: it reports a resumed one neither by descriptor nor by time-out. Conclusion: tasks can be added to src/node.c as they land.

--- a/cli/main.c
+++ b/cli/main.c
@@ -22,6 +22,7 @@
 };
 
 static const struct subcommand subcommands[] = {
+    {"serve", cli_serve_main, "serve callers on an entry VM"},
     {"status", cli_status_main, "show what entry VMs are doing"},
     {"timeline", cli_timeline_main, "print one time line of all entry VMs"},
     {"version", version_main, "print the version"},
--- /dev/null
+++ b/cli/serve.c
@@ -0,0 +1,136 @@
+#include <argp.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sysexits.h>
+
+#include "cli.h"
+#include "log.h"
+#include "node.h"
+#include "setting.h"
+
+/* Keys of the flags that belong to settings start here, above the characters
+ * that argp takes for short flags. */
+#define SETTING_KEY 1000
+#define PRINT_SETTINGS_KEY 'p'
+
+struct serve_options {
+    struct rp_settings *settings;
+    bool print_settings;
+};
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+    struct serve_options *chosen = state->input;
+    if (key == PRINT_SETTINGS_KEY) {
+        chosen->print_settings = true;
+        return 0;
+    }
+    if (key >= SETTING_KEY && key < SETTING_KEY + RP_SETTING_COUNT) {
+        rp_settings_set_flag(chosen->settings, key - SETTING_KEY, value);
+        return 0;
+    }
+    return ARGP_ERR_UNKNOWN;
+}
+
+/* Fills one argp option for each setting, then that of --print-settings. */
+static void
+fill_options(struct argp_option *options)
+{
+    for (int i = 0; i < RP_SETTING_COUNT; i++) {
+        options[i].name = rp_setting_flag(i);
+        options[i].key = SETTING_KEY + i;
+        options[i].arg = "VALUE";
+        options[i].doc = rp_setting_help(i);
+    }
+    options[RP_SETTING_COUNT].name = "print-settings";
+    options[RP_SETTING_COUNT].key = PRINT_SETTINGS_KEY;
+    options[RP_SETTING_COUNT].doc =
+        "print every setting with its origin, check them, and exit";
+}
+
+static const char *
+get_environment(const char *name, void *data)
+{
+    (void)data;
+    return getenv(name);
+}
+
+static int
+print_settings(const struct rp_settings *settings)
+{
+    GString *text = g_string_new(NULL);
+    rp_settings_print(settings, text);
+    fputs(text->str, stdout);
+    g_string_free(text, TRUE);
+    return 0;
+}
+
+static int
+report_failure(GError *error, int status)
+{
+    fprintf(stderr, "rosemarypulley serve: %s\n", error->message);
+    g_error_free(error);
+    return status;
+}
+
+static int
+run_node(const struct rp_settings *settings)
+{
+    GError *error = NULL;
+    struct rp_node *node = rp_node_start(settings, &error);
+    if (node == NULL) {
+        return report_failure(error, EX_UNAVAILABLE);
+    }
+    rp_node_run(node);
+    rp_node_free(node);
+    return 0;
+}
+
+static int
+check_and_run(const struct serve_options *chosen)
+{
+    GError *error = NULL;
+    bool valid = rp_settings_check(chosen->settings, &error);
+    if (chosen->print_settings) {
+        print_settings(chosen->settings);
+    }
+    if (!valid) {
+        return report_failure(error, EX_CONFIG);
+    }
+    if (chosen->print_settings) {
+        return 0;
+    }
+    rp_log_open(rp_settings_text(chosen->settings, RP_SETTING_LOG_FORMAT),
+                rp_settings_text(chosen->settings, RP_SETTING_LOG_LEVEL),
+                rp_settings_text(chosen->settings, RP_SETTING_ID));
+    return run_node(chosen->settings);
+}
+
+/* Runs an entry process until it is told to stop. Returns 0 after a graceful
+ * shutdown, EX_CONFIG when settings cannot be used and EX_UNAVAILABLE when a
+ * port cannot be opened. */
+int
+cli_serve_main(int argc, char **argv)
+{
+    struct argp_option options[RP_SETTING_COUNT + 2] = {0};
+    fill_options(options);
+    struct argp argp = {
+        options,
+        parse_option,
+        NULL,
+        "Serve callers on an entry VM. Each flag can be given as an "
+        "environment variable: ROSEMARYPULLEY_ and the flag in capitals with "
+        "underscores. Flags go before variables.",
+        NULL,
+        NULL,
+        NULL,
+    };
+    struct serve_options chosen = {.settings = rp_settings_new()};
+    argp_parse(&argp, argc, argv, 0, NULL, &chosen);
+    rp_settings_read_environment(chosen.settings, get_environment, NULL);
+    int status = check_and_run(&chosen);
+    rp_settings_free(chosen.settings);
+    return status;
+}
--- a/src/admin.c
+++ b/src/admin.c
@@ -239,6 +239,7 @@
         }
         request->complete = true;
         MHD_resume_connection(request->connection);
+        rp_mhd_loop_kick(&admin->watch);
     }
     rp_task_set_timer(task, 0, next_ns);
 }
--- a/src/mhd_loop.c
+++ b/src/mhd_loop.c
@@ -6,6 +6,7 @@
     (void)ev;
     (void)events;
     struct rp_mhd_loop *watch = watcher->data;
+    watch->kicked = false;
     MHD_run(watch->daemon);
 }
 
@@ -15,18 +16,19 @@
     (void)ev;
     (void)events;
     struct rp_mhd_loop *watch = watcher->data;
+    watch->kicked = false;
     MHD_run(watch->daemon);
 }
 
-/* Connections that were resumed are ready although their socket is not: the
- * daemon says so by a time-out of zero, which is asked for before each sleep.
- */
 static void
 on_prepare(struct ev_loop *ev, ev_prepare *watcher, int events)
 {
     (void)events;
     struct rp_mhd_loop *watch = watcher->data;
     MHD_UNSIGNED_LONG_LONG timeout_ms;
+    if (watch->kicked) {
+        return;
+    }
     ev_timer_stop(ev, &watch->timer);
     if (MHD_get_timeout(watch->daemon, &timeout_ms) == MHD_YES) {
         ev_timer_set(&watch->timer, (double)timeout_ms / 1e3, 0.0);
@@ -34,6 +36,21 @@
     }
 }
 
+/* Has the daemon run in the next turn of the loop. Needed after
+ * MHD_resume_connection, which libmicrohttpd 0.9.75 reports neither by its
+ * descriptor nor by its time-out. */
+void
+rp_mhd_loop_kick(struct rp_mhd_loop *watch)
+{
+    if (watch->kicked) {
+        return;
+    }
+    watch->kicked = true;
+    ev_timer_stop(watch->ev, &watch->timer);
+    ev_timer_set(&watch->timer, 0.0, 0.0);
+    ev_timer_start(watch->ev, &watch->timer);
+}
+
 /* Starts to serve a daemon from a libev loop. Both are borrowed; watch must
  * stay where it is until rp_mhd_loop_stop. */
 void
@@ -44,14 +61,13 @@
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
     watch->ev = ev;
     watch->daemon = daemon;
+    watch->kicked = false;
     ev_io_init(&watch->io, on_readable, info->epoll_fd, EV_READ);
     watch->io.data = watch;
     ev_io_start(ev, &watch->io);
     ev_timer_init(&watch->timer, on_timeout, 0.0, 0.0);
     watch->timer.data = watch;
     ev_prepare_init(&watch->prepare, on_prepare);
-    /* After the kernel's own watcher, which may resume connections. */
-    ev_set_priority(&watch->prepare, EV_MINPRI);
     watch->prepare.data = watch;
     ev_prepare_start(ev, &watch->prepare);
 }
--- a/src/mhd_loop.h
+++ b/src/mhd_loop.h
@@ -3,6 +3,7 @@
 
 #include <ev.h>
 #include <microhttpd.h>
+#include <stdbool.h>
 
 /* Watches the epoll descriptor and the time-outs of a libmicrohttpd daemon
  * that was started with MHD_USE_EPOLL and without a thread of its own. */
@@ -12,6 +13,7 @@
     ev_io io;
     ev_timer timer;
     ev_prepare prepare;
+    bool kicked;
 };
 
 #ifdef __cplusplus
@@ -20,6 +22,7 @@
 
 void rp_mhd_loop_start(struct rp_mhd_loop *watch, struct ev_loop *ev,
                        struct MHD_Daemon *daemon);
+void rp_mhd_loop_kick(struct rp_mhd_loop *watch);
 void rp_mhd_loop_stop(struct rp_mhd_loop *watch);
 
 #ifdef __cplusplus
