--- a/src/ticket.c
+++ b/src/ticket.c
@@ -4,9 +4,8 @@
 
 #include "error.h"
 
-#define MAC_BYTES 16
-#define MAC_TEXT_BYTES (2 * MAC_BYTES)
-#define NONCE_TEXT_BYTES (2 * RP_TICKET_NONCE_BYTES)
+#define MAC_TEXT_BYTES 32
+#define NONCE_TEXT_BYTES 32
 #define DEFAULT_REPLAY_BUDGET (16u << 20)
 
 /* Serials that can be live at once, and one that is being cleared. */
@@ -33,10 +32,9 @@
     enum entry_state state;
     bool exposed; /* an attempt may have reached a target */
     bool expired; /* removed as soon as it is finished */
-    uint32_t status;
-    uint32_t body_bytes;
-    uint8_t *body; /* NULL when the answer is not kept */
-    char *content_type;
+    bool kept;    /* the answer can be replayed */
+    struct rp_ticket_answer answer;
+    uint8_t *bytes;               /* head, then body */
     struct rp_ticket_entry *next; /* of the same serial */
 };
 
@@ -155,7 +153,7 @@
 static bool
 parse_nonce(const char *text, uint8_t nonce[RP_TICKET_NONCE_BYTES])
 {
-    for (int i = 0; i < RP_TICKET_NONCE_BYTES; i++) {
+    for (size_t i = 0; i < RP_TICKET_NONCE_BYTES; i++) {
         int high = g_ascii_xdigit_value(text[2 * i]);
         int low = g_ascii_xdigit_value(text[2 * i + 1]);
         if (high < 0 || low < 0) {
@@ -206,14 +204,6 @@
            strcmp(ticket.id, id) == 0 && ticket.incarnation == incarnation;
 }
 
-/* Returns whether a prefix that a peer told at received_ns, by this entry
- * VM's own clock, is still young enough to be put into an address answer. */
-bool
-rp_ticket_prefix_usable(int64_t received_ns, int64_t now_ns)
-{
-    return now_ns - received_ns <= RP_TICKET_PREFIX_HOLD_NS;
-}
-
 static guint
 hash_entry(gconstpointer data)
 {
@@ -239,8 +229,7 @@
 free_entry(gpointer data)
 {
     struct rp_ticket_entry *entry = data;
-    g_free(entry->body);
-    g_free(entry->content_type);
+    g_free(entry->bytes);
     g_free(entry);
 }
 
@@ -285,8 +274,9 @@
 }
 
 /* Writes the prefix that this entry VM issues at present, for its own
- * address answers and for its heartbeats. */
-void
+ * address answers and for its heartbeats. Returns the time from which on no
+ * address answer may name it; peers must be told the remaining time. */
+int64_t
 rp_ticket_table_prefix(struct rp_ticket_table *table, int64_t now_ns,
                        char prefix[RP_TICKET_PREFIX_BYTES])
 {
@@ -302,6 +292,8 @@
         table->prefix_serial = serial;
     }
     g_strlcpy(prefix, table->prefix, RP_TICKET_PREFIX_BYTES);
+    return table->start_ns + (int64_t)serial * RP_TICKET_PERIOD_NS +
+           RP_TICKET_HAND_OUT_NS;
 }
 
 /* Returns who decides about a ticket. */
@@ -319,7 +311,10 @@
 static void
 remove_entry(struct rp_ticket_table *table, struct rp_ticket_entry *entry)
 {
-    table->replay_bytes -= entry->body_bytes;
+    if (entry->kept) {
+        table->replay_bytes -=
+            entry->answer.head_bytes + entry->answer.body_bytes;
+    }
     g_hash_table_remove(table->entries, entry);
 }
 
@@ -366,12 +361,9 @@
         claim->verdict = RP_TICKET_NOT_RUN;
         return;
     case STATE_DONE:
-        if (entry->content_type != NULL) {
+        if (entry->kept) {
             claim->verdict = RP_TICKET_REPLAY;
-            claim->answer.status = entry->status;
-            claim->answer.content_type = entry->content_type;
-            claim->answer.body = entry->body;
-            claim->answer.body_bytes = entry->body_bytes;
+            claim->answer = entry->answer;
             return;
         }
         break;
@@ -464,25 +456,42 @@
     }
 }
 
-/* Ends a run whose whole answer is known. Answers of up to
- * RP_TICKET_BODY_BYTES are kept for replay while the budget for them lasts;
- * a repeat of others is told UNKNOWN. The entry is no longer the caller's. */
+static void
+keep_answer(struct rp_ticket_table *table, struct rp_ticket_entry *entry,
+            const struct rp_ticket_answer *answer)
+{
+    uint64_t byte_count = (uint64_t)answer->head_bytes + answer->body_bytes;
+    if (answer->body_bytes > RP_TICKET_BODY_BYTES ||
+        answer->head_bytes > RP_TICKET_HEAD_BYTES ||
+        table->replay_bytes + byte_count > table->replay_budget)
+    {
+        return;
+    }
+    entry->bytes = g_malloc(byte_count);
+    if (answer->head_bytes > 0) {
+        memcpy(entry->bytes, answer->head, answer->head_bytes);
+    }
+    if (answer->body_bytes > 0) {
+        memcpy(entry->bytes + answer->head_bytes, answer->body,
+               answer->body_bytes);
+    }
+    entry->answer = *answer;
+    entry->answer.head = entry->bytes;
+    entry->answer.body = entry->bytes + answer->head_bytes;
+    entry->kept = true;
+    table->replay_bytes += byte_count;
+}
+
+/* Ends a run whose whole answer is known. Answers with a body of up to
+ * RP_TICKET_BODY_BYTES and a head of up to RP_TICKET_HEAD_BYTES are copied
+ * for replay while the budget for them lasts; a repeat of others is told
+ * UNKNOWN. The entry is no longer the caller's. */
 void
 rp_ticket_finish_done(struct rp_ticket_table *table,
                       struct rp_ticket_entry *entry,
                       const struct rp_ticket_answer *answer)
 {
-    uint64_t total = table->replay_bytes + answer->body_bytes;
-    if (answer->body_bytes <= RP_TICKET_BODY_BYTES &&
-        total <= table->replay_budget &&
-        strlen(answer->content_type) < RP_TICKET_TYPE_BYTES)
-    {
-        entry->status = answer->status;
-        entry->content_type = g_strdup(answer->content_type);
-        entry->body = g_memdup2(answer->body, answer->body_bytes);
-        entry->body_bytes = answer->body_bytes;
-        table->replay_bytes = total;
-    }
+    keep_answer(table, entry, answer);
     finish(table, entry, STATE_DONE);
 }
 
--- a/src/ticket.h
+++ b/src/ticket.h
@@ -12,14 +12,14 @@
 #define RP_TICKET_TEXT_BYTES 200
 #define RP_TICKET_TABLE_LIMIT 65536
 #define RP_TICKET_BODY_BYTES 4096 /* greatest answer kept for replay */
-#define RP_TICKET_TYPE_BYTES 128
+#define RP_TICKET_HEAD_BYTES 4096 /* greatest head kept for replay */
 
-/* A new prefix is issued each second. It is accepted for 30 s after that:
- * up to 10 s held by a peer, 5 s in an address answer, the rest for a
- * caller's repeats. */
-#define RP_TICKET_PERIOD_NS INT64_C(1000000000)
+/* A new prefix is issued every 5 s. Address answers name it for 15 s from
+ * the start of its period and are kept by callers for 5 s. It is accepted
+ * for 30 s from the end of its period; the rest is for a caller's repeats. */
+#define RP_TICKET_PERIOD_NS INT64_C(5000000000)
+#define RP_TICKET_HAND_OUT_NS INT64_C(15000000000)
 #define RP_TICKET_LIFETIME_NS INT64_C(30000000000)
-#define RP_TICKET_PREFIX_HOLD_NS INT64_C(10000000000)
 
 /* The key that all entry VMs of a fleet share. The bytes are borrowed. */
 struct rp_ticket_key {
@@ -51,11 +51,13 @@
     RP_TICKET_MISMATCH, /* the ticket was used for another request */
 };
 
-/* An answer kept for replay. In a claim the strings belong to the table and
- * are valid until its next call. */
+/* An answer kept for replay. In a claim the bytes belong to the table and
+ * are valid until its next call. The table does not look into the head. */
 struct rp_ticket_answer {
     uint32_t status;
-    const char *content_type; /* "" when there was none */
+    uint32_t head_count; /* fields in the head */
+    const void *head;
+    uint32_t head_bytes;
     const void *body;
     uint32_t body_bytes;
 };
@@ -86,13 +88,12 @@
                      struct rp_ticket *ticket, GError **error);
 bool rp_ticket_prefix_check(const struct rp_ticket_key *key, const char *text,
                             const char *id, uint64_t incarnation);
-bool rp_ticket_prefix_usable(int64_t received_ns, int64_t now_ns);
 
 struct rp_ticket_table *
 rp_ticket_table_new(const struct rp_ticket_config *config, int64_t now_ns);
 void rp_ticket_table_free(struct rp_ticket_table *table);
-void rp_ticket_table_prefix(struct rp_ticket_table *table, int64_t now_ns,
-                            char prefix[RP_TICKET_PREFIX_BYTES]);
+int64_t rp_ticket_table_prefix(struct rp_ticket_table *table, int64_t now_ns,
+                               char prefix[RP_TICKET_PREFIX_BYTES]);
 enum rp_ticket_route rp_ticket_table_route(const struct rp_ticket_table *table,
                                            const struct rp_ticket *ticket);
 void rp_ticket_table_claim(struct rp_ticket_table *table,
