--- a/src/counter_list.h
+++ b/src/counter_list.h
@@ -18,3 +18,7 @@
 RP_COUNTER(HEDGES, "attempt_hedges_total", COUNTER, "Attempts beside a late one")
 RP_COUNTER(FRESH_TRIALS, "attempt_fresh_trials_total", COUNTER, "Attempts on a fresh connection beside a silent one")
 RP_COUNTER(SILENT_CONNECTIONS, "connections_silent_total", COUNTER, "Connections given up because a fresh one answered")
+RP_COUNTER(PROBES, "probes_total", COUNTER,
+           "Probes sent to targets to measure them")
+RP_COUNTER(PROBES_FAILED, "probes_failed_total", COUNTER,
+           "Probes without a whole answer with a status below 500")
