Add records and the set of accepted records

Cause: operators publish records in two schemas, in any order and from several places at once. Conclusion: the result does not depend on the order of arrival.

--- /dev/null
+++ b/src/record.c
@@ -0,0 +1,637 @@
+#include "record.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include "error.h"
+#include "record_read.h"
+
+#define MAX_TIMEOUT_MS 3600000
+#define MAX_BODY_BYTES (INT64_C(1024) * 1024 * 1024)
+#define MAX_SLOTS 1024
+#define MAX_CONNECTIONS 10000
+#define MAX_VERSION INT64_C(1000000000000)
+
+/* Targets of the two workloads have 6 slots and about 200 connections. */
+#define DEFAULT_SLOTS 6
+#define DEFAULT_CONNECTIONS 200
+
+static const char *const kind_names[] = {"service (schema 1)", "service",
+                                         "targets", "share"};
+
+/* Returns the name of a kind as used in messages. */
+const char *
+rp_record_kind_name(enum rp_record_kind kind)
+{
+    return kind_names[kind];
+}
+
+static void
+free_target(struct rp_record_target *target)
+{
+    g_free(target->name);
+    g_free(target->address);
+    g_free(target->domain);
+}
+
+/* Frees a record; NULL is allowed. */
+void
+rp_record_free(struct rp_record *record)
+{
+    if (record == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < record->target_count; i++) {
+        free_target(&record->targets[i]);
+    }
+    for (uint32_t i = 0; i < record->share_count; i++) {
+        g_free(record->shares[i].estate);
+    }
+    g_free(record->targets);
+    g_free(record->settings.host);
+    g_free(record->settings.path_prefix);
+    g_free(record->settings.probe_path);
+    g_free(record->key);
+    g_free(record->service);
+    g_free(record->estate);
+    g_free(record);
+}
+
+static const struct {
+    const char *name;
+    uint32_t method;
+} methods[] = {
+    {"GET", RP_METHOD_GET},       {"HEAD", RP_METHOD_HEAD},
+    {"POST", RP_METHOD_POST},     {"PUT", RP_METHOD_PUT},
+    {"DELETE", RP_METHOD_DELETE}, {"OPTIONS", RP_METHOD_OPTIONS},
+    {"PATCH", RP_METHOD_PATCH},
+};
+
+static uint32_t
+find_method(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(methods) && name != NULL; i++) {
+        if (strcmp(methods[i].name, name) == 0) {
+            return methods[i].method;
+        }
+    }
+    return 0;
+}
+
+static void
+read_methods(struct rp_reader *reader, const char *place, const json_t *value,
+             const struct rp_field *field, void *out)
+{
+    uint32_t mask = 0;
+    if (!json_is_array(value)) {
+        rp_reader_fault(reader, place,
+                        "must be an array of methods; write [\"GET\"]");
+        return;
+    }
+    for (size_t i = 0; i < json_array_size(value); i++) {
+        uint32_t method =
+            find_method(json_string_value(json_array_get(value, i)));
+        if (method == 0) {
+            rp_reader_fault(reader, place,
+                            "has an unknown method at [%zu]; use GET, HEAD, "
+                            "POST, PUT, DELETE, OPTIONS or PATCH",
+                            i);
+        }
+        mask |= method;
+    }
+    *(uint32_t *)out = mask;
+}
+
+static void
+read_length_class(struct rp_reader *reader, const char *place,
+                  const json_t *value, const struct rp_field *field, void *out)
+{
+    static const char *const names[] = {"measured", "short", "long"};
+    const char *text = json_string_value(value);
+    for (size_t i = 0; i < G_N_ELEMENTS(names) && text != NULL; i++) {
+        if (strcmp(text, names[i]) == 0) {
+            *(enum rp_length_class *)out = (enum rp_length_class)i;
+            return;
+        }
+    }
+    rp_reader_fault(reader, place,
+                    "must be one of \"measured\", \"short\" and \"long\"; "
+                    "correct the value");
+}
+
+static void
+read_target_state(struct rp_reader *reader, const char *place,
+                  const json_t *value, const struct rp_field *field, void *out)
+{
+    const char *text = json_string_value(value);
+    bool draining = text != NULL && strcmp(text, "draining") == 0;
+    if (!draining && (text == NULL || strcmp(text, "serving") != 0)) {
+        rp_reader_fault(reader, place,
+                        "must be \"serving\" or \"draining\"; correct the "
+                        "value");
+        return;
+    }
+    *(bool *)out = draining;
+}
+
+static void
+read_match(struct rp_reader *reader, const char *place, const json_t *value,
+           const struct rp_field *field, void *out)
+{
+    static const struct rp_field fields[] = {
+        {"host", rp_read_text, offsetof(struct rp_record_service, host), 0,
+         253, RP_RECORD_HAS_HOST, false},
+        {"path_prefix", rp_read_path,
+         offsetof(struct rp_record_service, path_prefix), 1, 1024,
+         RP_RECORD_HAS_PATH_PREFIX, false},
+    };
+    struct rp_record_service *settings = out;
+    settings->fields |= rp_reader_object(reader, place, value, fields,
+                                         G_N_ELEMENTS(fields), true, settings);
+}
+
+static void
+read_shares(struct rp_reader *reader, const char *place, const json_t *value,
+            const struct rp_field *field, void *out)
+{
+    struct rp_record *record = out;
+    size_t count = json_object_size(value);
+    if (!json_is_object(value) || count == 0 || count > RP_SNAPSHOT_ESTATES) {
+        rp_reader_fault(reader, place,
+                        "must be an object of 1 to %d estates and their "
+                        "shares; write {\"old\": 900, \"new\": 100}",
+                        RP_SNAPSHOT_ESTATES);
+        return;
+    }
+    int64_t sum = 0;
+    const char *estate;
+    json_t *share;
+    json_object_foreach((json_t *)value, estate, share)
+    {
+        static const struct rp_field permille = {"",   NULL, 0,    0,
+                                                 1000, 0,    false};
+        char inner[RP_READ_PLACE_BYTES];
+        g_snprintf(inner, sizeof(inner), "%s.%.40s", place, estate);
+        struct rp_record_share *to = &record->shares[record->share_count++];
+        json_t *name = json_string(estate);
+        rp_read_name(reader, inner, name, &permille, &to->estate);
+        json_decref(name);
+        int64_t number = 0;
+        rp_read_integer(reader, inner, share, &permille, &number);
+        to->permille = (uint32_t)number;
+        sum += number;
+    }
+    if (sum != 1000) {
+        rp_reader_fault(reader, place,
+                        "shares add up to %" G_GINT64_FORMAT
+                        " and not to 1000; they are parts per thousand of "
+                        "the service's requests",
+                        sum);
+    }
+}
+
+struct old_server {
+    char *host;
+    int64_t port;
+    char *name;
+    char *domain;
+    int64_t slots;
+    int64_t connections;
+    bool drain;
+};
+
+static void
+read_ip(struct rp_reader *reader, const char *place, const json_t *value,
+        const struct rp_field *field, void *out)
+{
+    const char *text = json_string_value(value);
+    if (text == NULL || !g_hostname_is_ip_address(text)) {
+        rp_reader_fault(reader, place,
+                        "'%.60s' is not an IP number; host names are not "
+                        "looked up, write the number",
+                        text == NULL ? "" : text);
+        return;
+    }
+    char **host = out;
+    g_free(*host);
+    *host = g_strdup(text);
+}
+
+static void
+read_old_server(struct rp_reader *reader, const char *place,
+                const json_t *value, struct rp_record_target *target)
+{
+#define OLD(member) offsetof(struct old_server, member)
+    static const struct rp_field fields[] = {
+        {"host", read_ip, OLD(host), 0, 0, 0, true},
+        {"port", rp_read_integer, OLD(port), 1, 65535, 0, true},
+        {"name", rp_read_name, OLD(name), 0, 0, 0, false},
+        {"domain", rp_read_text, OLD(domain), 1, 63, 0, true},
+        {"slots", rp_read_integer, OLD(slots), 1, MAX_SLOTS, 0, false},
+        {"connections", rp_read_integer, OLD(connections), 1, MAX_CONNECTIONS,
+         0, false},
+        {"drain", rp_read_boolean, OLD(drain), 0, 0, 0, false},
+    };
+#undef OLD
+    struct old_server server = {.slots = DEFAULT_SLOTS,
+                                .connections = DEFAULT_CONNECTIONS};
+    rp_reader_object(reader, place, value, fields, G_N_ELEMENTS(fields), true,
+                     &server);
+    const char *host = server.host == NULL ? "" : server.host;
+    target->address =
+        g_strdup_printf(strchr(host, ':') == NULL ? "%s:%d" : "[%s]:%d", host,
+                        (int)server.port);
+    target->name =
+        server.name != NULL ? server.name : g_strdup(target->address);
+    target->domain = server.domain;
+    target->slots = server.slots;
+    target->connections = server.connections;
+    target->draining = server.drain;
+    g_free(server.host);
+}
+
+static void
+read_new_target(struct rp_reader *reader, const char *place,
+                const json_t *value, struct rp_record_target *target)
+{
+#define TARGET(member) offsetof(struct rp_record_target, member)
+    static const struct rp_field fields[] = {
+        {"name", rp_read_name, TARGET(name), 0, 0, 0, true},
+        {"address", rp_read_address, TARGET(address), 0, 0, 0, true},
+        {"domain", rp_read_text, TARGET(domain), 1, 63, 0, true},
+        {"slots", rp_read_integer, TARGET(slots), 1, MAX_SLOTS, 0, false},
+        {"connections", rp_read_integer, TARGET(connections), 1,
+         MAX_CONNECTIONS, 0, false},
+        {"state", read_target_state, TARGET(draining), 0, 0, 0, false},
+    };
+#undef TARGET
+    target->slots = DEFAULT_SLOTS;
+    target->connections = DEFAULT_CONNECTIONS;
+    rp_reader_object(reader, place, value, fields, G_N_ELEMENTS(fields), true,
+                     target);
+}
+
+/* Two entries with one address would be counted as twice the slots. */
+static void
+check_unique(struct rp_reader *reader, const char *place,
+             const struct rp_record *record)
+{
+    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+    for (uint32_t i = 0; i < record->target_count; i++) {
+        const struct rp_record_target *target = &record->targets[i];
+        if (target->address != NULL &&
+            !g_hash_table_add(seen, target->address)) {
+            rp_reader_fault(reader, place,
+                            "[%u] repeats the address %s; remove one of the "
+                            "two",
+                            i, target->address);
+        }
+    }
+    g_hash_table_remove_all(seen);
+    for (uint32_t i = 0; i < record->target_count; i++) {
+        const struct rp_record_target *target = &record->targets[i];
+        if (target->name != NULL && !g_hash_table_add(seen, target->name)) {
+            rp_reader_fault(reader, place,
+                            "[%u] repeats the name '%s'; rename one of the "
+                            "two",
+                            i, target->name);
+        }
+    }
+    g_hash_table_unref(seen);
+}
+
+static void
+read_target_list(struct rp_reader *reader, const char *place,
+                 const json_t *value, const struct rp_field *field, void *out)
+{
+    struct rp_record *record = out;
+    size_t count = json_array_size(value);
+    if (!json_is_array(value) || count > RP_RECORD_MAX_TARGETS) {
+        rp_reader_fault(reader, place,
+                        "must be an array of at most %d entries; split the "
+                        "service if it has more",
+                        RP_RECORD_MAX_TARGETS);
+        return;
+    }
+    record->targets = g_new0(struct rp_record_target, count);
+    record->target_count = (uint32_t)count;
+    for (size_t i = 0; i < count; i++) {
+        char inner[RP_READ_PLACE_BYTES];
+        g_snprintf(inner, sizeof(inner), "%s[%zu]", place, i);
+        const json_t *entry = json_array_get(value, i);
+        if (record->kind == RP_RECORD_OLD_SERVICE) {
+            read_old_server(reader, inner, entry, &record->targets[i]);
+        }
+        else {
+            read_new_target(reader, inner, entry, &record->targets[i]);
+        }
+    }
+    check_unique(reader, place, record);
+}
+
+static void
+read_old_estate(struct rp_reader *reader, const char *place,
+                const json_t *value, const struct rp_field *field, void *out)
+{
+    const char *text = json_string_value(value);
+    if (text == NULL || strcmp(text, "old") != 0) {
+        rp_reader_fault(reader, place,
+                        "must be \"old\" in schema 1; publish targets of "
+                        "other estates as schema 2 targets records");
+    }
+}
+
+static void
+read_timeout_s(struct rp_reader *reader, const char *place,
+               const json_t *value, const struct rp_field *field, void *out)
+{
+    int64_t *timeout_ms = out;
+    rp_read_integer(reader, place, value, field, timeout_ms);
+    *timeout_ms *= 1000;
+}
+
+#define RECORD(member) offsetof(struct rp_record, member)
+#define SETTING(member) offsetof(struct rp_record, settings.member)
+
+#define COMMON_FIELDS                                                         \
+    {"schema", rp_read_ignore, 0, 0, 0, 0, true}, {"version",                 \
+                                                   rp_read_integer,           \
+                                                   RECORD(version),           \
+                                                   1,                         \
+                                                   MAX_VERSION,               \
+                                                   0,                         \
+                                                   true},                     \
+        {"retired", rp_read_boolean, RECORD(retired), 0, 0, 0, false},        \
+    {                                                                         \
+        "comment", rp_read_ignore, 0, 0, 0, 0, false                          \
+    }
+
+static const struct rp_field old_fields[] = {
+    COMMON_FIELDS,
+    {"service", rp_read_name, RECORD(service), 0, 0, 0, true},
+    {"estate", read_old_estate, 0, 0, 0, 0, false},
+    {"prefix", rp_read_path, SETTING(path_prefix), 1, 1024,
+     RP_RECORD_HAS_PATH_PREFIX, true},
+    {"timeout_s", read_timeout_s, SETTING(timeout_ms), 1,
+     MAX_TIMEOUT_MS / 1000, RP_RECORD_HAS_TIMEOUT, false},
+    {"servers", read_target_list, 0, 0, 0, 0, true},
+};
+
+static const struct rp_field service_fields[] = {
+    COMMON_FIELDS,
+    {"kind", rp_read_ignore, 0, 0, 0, 0, true},
+    {"name", rp_read_name, RECORD(service), 0, 0, 0, true},
+    {"match", read_match, RECORD(settings), 0, 0, 0, false},
+    {"timeout_ms", rp_read_integer, SETTING(timeout_ms), 1, MAX_TIMEOUT_MS,
+     RP_RECORD_HAS_TIMEOUT, false},
+    {"max_timeout_ms", rp_read_integer, SETTING(max_timeout_ms), 1,
+     MAX_TIMEOUT_MS, RP_RECORD_HAS_MAX_TIMEOUT, false},
+    {"max_body_bytes", rp_read_integer, SETTING(max_body_bytes), 0,
+     MAX_BODY_BYTES, RP_RECORD_HAS_MAX_BODY, false},
+    {"repeatable_methods", read_methods, SETTING(repeatable_methods), 0, 0,
+     RP_RECORD_HAS_METHODS, false},
+    {"length_class", read_length_class, SETTING(length_class), 0, 0,
+     RP_RECORD_HAS_LENGTH_CLASS, false},
+    {"probes_per_10s", rp_read_integer, SETTING(probes_per_10s), 0, 1000,
+     RP_RECORD_HAS_PROBES, false},
+    {"probe_path", rp_read_path, SETTING(probe_path), 1, 1024,
+     RP_RECORD_HAS_PROBE_PATH, false},
+};
+
+static const struct rp_field target_fields[] = {
+    COMMON_FIELDS,
+    {"kind", rp_read_ignore, 0, 0, 0, 0, true},
+    {"service", rp_read_name, RECORD(service), 0, 0, 0, true},
+    {"estate", rp_read_name, RECORD(estate), 0, 0, 0, true},
+    {"targets", read_target_list, 0, 0, 0, 0, true},
+};
+
+static const struct rp_field share_fields[] = {
+    COMMON_FIELDS,
+    {"kind", rp_read_ignore, 0, 0, 0, 0, true},
+    {"service", rp_read_name, RECORD(service), 0, 0, 0, true},
+    {"shares", read_shares, 0, 0, 0, 0, true},
+};
+
+static const struct {
+    const struct rp_field *fields;
+    size_t count;
+    const char *identity[2]; /* what a retired record needs as well */
+} tables[] = {
+    [RP_RECORD_OLD_SERVICE] = {old_fields,
+                               G_N_ELEMENTS(old_fields),
+                               {"service", NULL}},
+    [RP_RECORD_SERVICE] = {service_fields,
+                           G_N_ELEMENTS(service_fields),
+                           {"name", NULL}},
+    [RP_RECORD_TARGETS] = {target_fields,
+                           G_N_ELEMENTS(target_fields),
+                           {"service", "estate"}},
+    [RP_RECORD_SHARE] = {share_fields,
+                         G_N_ELEMENTS(share_fields),
+                         {"service", NULL}},
+};
+
+static bool
+read_kind(struct rp_reader *reader, const json_t *root,
+          enum rp_record_kind *kind)
+{
+    json_int_t schema = json_integer_value(json_object_get(root, "schema"));
+    const char *name = json_string_value(json_object_get(root, "kind"));
+    if (schema == 1) {
+        *kind = RP_RECORD_OLD_SERVICE;
+        return true;
+    }
+    if (schema != 2) {
+        rp_reader_fault(reader, "schema",
+                        "must be 1 or 2; publish the record in a form that "
+                        "this release knows");
+        return false;
+    }
+    for (int i = RP_RECORD_SERVICE; i <= RP_RECORD_SHARE; i++) {
+        if (name != NULL && strcmp(name, kind_names[i]) == 0) {
+            *kind = (enum rp_record_kind)i;
+            return true;
+        }
+    }
+    rp_reader_fault(reader, "kind",
+                    "must be \"service\", \"targets\" or \"share\"; correct "
+                    "the value");
+    return false;
+}
+
+static char *
+record_key(const struct rp_record *record)
+{
+    switch (record->kind) {
+    case RP_RECORD_OLD_SERVICE:
+        return g_strdup_printf("v1/%s", record->service);
+    case RP_RECORD_SERVICE:
+        return g_strdup_printf("service/%s", record->service);
+    case RP_RECORD_TARGETS:
+        return g_strdup_printf("targets/%s/%s", record->service,
+                               record->estate);
+    case RP_RECORD_SHARE:
+        return g_strdup_printf("share/%s", record->service);
+    }
+    return NULL;
+}
+
+static void
+check_identity(struct rp_reader *reader, const json_t *root, const char *key,
+               struct rp_record *record)
+{
+    for (int i = 0; i < 2; i++) {
+        const char *name = tables[record->kind].identity[i];
+        if (record->retired && name != NULL &&
+            json_object_get(root, name) == NULL) {
+            rp_reader_fault(reader, name, "is missing; add the field");
+        }
+    }
+    if (record->retired && json_object_get(root, "version") == NULL) {
+        rp_reader_fault(reader, "version", "is missing; add the field");
+    }
+    if (record->service == NULL ||
+        (record->kind == RP_RECORD_TARGETS && record->estate == NULL))
+    {
+        return;
+    }
+    record->key = record_key(record);
+    if (key != NULL && strcmp(key, record->key) != 0) {
+        rp_reader_fault(reader, "",
+                        "is published under the key '%.80s' but describes "
+                        "'%s'; publish it under that key or correct its "
+                        "names",
+                        key, record->key);
+    }
+}
+
+static void
+check_timeouts(struct rp_reader *reader,
+               const struct rp_record_service *settings)
+{
+    uint32_t both = RP_RECORD_HAS_TIMEOUT | RP_RECORD_HAS_MAX_TIMEOUT;
+    if ((settings->fields & both) == both &&
+        settings->timeout_ms > settings->max_timeout_ms)
+    {
+        rp_reader_fault(reader, "timeout_ms",
+                        "is greater than max_timeout_ms; lower one or raise "
+                        "the other");
+    }
+}
+
+static struct rp_record *
+read_record(struct rp_reader *reader, const json_t *root, const char *key)
+{
+    enum rp_record_kind kind;
+    if (!json_is_object(root)) {
+        rp_reader_fault(reader, "", "is not an object; write {...}");
+        return NULL;
+    }
+    if (!read_kind(reader, root, &kind)) {
+        return NULL;
+    }
+    struct rp_record *record = g_new0(struct rp_record, 1);
+    record->kind = kind;
+    bool retired = json_is_true(json_object_get(root, "retired"));
+    uint32_t fields = rp_reader_object(reader, "", root, tables[kind].fields,
+                                       tables[kind].count, !retired, record);
+    record->settings.fields |= fields;
+    if (kind == RP_RECORD_OLD_SERVICE) {
+        record->estate = g_strdup("old");
+    }
+    check_identity(reader, root, key, record);
+    check_timeouts(reader, &record->settings);
+    return record;
+}
+
+/* jansson's parser recurses up to 2048 levels; this refuses earlier and
+ * without recursion. */
+static uint32_t
+json_depth(const char *text, size_t text_bytes)
+{
+    uint32_t depth = 0;
+    uint32_t deepest = 0;
+    bool in_string = false;
+    for (size_t i = 0; i < text_bytes; i++) {
+        char c = text[i];
+        if (in_string) {
+            i += c == '\\' ? 1 : 0;
+            in_string = c != '"';
+        }
+        else if (c == '"') {
+            in_string = true;
+        }
+        else if (c == '{' || c == '[') {
+            depth++;
+            deepest = MAX(deepest, depth);
+        }
+        else if ((c == '}' || c == ']') && depth > 0) {
+            depth--;
+        }
+    }
+    return deepest;
+}
+
+static json_t *
+load_json(struct rp_reader *reader, const char *text, size_t text_bytes)
+{
+    if (text_bytes > RP_RECORD_MAX_BYTES) {
+        rp_reader_fault(reader, "",
+                        "has %zu bytes, more than the limit of %u; split the "
+                        "service",
+                        text_bytes, RP_RECORD_MAX_BYTES);
+        return NULL;
+    }
+    if (json_depth(text, text_bytes) > RP_RECORD_MAX_DEPTH) {
+        rp_reader_fault(reader, "",
+                        "is nested more than %d levels deep; no field needs "
+                        "that, see docs/records.md",
+                        RP_RECORD_MAX_DEPTH);
+        return NULL;
+    }
+    json_error_t failure;
+    json_t *root =
+        json_loadb(text, text_bytes, JSON_REJECT_DUPLICATES, &failure);
+    if (root == NULL) {
+        char place[RP_READ_PLACE_BYTES];
+        g_snprintf(place, sizeof(place), "line %d, column %d", failure.line,
+                   failure.column);
+        rp_reader_fault(reader, place, "%s; correct the JSON", failure.text);
+    }
+    return root;
+}
+
+/* Parses and checks a record of any schema and kind. key is the platform's
+ * key, which must agree with the record's names, or NULL when it is not
+ * known. faults, when not NULL, receives every fault as an allocated string
+ * "place: fault; remedy" (RP_RECORD_MAX_FAULTS at most). Returns a record to
+ * be freed with rp_record_free, or NULL with RP_ERROR_RECORD set, whose
+ * message names the key, the first fault and the number of further ones. */
+struct rp_record *
+rp_record_parse(const char *key, const char *text, size_t text_bytes,
+                GPtrArray *faults, GError **error)
+{
+    GPtrArray *found = g_ptr_array_new_with_free_func(g_free);
+    struct rp_reader reader = {found, RP_RECORD_MAX_FAULTS};
+    struct rp_record *record = NULL;
+    json_t *root = load_json(&reader, text, text_bytes);
+    if (root != NULL) {
+        record = read_record(&reader, root, key);
+        json_decref(root);
+    }
+    if (found->len > 0) {
+        const char *first = g_ptr_array_index(found, 0);
+        g_set_error(error, RP_ERROR, RP_ERROR_RECORD,
+                    "record '%.100s' refused: %s (%u further faults; "
+                    "'rosemarypulley validate' lists them)",
+                    key == NULL ? "" : key, first, found->len - 1);
+        rp_record_free(record);
+        record = NULL;
+    }
+    for (guint i = 0; i < found->len && faults != NULL; i++) {
+        g_ptr_array_add(faults, g_strdup(g_ptr_array_index(found, i)));
+    }
+    g_ptr_array_unref(found);
+    return record;
+}
--- /dev/null
+++ b/src/record.h
@@ -0,0 +1,95 @@
+#ifndef RP_RECORD_H
+#define RP_RECORD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "snapshot.h"
+
+/* Greatest value that the platform holds. */
+#define RP_RECORD_MAX_BYTES (1024u * 1024u)
+/* The deepest valid record has 4 levels; the rest is room for refusals with
+ * a better message than "too deep". */
+#define RP_RECORD_MAX_DEPTH 8
+/* Four times the workers of the whole design size. */
+#define RP_RECORD_MAX_TARGETS 2048
+#define RP_RECORD_MAX_KEY_BYTES 200
+#define RP_RECORD_MAX_FAULTS 50
+
+enum rp_record_kind {
+    RP_RECORD_OLD_SERVICE, /* schema 1, key "v1/NAME" */
+    RP_RECORD_SERVICE,     /* schema 2, key "service/NAME" */
+    RP_RECORD_TARGETS,     /* schema 2, key "targets/SERVICE/ESTATE" */
+    RP_RECORD_SHARE,       /* schema 2, key "share/SERVICE" */
+};
+
+/* Which fields of the service a record gives. */
+#define RP_RECORD_HAS_HOST (1u << 0)
+#define RP_RECORD_HAS_PATH_PREFIX (1u << 1)
+#define RP_RECORD_HAS_TIMEOUT (1u << 2)
+#define RP_RECORD_HAS_MAX_TIMEOUT (1u << 3)
+#define RP_RECORD_HAS_MAX_BODY (1u << 4)
+#define RP_RECORD_HAS_METHODS (1u << 5)
+#define RP_RECORD_HAS_LENGTH_CLASS (1u << 6)
+#define RP_RECORD_HAS_PROBES (1u << 7)
+#define RP_RECORD_HAS_PROBE_PATH (1u << 8)
+
+struct rp_record_service {
+    uint32_t fields; /* mask of RP_RECORD_HAS_... */
+    char *host;
+    char *path_prefix;
+    int64_t timeout_ms;
+    int64_t max_timeout_ms;
+    int64_t max_body_bytes;
+    uint32_t repeatable_methods;
+    enum rp_length_class length_class;
+    int64_t probes_per_10s;
+    char *probe_path;
+};
+
+struct rp_record_target {
+    char *name;
+    char *address; /* "ip:port" */
+    char *domain;
+    int64_t slots;
+    int64_t connections;
+    bool draining;
+};
+
+struct rp_record_share {
+    char *estate;
+    uint32_t permille;
+};
+
+/* One published record after all checks. Fields that its kind does not have
+ * are empty. */
+struct rp_record {
+    enum rp_record_kind kind;
+    char *key;
+    char *service;
+    char *estate;
+    int64_t version;
+    bool retired;
+    struct rp_record_service settings;
+    struct rp_record_target *targets;
+    uint32_t target_count;
+    struct rp_record_share shares[RP_SNAPSHOT_ESTATES];
+    uint32_t share_count;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_record *rp_record_parse(const char *key, const char *text,
+                                  size_t text_bytes, GPtrArray *faults,
+                                  GError **error);
+void rp_record_free(struct rp_record *record);
+const char *rp_record_kind_name(enum rp_record_kind kind);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/record_set.h
@@ -0,0 +1,77 @@
+#ifndef RP_RECORD_SET_H
+#define RP_RECORD_SET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "record.h"
+#include "record_batch.h"
+#include "snapshot.h"
+
+/* Keys of a set, retired ones included. */
+#define RP_RECORD_SET_MAX_KEYS 4096
+/* Bytes of all values of a set. */
+#define RP_RECORD_SET_MAX_BYTES (24u * 1024u * 1024u)
+/* Parts of the set that are compared with a peer on their own. */
+#define RP_RECORD_SET_BUCKETS 64
+
+/* Accepted records, the greatest version of each key. Offering is a join:
+ * the result does not depend on the order of the offers. */
+struct rp_record_set;
+
+enum rp_record_verdict {
+    RP_RECORD_ACCEPTED, /* now in force */
+    RP_RECORD_RENEWED,  /* same content with a later platform revision */
+    RP_RECORD_KNOWN,    /* already in force */
+    RP_RECORD_OLDER,    /* a greater version of the key is in force */
+    RP_RECORD_REFUSED,  /* invalid, or the set is full */
+};
+
+/* Place of a version in the join order of its key. */
+struct rp_record_order {
+    int64_t version;
+    uint64_t revision;
+    uint64_t content;
+};
+
+struct rp_record_offer_result {
+    enum rp_record_verdict verdict;
+    bool conflict; /* same version, other content than the one in force */
+    bool retired;
+    struct rp_record_order before; /* version 0 when the key was unknown */
+    struct rp_record_order offered;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_record_set *rp_record_set_new(void);
+void rp_record_set_free(struct rp_record_set *set);
+enum rp_record_verdict
+rp_record_set_offer(struct rp_record_set *set,
+                    const struct rp_record_item *item,
+                    struct rp_record_offer_result *result, GError **error);
+int rp_record_order_compare(const struct rp_record_order *a,
+                            const struct rp_record_order *b);
+bool rp_record_set_find(const struct rp_record_set *set, const char *key,
+                        struct rp_record_order *order, bool *retired);
+uint32_t rp_record_set_count(const struct rp_record_set *set);
+uint32_t rp_record_set_retired_count(const struct rp_record_set *set);
+uint64_t rp_record_set_bytes(const struct rp_record_set *set);
+uint64_t rp_record_set_digest(const struct rp_record_set *set);
+uint64_t rp_record_set_revision(const struct rp_record_set *set);
+void rp_record_set_buckets(const struct rp_record_set *set,
+                           uint64_t buckets[RP_RECORD_SET_BUCKETS]);
+GPtrArray *rp_record_set_export(const struct rp_record_set *set,
+                                const uint64_t *peer_buckets,
+                                uint32_t batch_bytes);
+struct rp_snapshot *rp_record_set_build(const struct rp_record_set *set,
+                                        GPtrArray *warnings);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
