--- /dev/null
+++ b/src/config_task.h
@@ -0,0 +1,86 @@
+#ifndef RP_CONFIG_TASK_H
+#define RP_CONFIG_TASK_H
+
+#include "context.h"
+#include "kernel.h"
+#include "record_batch.h"
+#include "record_set.h"
+
+/* The task "config" owns the records in force. The names in parentheses are
+ * the sending and the receiving task of each message. */
+
+/* How far an entry VM is with its configuration; travels in heartbeats. */
+enum rp_config_phase {
+    RP_CONFIG_STARTING,    /* not ready: refuses calls as not-run */
+    RP_CONFIG_PROVISIONAL, /* ready with platform data only, ranked last */
+    RP_CONFIG_IN_FORCE,    /* ready */
+};
+
+/* Body of RP_MSG_CONFIG_STATE (config to all): sent when it changes. Gossip
+ * puts phase, digest and revision into its heartbeats. */
+struct rp_config_state {
+    enum rp_config_phase phase;
+    uint64_t digest; /* of all accepted records */
+    uint64_t revision;
+    uint32_t keys;
+    uint32_t retired_keys;
+    uint32_t refused; /* values refused so far */
+};
+
+/* Body of RP_MSG_CONFIG_PEER (gossip to config): what a peer says of itself.
+ * Sent for each heartbeat or other message of a peer that carries it. While
+ * this VM is STARTING, gossip asks every live entry VM of the platform's
+ * list, not only neighbours: start rule (b) needs the word of all. */
+struct rp_config_peer {
+    char id[RP_ID_BYTES];
+    enum rp_config_phase phase;
+    uint64_t digest;
+};
+
+/* Body of RP_MSG_CONFIG_WANT. config to gossip: send the peer a CONFIG_WANT
+ * with these digests. gossip to config: the peer has sent one; the answer is
+ * one or more RP_MSG_CONFIG_RECORDS. */
+struct rp_config_want {
+    char peer[RP_ID_BYTES];
+    uint64_t buckets[RP_RECORD_SET_BUCKETS];
+};
+
+/* Body of the messages that carry records. It holds one reference of the
+ * batch, which the kernel releases by rp_config_records_release.
+ *
+ * RP_MSG_PLATFORM_RECORDS (platform to config): one page of the platform's
+ * answer; last is set when the answer reaches the platform's revision.
+ * RP_MSG_CONFIG_RECORDS (gossip to config): records that a peer sent, as
+ * answer to CONFIG_WANT or pushed; last is set on the final part of a whole
+ * answer to CONFIG_WANT and never on pushed records. (config to gossip): part
+ * of the answer to a peer's CONFIG_WANT, with last to be sent along.
+ * RP_MSG_CONFIG_SPREAD (config to gossip): newly accepted records to push to
+ * all neighbours but peer, which sent them ("" when the platform did). */
+struct rp_config_records {
+    struct rp_record_batch *batch;
+    char peer[RP_ID_BYTES]; /* sender or receiver; "" for the platform */
+    bool last;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+void rp_config_records_release(void *body);
+bool rp_config_records_send(struct rp_task *from, struct rp_task *to,
+                            enum rp_message_kind kind,
+                            struct rp_record_batch *batch, const char *peer,
+                            bool last);
+
+struct rp_config_task;
+struct rp_config_task *rp_config_task_add(struct rp_kernel *kernel,
+                                          int64_t now_ns, GError **error);
+const struct rp_record_set *
+rp_config_task_set(const struct rp_config_task *config);
+enum rp_config_phase rp_config_task_phase(const struct rp_config_task *config);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/platform.h
@@ -0,0 +1,41 @@
+#ifndef RP_PLATFORM_H
+#define RP_PLATFORM_H
+
+#include "kernel.h"
+#include "loop.h"
+#include "vm_list.h"
+
+/* The task "platform" reads the platform's configuration service. */
+
+/* Body of RP_MSG_PLATFORM_FRESHNESS. platform to gossip: this VM's reads
+ * showed the platform's state as of fresh_ns (own monotonic time). gossip to
+ * platform: a peer's heartbeat showed a later one, converted to own monotonic
+ * time as now_ns minus the age that the heartbeat gives. */
+struct rp_platform_freshness {
+    int64_t fresh_ns;
+    uint64_t revision; /* of the platform, at that time */
+};
+
+/* Strings are copied. Zero values stand for the defaults. */
+struct rp_platform_settings {
+    const char *url;       /* "http://ip:port" */
+    int64_t timeout_ms;    /* of a read, above the time it may wait; 2000 */
+    uint32_t read_limit_n; /* records of one page; 64 */
+};
+
+struct rp_platform;
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_platform *
+rp_platform_add(struct rp_loop *loop,
+                const struct rp_platform_settings *settings, int64_t now_ns,
+                GError **error);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/record.h
+++ b/src/record.h
@@ -8,7 +8,7 @@
 #include "snapshot.h"
 
 /* Greatest value that the platform holds. */
-#define RP_RECORD_MAX_BYTES (1024u * 1024u)
+#define RP_RECORD_MAX_BYTES 1048576u
 /* The deepest valid record has 4 levels; the rest is room for refusals with
  * a better message than "too deep". */
 #define RP_RECORD_MAX_DEPTH 8
--- a/src/record_batch.h
+++ b/src/record_batch.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 /* Greatest encoded batch that is decoded: one value of 1 MB and its frame. */
-#define RP_RECORD_BATCH_MAX_BYTES (1024u * 1024u + 4096u)
+#define RP_RECORD_BATCH_MAX_BYTES 1052672u
 #define RP_RECORD_BATCH_MAX_ITEMS 4096
 
 /* A published value before it is checked. */
--- a/src/record_set.h
+++ b/src/record_set.h
@@ -12,7 +12,7 @@
 /* Keys of a set, retired ones included. */
 #define RP_RECORD_SET_MAX_KEYS 4096
 /* Bytes of all values of a set. */
-#define RP_RECORD_SET_MAX_BYTES (24u * 1024u * 1024u)
+#define RP_RECORD_SET_MAX_BYTES 25165824u
 /* Parts of the set that are compared with a peer on their own. */
 #define RP_RECORD_SET_BUCKETS 64
 
