Add the config task and the start rule

Cause: one task must own the records in force, tell the others, and decide when a new VM may serve.

Figures: tests config_task.* and readiness.*. Conclusion: VMs that the platform answers differently converge; a new VM does not put an old platform state in force while peers can be reached.

--- a/src/config_task.h
+++ b/src/config_task.h
@@ -52,13 +52,15 @@
  * answer; last is set when the answer reaches the platform's revision.
  * RP_MSG_CONFIG_RECORDS (gossip to config): records that a peer sent, as
  * answer to CONFIG_WANT or pushed; last is set on the final part of a whole
- * answer to CONFIG_WANT and never on pushed records. (config to gossip): part
+ * answer to CONFIG_WANT and never on pushed records, and part travels with
+ * it, so that a lost part is noticed. (config to gossip): part
  * of the answer to a peer's CONFIG_WANT, with last to be sent along.
  * RP_MSG_CONFIG_SPREAD (config to gossip): newly accepted records to push to
  * all neighbours but peer, which sent them ("" when the platform did). */
 struct rp_config_records {
     struct rp_record_batch *batch;
     char peer[RP_ID_BYTES]; /* sender or receiver; "" for the platform */
+    uint32_t part;          /* of an answer to CONFIG_WANT, from 0 */
     bool last;
 };
 
@@ -70,7 +72,7 @@
 bool rp_config_records_send(struct rp_task *from, struct rp_task *to,
                             enum rp_message_kind kind,
                             struct rp_record_batch *batch, const char *peer,
-                            bool last);
+                            uint32_t part, bool last);
 
 struct rp_config_task;
 struct rp_config_task *rp_config_task_add(struct rp_kernel *kernel,
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -272,6 +272,34 @@
     }
 }
 
+/* Sends a message whose body holds references to every other task. retain is
+ * called on the body before each send and takes one more reference; the
+ * sender keeps its own. Returns false when a mailbox was full. */
+bool
+rp_task_broadcast_owned(struct rp_task *from, enum rp_message_kind kind,
+                        const void *body, uint32_t body_bytes,
+                        void (*retain)(const void *body),
+                        void (*release)(void *body))
+{
+    struct rp_kernel *kernel = from->kernel;
+    bool sent = true;
+    for (uint32_t i = 0; i < kernel->task_count; i++) {
+        if (kernel->tasks[i] == from) {
+            continue;
+        }
+        retain(body);
+        if (!rp_task_send_owned(from, kernel->tasks[i], kind, body, body_bytes,
+                                release))
+        {
+            void *copy = g_memdup2(body, body_bytes);
+            release(copy);
+            g_free(copy);
+            sent = false;
+        }
+    }
+    return sent;
+}
+
 static void
 deliver(const struct rp_message *message, struct rp_task *to, int64_t now_ns)
 {
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -73,6 +73,10 @@
                         uint32_t body_bytes, void (*release)(void *body));
 void rp_task_broadcast(struct rp_task *from, enum rp_message_kind kind,
                        const void *body, uint32_t body_bytes);
+bool rp_task_broadcast_owned(struct rp_task *from, enum rp_message_kind kind,
+                             const void *body, uint32_t body_bytes,
+                             void (*retain)(const void *body),
+                             void (*release)(void *body));
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/src/readiness.h
@@ -0,0 +1,41 @@
+#ifndef RP_READINESS_H
+#define RP_READINESS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "config_task.h"
+#include "vm_list.h"
+
+/* How long a starting VM waits for the word of others before it serves with
+ * platform data only. */
+#define RP_READINESS_BOOT_WAIT_NS INT64_C(30000000000)
+
+/* A peer's word that it is starting counts this long: a peer that has gone
+ * silent may have put something in force since. */
+#define RP_READINESS_WORD_NS INT64_C(10000000000)
+
+/* The start rule of one entry VM. No clock, socket or log inside. */
+struct rp_readiness;
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_readiness *rp_readiness_new(const char *own_id, int64_t now_ns);
+void rp_readiness_free(struct rp_readiness *readiness);
+void rp_readiness_set_vms(struct rp_readiness *readiness,
+                          struct rp_vm_list *list);
+void rp_readiness_hear(struct rp_readiness *readiness, const char *id,
+                       enum rp_config_phase phase, int64_t now_ns);
+void rp_readiness_hold(struct rp_readiness *readiness);
+void rp_readiness_join(struct rp_readiness *readiness, const char *peer);
+enum rp_config_phase rp_readiness_phase(struct rp_readiness *readiness,
+                                        int64_t now_ns);
+int64_t rp_readiness_due_ns(const struct rp_readiness *readiness);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/tests/test_config_task.cc
@@ -0,0 +1,332 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "config_task.h"
+#include "invariant.h"
+#include "snapshot.h"
+#include "vm_list.h"
+}
+
+namespace {
+
+constexpr int64_t MS = 1000000;
+
+/* An entry VM with the config task and a stand-in for gossip that carries
+ * messages to the other VMs of the test at once. */
+struct vm {
+    std::string id;
+    struct rp_context *context;
+    struct rp_kernel *kernel;
+    struct rp_config_task *config;
+    struct rp_task *gossip;
+    std::vector<std::unique_ptr<vm>> *fleet;
+    struct rp_snapshot *snapshot = nullptr;
+    bool ready = false;
+    bool cut = false; // no messages to and from this VM
+    uint32_t spread = 0;
+};
+
+vm *
+find(std::vector<std::unique_ptr<vm>> *fleet, const char *id)
+{
+    for (auto &other : *fleet) {
+        if (other->id == id) {
+            return other.get();
+        }
+    }
+    return nullptr;
+}
+
+void
+carry(vm *from, vm *to, enum rp_message_kind kind,
+      const struct rp_config_records *records)
+{
+    if (to == nullptr || from->cut || to->cut) {
+        return;
+    }
+    rp_config_records_send(
+        to->gossip, rp_kernel_find_task(to->kernel, "config"), kind,
+        records->batch, from->id.c_str(), records->part, records->last);
+}
+
+void
+on_gossip_message(struct rp_task *, const struct rp_message *message, int64_t,
+                  void *data)
+{
+    vm *self = static_cast<vm *>(data);
+    if (message->kind == RP_MSG_SNAPSHOT) {
+        auto body =
+            static_cast<const struct rp_snapshot_message *>(message->body);
+        rp_snapshot_unref(self->snapshot);
+        self->snapshot = rp_snapshot_ref(body->snapshot);
+        self->ready = body->ready;
+    }
+    if (message->kind == RP_MSG_CONFIG_SPREAD) {
+        auto body =
+            static_cast<const struct rp_config_records *>(message->body);
+        self->spread++;
+        for (auto &other : *self->fleet) {
+            if (other.get() != self && other->id != body->peer) {
+                carry(self, other.get(), RP_MSG_CONFIG_RECORDS, body);
+            }
+        }
+    }
+    if (message->kind == RP_MSG_CONFIG_RECORDS) {
+        auto body =
+            static_cast<const struct rp_config_records *>(message->body);
+        carry(self, find(self->fleet, body->peer), RP_MSG_CONFIG_RECORDS,
+              body);
+    }
+    if (message->kind == RP_MSG_CONFIG_WANT) {
+        struct rp_config_want want =
+            *static_cast<const struct rp_config_want *>(message->body);
+        vm *to = find(self->fleet, want.peer);
+        if (to != nullptr && !to->cut && !self->cut) {
+            g_strlcpy(want.peer, self->id.c_str(), sizeof(want.peer));
+            rp_task_send(to->gossip, rp_kernel_find_task(to->kernel, "config"),
+                         RP_MSG_CONFIG_WANT, &want, sizeof(want));
+        }
+    }
+}
+
+const struct rp_task_ops gossip_ops = {on_gossip_message, nullptr, nullptr};
+
+class config_task : public ::testing::Test {
+  protected:
+    ~config_task() override
+    {
+        for (auto &each : fleet) {
+            rp_kernel_free(each->kernel);
+            rp_snapshot_unref(each->snapshot);
+            rp_context_free(each->context);
+        }
+    }
+
+    vm *start(const char *id)
+    {
+        auto each = std::make_unique<vm>();
+        struct rp_identity identity = {};
+        g_strlcpy(identity.id, id, sizeof(identity.id));
+        each->id = id;
+        each->context = rp_context_new(&identity, 1);
+        each->kernel = rp_kernel_new(each->context);
+        each->config = rp_config_task_add(each->kernel, now_ns, nullptr);
+        each->gossip = rp_kernel_add_task(each->kernel, "gossip", &gossip_ops,
+                                          each.get(), nullptr);
+        each->fleet = &fleet;
+        fleet.push_back(std::move(each));
+        return fleet.back().get();
+    }
+
+    void list(vm *to, const std::vector<const char *> &ids)
+    {
+        struct rp_vm_list *vms = rp_vm_list_new(0);
+        for (const char *id : ids) {
+            struct rp_vm each = {};
+            each.entry = true;
+            g_strlcpy(each.id, id, sizeof(each.id));
+            rp_vm_list_add(vms, &each);
+        }
+        struct rp_vm_list_message body = {vms};
+        rp_task_send_owned(nullptr, rp_kernel_find_task(to->kernel, "config"),
+                           RP_MSG_PLATFORM_VMS, &body, sizeof(body),
+                           rp_vm_list_message_release);
+    }
+
+    // The platform answers one VM with these versions of service "a".
+    void answer(vm *to,
+                const std::vector<std::pair<std::string, uint64_t>> &values)
+    {
+        struct rp_record_batch *batch = rp_record_batch_new();
+        for (const auto &value : values) {
+            GBytes *bytes =
+                g_bytes_new(value.first.data(), value.first.size());
+            rp_record_batch_add(batch, "service/a", value.second, bytes);
+            g_bytes_unref(bytes);
+        }
+        rp_config_records_send(nullptr,
+                               rp_kernel_find_task(to->kernel, "config"),
+                               RP_MSG_PLATFORM_RECORDS, batch, "", 0, true);
+        rp_record_batch_unref(batch);
+    }
+
+    // Heartbeats of all to all, then time passes.
+    void run(int64_t duration_ms)
+    {
+        for (int64_t end_ns = now_ns + duration_ms * MS; now_ns < end_ns;
+             now_ns += 100 * MS)
+        {
+            for (auto &from : fleet) {
+                for (auto &to : fleet) {
+                    if (from != to && !from->cut && !to->cut) {
+                        beat(from.get(), to.get());
+                    }
+                }
+            }
+            for (int turn = 0; turn < 8; turn++) {
+                for (auto &each : fleet) {
+                    rp_kernel_run(each->kernel, now_ns);
+                }
+            }
+        }
+    }
+
+    void beat(vm *from, vm *to)
+    {
+        struct rp_config_peer peer = {};
+        g_strlcpy(peer.id, from->id.c_str(), sizeof(peer.id));
+        peer.phase = rp_config_task_phase(from->config);
+        peer.digest = rp_record_set_digest(rp_config_task_set(from->config));
+        rp_task_send(to->gossip, rp_kernel_find_task(to->kernel, "config"),
+                     RP_MSG_CONFIG_PEER, &peer, sizeof(peer));
+    }
+
+    uint64_t digest(vm *of)
+    {
+        return rp_record_set_digest(rp_config_task_set(of->config));
+    }
+
+    uint32_t timeout(vm *of)
+    {
+        return rp_snapshot_find_service(of->snapshot, "a")->timeout_ms;
+    }
+
+    std::vector<std::unique_ptr<vm>> fleet;
+    int64_t now_ns = 1000 * MS;
+};
+
+std::string
+service(int version, int timeout_ms, size_t comment_bytes = 0)
+{
+    return R"({"schema":2,"kind":"service","name":"a","version":)" +
+           std::to_string(version) +
+           ",\"timeout_ms\":" + std::to_string(timeout_ms) +
+           ",\"comment\":\"" + std::string(comment_bytes, 'x') + "\"}";
+}
+
+// Guards against nodes that stay apart when the platform answers them
+// differently, and against a push that does not reach the others.
+TEST_F(config_task, different_answers_converge)
+{
+    vm *a = start("a");
+    vm *b = start("b");
+    vm *c = start("c");
+    for (vm *each : {a, b, c}) {
+        list(each, {"a", "b", "c"});
+    }
+    answer(a, {{service(1, 100), 1}});
+    answer(b, {{service(2, 200), 2}});
+    answer(c, {});
+    run(3000);
+    for (vm *each : {a, b, c}) {
+        EXPECT_TRUE(each->ready);
+        EXPECT_EQ(timeout(each), 200u);
+    }
+    answer(c, {{service(3, 300), 3}});
+    run(100); // one turn of messages
+    EXPECT_EQ(timeout(a), 300u);
+    EXPECT_EQ(timeout(b), 300u);
+    EXPECT_GE(c->spread, 1u);
+}
+
+// Guards against a new VM that puts an old platform state in force while the
+// others have a newer one.
+TEST_F(config_task, boot_while_the_platform_is_old)
+{
+    vm *a = start("a");
+    list(a, {"a"});
+    answer(a, {{service(1, 100), 1}, {service(5, 500), 5}});
+    run(1000);
+    ASSERT_TRUE(a->ready);
+    vm *b = start("b");
+    b->cut = true;
+    list(b, {"a"});
+    answer(b, {{service(1, 100), 1}});
+    run(29000);
+    EXPECT_FALSE(b->ready);
+    b->cut = false;
+    run(1000);
+    EXPECT_TRUE(b->ready);
+    EXPECT_EQ(rp_config_task_phase(b->config), RP_CONFIG_IN_FORCE);
+    EXPECT_EQ(timeout(b), 500u);
+    EXPECT_EQ(timeout(a), 500u);
+}
+
+// Guards against a VM that never serves when no peer can be reached, and
+// against one that keeps its provisional state after that.
+TEST_F(config_task, provisional_until_a_peer_is_met)
+{
+    vm *a = start("a");
+    list(a, {"a"});
+    answer(a, {{service(5, 500), 5}});
+    vm *b = start("b");
+    b->cut = true;
+    list(b, {"a", "b"});
+    answer(b, {{service(1, 100), 1}});
+    run(31000);
+    EXPECT_TRUE(b->ready);
+    EXPECT_EQ(rp_config_task_phase(b->config), RP_CONFIG_PROVISIONAL);
+    EXPECT_EQ(timeout(b), 100u);
+    b->cut = false;
+    run(1000);
+    EXPECT_EQ(rp_config_task_phase(b->config), RP_CONFIG_IN_FORCE);
+    EXPECT_EQ(timeout(b), 500u);
+}
+
+// Guards against a VM without platform that ignores its peers.
+TEST_F(config_task, peers_replace_a_dead_platform)
+{
+    vm *a = start("a");
+    list(a, {"a"});
+    answer(a, {{service(1, 100), 1}});
+    run(1000);
+    vm *b = start("b");
+    run(1000);
+    EXPECT_TRUE(b->ready);
+    EXPECT_EQ(timeout(b), 100u);
+}
+
+// Guards against invalid values that disturb what is in force, and against a
+// report for each of many reads of one bad value.
+TEST_F(config_task, refusals_and_conflicts_are_reported_once)
+{
+    vm *a = start("a");
+    list(a, {"a"});
+    answer(a, {{service(1, 100), 1}});
+    for (int i = 0; i < 5; i++) {
+        answer(a, {{"{", 2}, {service(2, -1), 3}, {service(1, 101), 0}});
+        run(100);
+    }
+    struct rp_counters *counters = &a->context->counters;
+    EXPECT_EQ(rp_counter_get(counters, RP_COUNTER_RECORDS_REFUSED), 2u);
+    EXPECT_EQ(rp_counter_get(counters, RP_COUNTER_RECORDS_CONFLICTING), 1u);
+    EXPECT_EQ(timeout(a), 100u);
+}
+
+// Guards against large values that are pushed to every neighbour or that
+// never arrive.
+TEST_F(config_task, one_megabyte_values_spread_on_demand)
+{
+    vm *a = start("a");
+    vm *b = start("b");
+    for (vm *each : {a, b}) {
+        list(each, {"a", "b"});
+        answer(each, {{service(1, 100), 1}});
+    }
+    run(2000);
+    size_t frame = service(2, 200).size();
+    answer(a, {{service(2, 200, RP_RECORD_MAX_BYTES - frame), 2}});
+    run(3000);
+    EXPECT_EQ(a->spread, 0u);
+    EXPECT_EQ(timeout(b), 200u);
+    answer(a, {{service(3, 300, RP_RECORD_MAX_BYTES), 3}});
+    run(3000);
+    EXPECT_EQ(timeout(a), 200u);
+    EXPECT_EQ(digest(a), digest(b));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_readiness.cc
@@ -0,0 +1,170 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "readiness.h"
+}
+
+namespace {
+
+constexpr int64_t SECOND = 1000000000;
+
+struct word {
+    const char *id;
+    enum rp_config_phase phase;
+    int64_t at_ns;
+};
+
+// Guards against a new VM that serves an old platform state while others
+// have a newer one in force, and against one that never gets ready.
+TEST(readiness, start_rule)
+{
+    constexpr auto STARTING = RP_CONFIG_STARTING;
+    constexpr auto PROVISIONAL = RP_CONFIG_PROVISIONAL;
+    constexpr auto IN_FORCE = RP_CONFIG_IN_FORCE;
+    struct {
+        const char *what;
+        std::vector<const char *> vms; // "-id" is leaving
+        bool holds;
+        std::vector<word> words;
+        const char *joined; // peer whose state is held
+        int64_t now_ns;
+        enum rp_config_phase expected;
+    } cases[] = {
+        {"nothing at all", {}, false, {}, nullptr, 60 * SECOND, STARTING},
+        {"platform only", {}, true, {}, nullptr, SECOND, STARTING},
+        {"(c) too early",
+         {"a", "b"},
+         true,
+         {},
+         nullptr,
+         30 * SECOND - 1,
+         STARTING},
+        {"(c) boot wait over",
+         {"a", "b"},
+         true,
+         {},
+         nullptr,
+         30 * SECOND,
+         PROVISIONAL},
+        {"(a) joined",
+         {"a", "b"},
+         false,
+         {{"b", IN_FORCE, 0}},
+         "b",
+         SECOND,
+         IN_FORCE},
+        {"(a) heard but not joined",
+         {"a", "b"},
+         true,
+         {{"b", IN_FORCE, 0}},
+         nullptr,
+         SECOND,
+         STARTING},
+        {"(a) joined a provisional peer",
+         {"a", "b", "c"},
+         false,
+         {{"b", PROVISIONAL, 0}},
+         "b",
+         SECOND,
+         STARTING},
+        {"(b) all start",
+         {"a", "b", "c"},
+         true,
+         {{"b", STARTING, 0}, {"c", PROVISIONAL, 0}},
+         nullptr,
+         SECOND,
+         IN_FORCE},
+        {"(b) without any data",
+         {"a", "b"},
+         false,
+         {{"b", STARTING, 0}},
+         nullptr,
+         SECOND,
+         STARTING},
+        {"(b) one is silent",
+         {"a", "b", "c"},
+         true,
+         {{"b", STARTING, 0}},
+         nullptr,
+         SECOND,
+         STARTING},
+        {"(b) one is in force",
+         {"a", "b", "c"},
+         true,
+         {{"b", STARTING, 0}, {"c", IN_FORCE, 0}},
+         nullptr,
+         SECOND,
+         STARTING},
+        {"(b) word too old",
+         {"a", "b"},
+         true,
+         {{"b", STARTING, 0}},
+         nullptr,
+         11 * SECOND,
+         STARTING},
+        {"(b) leaving VMs do not count",
+         {"a", "-b"},
+         true,
+         {},
+         nullptr,
+         SECOND,
+         IN_FORCE},
+        {"(b) list older than this VM",
+         {"b"},
+         true,
+         {{"b", STARTING, 0}},
+         nullptr,
+         SECOND,
+         STARTING},
+        {"(b) empty list", {}, true, {}, nullptr, SECOND, STARTING},
+        {"(b) alone", {"a"}, true, {}, nullptr, 0, IN_FORCE},
+    };
+    for (const auto &entry : cases) {
+        struct rp_readiness *readiness = rp_readiness_new("a", 0);
+        struct rp_vm_list *list = rp_vm_list_new(0);
+        for (const char *id : entry.vms) {
+            struct rp_vm vm = {};
+            vm.entry = true;
+            vm.leaving = id[0] == '-';
+            g_strlcpy(vm.id, vm.leaving ? id + 1 : id, sizeof(vm.id));
+            rp_vm_list_add(list, &vm);
+        }
+        rp_readiness_set_vms(readiness, list);
+        if (entry.holds) {
+            rp_readiness_hold(readiness);
+        }
+        for (const auto &word : entry.words) {
+            rp_readiness_hear(readiness, word.id, word.phase, word.at_ns);
+        }
+        if (entry.joined != nullptr) {
+            rp_readiness_join(readiness, entry.joined);
+        }
+        EXPECT_EQ(rp_readiness_phase(readiness, entry.now_ns), entry.expected)
+            << entry.what;
+        rp_vm_list_unref(list);
+        rp_readiness_free(readiness);
+    }
+}
+
+// Guards against a ready VM that refuses calls again.
+TEST(readiness, phase_only_rises)
+{
+    struct rp_readiness *readiness = rp_readiness_new("a", 0);
+    rp_readiness_hold(readiness);
+    EXPECT_EQ(rp_readiness_phase(readiness, 31 * SECOND),
+              RP_CONFIG_PROVISIONAL);
+    rp_readiness_hear(readiness, "b", RP_CONFIG_IN_FORCE, 32 * SECOND);
+    EXPECT_EQ(rp_readiness_phase(readiness, 32 * SECOND),
+              RP_CONFIG_PROVISIONAL);
+    rp_readiness_join(readiness, "b");
+    EXPECT_EQ(rp_readiness_phase(readiness, 33 * SECOND), RP_CONFIG_IN_FORCE);
+    rp_readiness_hear(readiness, "b", RP_CONFIG_STARTING, 34 * SECOND);
+    EXPECT_EQ(rp_readiness_phase(readiness, 99 * SECOND), RP_CONFIG_IN_FORCE);
+    EXPECT_EQ(rp_readiness_due_ns(readiness), INT64_MAX);
+    rp_readiness_free(readiness);
+}
+
+} // namespace
