--- a/src/counter_list.h
+++ b/src/counter_list.h
@@ -48,3 +48,9 @@
            "Times this VM began to watch because the freshness was stale")
 RP_COUNTER(PLATFORM_FRESHNESS_MS, "platform_freshness_age_ms", GAUGE,
            "Age of the platform's state as best known, in milliseconds")
+/* clang-format off */
+RP_COUNTER(MAILBOX_FULL, "kernel_mailbox_full_total", COUNTER, "Messages not accepted because a task's mailbox was full")
+RP_COUNTER(PAUSES, "kernel_pauses_total", COUNTER, "Pauses of the process noticed by the kernel")
+RP_COUNTER(PAUSED_MS, "kernel_paused_ms_total", COUNTER, "Time the process was paused, in milliseconds")
+RP_COUNTER(EVENTS_LOST, "events_overwritten_total", COUNTER, "Time line events overwritten before anyone read them")
+RP_COUNTER(INVARIANT_FAILED, "invariant_failures_total", COUNTER, "Failed invariants of all kinds")
--- a/src/message_list.h
+++ b/src/message_list.h
@@ -1,5 +1,6 @@
 /* RP_MESSAGE(identifier): kinds of messages between tasks. One line each;
  * the header of the task that receives a kind defines its body. */
+/* clang-format off */
 RP_MESSAGE(PAUSE_NOTICED)
 RP_MESSAGE(STOP)
 RP_MESSAGE(SNAPSHOT)
@@ -22,3 +23,5 @@
 RP_MESSAGE(CONFIG_WANT)
 RP_MESSAGE(CONFIG_RECORDS)
 RP_MESSAGE(CONFIG_SPREAD)
+RP_MESSAGE(STATUS_WANT)
+RP_MESSAGE(STATUS_PART)
