--- a/src/config_task.c
+++ b/src/config_task.c
@@ -481,9 +481,11 @@
 static const struct rp_task_ops config_ops = {on_message, on_timer, on_remove};
 
 /* Adds the task "config" to a kernel, which owns it. now_ns is the start of
- * this VM's boot wait. Returns NULL with the error of rp_kernel_add_task. */
+ * this VM's boot wait of boot_wait_ns. Returns NULL with the error of
+ * rp_kernel_add_task. */
 struct rp_config_task *
-rp_config_task_add(struct rp_kernel *kernel, int64_t now_ns, GError **error)
+rp_config_task_add(struct rp_kernel *kernel, int64_t boot_wait_ns,
+                   int64_t now_ns, GError **error)
 {
     struct rp_config_task *config = g_new0(struct rp_config_task, 1);
     struct rp_task *task =
@@ -495,7 +497,8 @@
     config->task = task;
     config->context = rp_kernel_context(kernel);
     config->set = rp_record_set_new();
-    config->readiness = rp_readiness_new(config->context->identity.id, now_ns);
+    config->readiness =
+        rp_readiness_new(config->context->identity.id, boot_wait_ns, now_ns);
     config->reported =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     rp_task_set_timer(task, TIMER_PHASE,
--- a/src/config_task.h
+++ b/src/config_task.h
@@ -76,7 +76,8 @@
 
 struct rp_config_task;
 struct rp_config_task *rp_config_task_add(struct rp_kernel *kernel,
-                                          int64_t now_ns, GError **error);
+                                          int64_t boot_wait_ns, int64_t now_ns,
+                                          GError **error);
 const struct rp_record_set *
 rp_config_task_set(const struct rp_config_task *config);
 enum rp_config_phase rp_config_task_phase(const struct rp_config_task *config);
--- a/src/readiness.c
+++ b/src/readiness.c
@@ -9,7 +9,7 @@
 
 struct rp_readiness {
     char *own_id;
-    int64_t started_ns;
+    int64_t boot_wait_end_ns;
     bool holds;  /* a whole answer of the platform or of a peer */
     bool joined; /* the whole state of an in-force peer */
     enum rp_config_phase phase;
@@ -17,14 +17,15 @@
     GHashTable *peers;      /* id to struct peer_word */
 };
 
-/* Creates the rule's state for a VM that starts now. Free it with
- * rp_readiness_free. */
+/* Creates the rule's state for a VM that starts now. boot_wait_ns is how long
+ * it waits for the word of others before it serves with platform data only.
+ * Free it with rp_readiness_free. */
 struct rp_readiness *
-rp_readiness_new(const char *own_id, int64_t now_ns)
+rp_readiness_new(const char *own_id, int64_t boot_wait_ns, int64_t now_ns)
 {
     struct rp_readiness *readiness = g_new0(struct rp_readiness, 1);
     readiness->own_id = g_strdup(own_id);
-    readiness->started_ns = now_ns;
+    readiness->boot_wait_end_ns = now_ns + boot_wait_ns;
     readiness->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return readiness;
@@ -127,7 +128,7 @@
     if (readiness->joined || all_others_start_too(readiness, now_ns)) {
         readiness->phase = RP_CONFIG_IN_FORCE;
     }
-    else if (now_ns - readiness->started_ns >= RP_READINESS_BOOT_WAIT_NS) {
+    else if (now_ns >= readiness->boot_wait_end_ns) {
         readiness->phase = RP_CONFIG_PROVISIONAL;
     }
     return readiness->phase;
@@ -141,5 +142,5 @@
     if (readiness->phase != RP_CONFIG_STARTING) {
         return INT64_MAX;
     }
-    return readiness->started_ns + RP_READINESS_BOOT_WAIT_NS;
+    return readiness->boot_wait_end_ns;
 }
--- a/src/readiness.h
+++ b/src/readiness.h
@@ -7,10 +7,6 @@
 #include "config_task.h"
 #include "vm_list.h"
 
-/* How long a starting VM waits for the word of others before it serves with
- * platform data only. */
-#define RP_READINESS_BOOT_WAIT_NS INT64_C(30000000000)
-
 /* A peer's word that it is starting counts this long: a peer that has gone
  * silent may have put something in force since. */
 #define RP_READINESS_WORD_NS INT64_C(10000000000)
@@ -22,7 +18,8 @@
 extern "C" {
 #endif
 
-struct rp_readiness *rp_readiness_new(const char *own_id, int64_t now_ns);
+struct rp_readiness *rp_readiness_new(const char *own_id, int64_t boot_wait_ns,
+                                      int64_t now_ns);
 void rp_readiness_free(struct rp_readiness *readiness);
 void rp_readiness_set_vms(struct rp_readiness *readiness,
                           struct rp_vm_list *list);
--- a/tests/test_config_task.cc
+++ b/tests/test_config_task.cc
@@ -114,7 +114,8 @@
         each->id = id;
         each->context = rp_context_new(&identity, 1);
         each->kernel = rp_kernel_new(each->context);
-        each->config = rp_config_task_add(each->kernel, now_ns, nullptr);
+        each->config =
+            rp_config_task_add(each->kernel, 30000 * MS, now_ns, nullptr);
         each->gossip = rp_kernel_add_task(each->kernel, "gossip", &gossip_ops,
                                           each.get(), nullptr);
         each->fleet = &fleet;
--- a/tests/test_readiness.cc
+++ b/tests/test_readiness.cc
@@ -123,7 +123,7 @@
         {"(b) alone", {"a"}, true, {}, nullptr, 0, IN_FORCE},
     };
     for (const auto &entry : cases) {
-        struct rp_readiness *readiness = rp_readiness_new("a", 0);
+        struct rp_readiness *readiness = rp_readiness_new("a", 30 * SECOND, 0);
         struct rp_vm_list *list = rp_vm_list_new(0);
         for (const char *id : entry.vms) {
             struct rp_vm vm = {};
@@ -152,7 +152,7 @@
 // Guards against a ready VM that refuses calls again.
 TEST(readiness, phase_only_rises)
 {
-    struct rp_readiness *readiness = rp_readiness_new("a", 0);
+    struct rp_readiness *readiness = rp_readiness_new("a", 30 * SECOND, 0);
     rp_readiness_hold(readiness);
     EXPECT_EQ(rp_readiness_phase(readiness, 31 * SECOND),
               RP_CONFIG_PROVISIONAL);
