Add the platform task, its stand-in and the rule of who watches

Cause: each read of the platform counts, and its answers fail, lag or differ. Change: watch.c chooses the watchers by rendezvous hash, promotes others when the freshness is stale and keeps each VM to one read a second; platform.c reads records and the list of VMs over HTTP; rp-standin platform serves them and can be stale, down, slow, broken, or differ by reader.

--- a/src/counter_list.h
+++ b/src/counter_list.h
@@ -24,3 +24,4 @@
 RP_COUNTER(PLATFORM_WATCHER, "platform_watcher", GAUGE, "Watches the platform: 0 no, 1 chosen, 2 promoted because the freshness was stale")
 RP_COUNTER(PLATFORM_PROMOTIONS, "platform_promotions_total", COUNTER, "Times this VM began to watch because the freshness was stale")
 RP_COUNTER(PLATFORM_FRESHNESS_MS, "platform_freshness_age_ms", GAUGE, "Age of the platform's state as best known, in milliseconds")
+RP_COUNTER(PLATFORM_MALFORMED, "platform_malformed_entries_total", COUNTER, "Entries of the platform's answers left out as malformed")
--- a/src/platform.h
+++ b/src/platform.h
@@ -7,8 +7,8 @@
 
 /* The task "platform" reads the platform's configuration service. */
 
-/* Body of RP_MSG_PLATFORM_FRESHNESS. platform to gossip: this VM's reads
- * showed the platform's state as of fresh_ns (own monotonic time). gossip to
+/* Body of RP_MSG_PLATFORM_FRESHNESS. platform to all: this VM's reads showed
+ * the platform's state as of fresh_ns (own monotonic time). gossip to
  * platform: a peer's heartbeat showed a later one, converted to own monotonic
  * time as now_ns minus the age that the heartbeat gives. */
 struct rp_platform_freshness {
@@ -18,9 +18,10 @@
 
 /* Strings are copied. Zero values stand for the defaults. */
 struct rp_platform_settings {
-    const char *url;       /* "http://ip:port" */
-    int64_t timeout_ms;    /* of a read, above the time it may wait; 2000 */
-    uint32_t read_limit_n; /* records of one page; 64 */
+    const char *url;          /* "http://ip:port" */
+    int64_t timeout_ms;       /* of a read, above the time it may wait; 2000 */
+    uint32_t page_size;       /* records asked for at once; 256 */
+    int64_t answer_max_bytes; /* 8 MiB */
 };
 
 struct rp_platform;
--- /dev/null
+++ b/src/platform_answer.h
@@ -0,0 +1,31 @@
+#ifndef RP_PLATFORM_ANSWER_H
+#define RP_PLATFORM_ANSWER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "record_batch.h"
+
+/* A parsed answer to GET /records. */
+struct rp_platform_answer {
+    uint64_t revision; /* of the platform, when it answered */
+    uint64_t last;     /* greatest revision of the records; 0 without any */
+    bool more;
+    uint32_t malformed;            /* entries left out */
+    struct rp_record_batch *batch; /* one reference, of the caller */
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+bool rp_platform_answer_parse(const char *text, size_t text_bytes,
+                              struct rp_platform_answer *answer,
+                              GError **error);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/standin/main.c
@@ -0,0 +1,34 @@
+#include <stdio.h>
+#include <string.h>
+#include <sysexits.h>
+
+#include "standin.h"
+
+struct subcommand {
+    const char *name;
+    int (*run)(int argc, char **argv);
+    const char *help;
+};
+
+static const struct subcommand subcommands[] = {
+    {"platform", standin_platform_main, "the platform's configuration"},
+};
+
+#define SUBCOMMAND_COUNT (sizeof(subcommands) / sizeof(subcommands[0]))
+
+/* Runs the stand-in that the first argument names. */
+int
+main(int argc, char **argv)
+{
+    for (size_t i = 0; argc > 1 && i < SUBCOMMAND_COUNT; i++) {
+        if (strcmp(subcommands[i].name, argv[1]) == 0) {
+            return subcommands[i].run(argc - 1, argv + 1);
+        }
+    }
+    fputs("Usage: rp-standin COMMAND [OPTION...]\n\nCommands:\n", stderr);
+    for (size_t i = 0; i < SUBCOMMAND_COUNT; i++) {
+        fprintf(stderr, "  %-10s %s\n", subcommands[i].name,
+                subcommands[i].help);
+    }
+    return EX_USAGE;
+}
--- /dev/null
+++ b/standin/standin.h
@@ -0,0 +1,8 @@
+#ifndef STANDIN_H
+#define STANDIN_H
+
+/* Each subcommand gets its own arguments, argv[0] being its name, and returns
+ * the exit status of the program. */
+int standin_platform_main(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/tests/test_platform.cc
@@ -0,0 +1,217 @@
+#include <ev.h>
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <map>
+#include <string>
+
+extern "C" {
+#include <curl/curl.h>
+
+#include "config_task.h"
+#include "loop.h"
+#include "platform.h"
+#include "platform_server.h"
+#include "vm_list.h"
+}
+
+namespace {
+
+constexpr int64_t MS = 1000000;
+
+/* What the platform task hands over. */
+struct seen {
+    std::map<std::string, uint64_t> records; // key to revision
+    uint32_t whole = 0;                      // answers up to the revision
+    uint32_t vms = 0;
+    uint32_t fresh = 0;
+};
+
+void
+on_message(struct rp_task *, const struct rp_message *message, int64_t,
+           void *data)
+{
+    seen *to = static_cast<seen *>(data);
+    if (message->kind == RP_MSG_PLATFORM_RECORDS) {
+        auto body =
+            static_cast<const struct rp_config_records *>(message->body);
+        for (uint32_t i = 0; i < rp_record_batch_count(body->batch); i++) {
+            auto item = rp_record_batch_get(body->batch, i);
+            to->records[item->key] = item->revision;
+        }
+        to->whole += body->last ? 1 : 0;
+    }
+    else if (message->kind == RP_MSG_PLATFORM_VMS) {
+        auto body =
+            static_cast<const struct rp_vm_list_message *>(message->body);
+        to->vms = rp_vm_list_count(body->list);
+    }
+    else if (message->kind == RP_MSG_PLATFORM_FRESHNESS) {
+        to->fresh++;
+    }
+}
+
+const struct rp_task_ops seen_ops = {on_message, nullptr, nullptr};
+
+void
+put(uint16_t port, const std::string &path, const std::string &body)
+{
+    CURL *easy = curl_easy_init();
+    std::string url =
+        "http://127.0.0.1:" + std::to_string(port) + "/operator/" + path;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.c_str());
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 3000L);
+    curl_easy_setopt(easy, CURLOPT_FAILONERROR, 1L);
+    FILE *sink = fopen("/dev/null", "w");
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, sink);
+    EXPECT_EQ(curl_easy_perform(easy), CURLE_OK) << url;
+    fclose(sink);
+    curl_easy_cleanup(easy);
+}
+
+class platform : public ::testing::Test {
+  protected:
+    platform()
+    {
+        char *failure = nullptr;
+        server = platform_server_start("127.0.0.1:0", nullptr, &failure);
+        port = platform_server_port(server);
+        struct rp_identity identity = {};
+        g_strlcpy(identity.id, "e1", sizeof(identity.id));
+        context = rp_context_new(&identity, 1);
+        kernel = rp_kernel_new(context);
+        loop = rp_loop_new(kernel);
+        rp_kernel_add_task(kernel, "config", &seen_ops, &got, nullptr);
+        put(port, "vms",
+            R"([{"id":"e1","role":"entry","address":"127.0.0.1:1",)"
+            R"("peer":"127.0.0.1:2","domain":"d","state":"live"}])");
+    }
+
+    ~platform() override
+    {
+        rp_kernel_free(kernel);
+        rp_loop_free(loop);
+        rp_context_free(context);
+        platform_server_stop(server);
+    }
+
+    void start(struct rp_platform_settings settings)
+    {
+        std::string url = "http://127.0.0.1:" + std::to_string(port);
+        settings.url = url.c_str();
+        ASSERT_NE(rp_platform_add(loop, &settings, rp_loop_now_ns(), nullptr),
+                  nullptr);
+    }
+
+    void publish(const char *key, const std::string &value = "{}")
+    {
+        put(port, std::string("records/") + key, value);
+    }
+
+    uint64_t counter(enum rp_counter which)
+    {
+        return rp_counter_get(&context->counters, which);
+    }
+
+    /* Runs until the condition holds; the limit is far above the time it
+     * takes. */
+    template <typename Condition>
+    bool run_until(Condition condition, int64_t limit_ms = 15000)
+    {
+        int64_t end_ns = rp_loop_now_ns() + limit_ms * MS;
+        while (!condition() && rp_loop_now_ns() < end_ns) {
+            ev_run(rp_loop_ev(loop), EVRUN_ONCE);
+        }
+        return condition();
+    }
+
+    struct platform_server *server;
+    uint16_t port;
+    struct rp_context *context;
+    struct rp_kernel *kernel;
+    struct rp_loop *loop;
+    seen got;
+};
+
+// Guards against records that are lost between pages, and against news that
+// come late although the platform is watched.
+TEST_F(platform, reads_all_pages_then_watches)
+{
+    for (const char *key : {"a", "b", "c"}) {
+        publish(key);
+    }
+    struct rp_platform_settings settings = {};
+    settings.page_size = 2;
+    start(settings);
+    EXPECT_TRUE(run_until([&] { return got.whole >= 1; }));
+    EXPECT_EQ(got.records.size(), 3u);
+    EXPECT_EQ(got.vms, 1u);
+    EXPECT_GE(got.fresh, 1u);
+    publish("d");
+    EXPECT_TRUE(run_until([&] { return got.records.count("d") == 1; }));
+    EXPECT_EQ(counter(RP_COUNTER_PLATFORM_WATCHER), 1u);
+}
+
+// Guards against a reader that gives up, or that takes a broken answer for
+// an empty one, when the platform fails in one of several ways.
+TEST_F(platform, goes_on_after_failures)
+{
+    struct rp_platform_settings settings = {};
+    settings.timeout_ms = 200;
+    publish("a");
+    start(settings);
+    EXPECT_TRUE(run_until([&] { return got.whole >= 1; }));
+    for (const char *mode : {"down", "error", "garbage", "slow"}) {
+        uint64_t failures = counter(RP_COUNTER_PLATFORM_READ_FAILURES);
+        std::string key = std::string("after-") + mode;
+        put(port, "mode",
+            std::string(R"({"delay_ms":1500,"mode":")") + mode + "\"}");
+        publish(key.c_str());
+        EXPECT_TRUE(run_until([&] {
+            return counter(RP_COUNTER_PLATFORM_READ_FAILURES) > failures;
+        })) << mode;
+        EXPECT_EQ(got.records.count(key), 0u) << mode;
+        put(port, "mode", R"({"mode":"normal"})");
+        EXPECT_TRUE(run_until([&] { return got.records.count(key) == 1; }))
+            << mode;
+    }
+}
+
+// Guards against old answers that count as fresh, which would keep others
+// from watching.
+TEST_F(platform, old_answers_are_not_fresh)
+{
+    publish("a");
+    publish("a", "{ }");
+    start({});
+    EXPECT_TRUE(run_until([&] { return got.whole >= 1; }));
+    put(port, "mode", R"({"mode":"stale","revision":1,"reader":"e1"})");
+    EXPECT_TRUE(run_until(
+        [&] { return counter(RP_COUNTER_PLATFORM_STALE_ANSWERS) >= 1; }));
+    uint32_t fresh = got.fresh;
+    EXPECT_TRUE(run_until(
+        [&] { return counter(RP_COUNTER_PLATFORM_STALE_ANSWERS) >= 2; }));
+    EXPECT_EQ(got.fresh, fresh);
+    EXPECT_EQ(got.records["a"], 2u);
+}
+
+// Guards against answers that fill the memory, and against large values that
+// are never read.
+TEST_F(platform, large_answers_are_read_in_smaller_pages)
+{
+    std::string large(400000, 'x');
+    publish("a", large);
+    publish("b", large);
+    struct rp_platform_settings settings = {};
+    settings.page_size = 2;
+    settings.answer_max_bytes = 500000;
+    start(settings);
+    EXPECT_TRUE(run_until([&] { return got.whole >= 1; }));
+    EXPECT_EQ(got.records.size(), 2u);
+    EXPECT_GE(counter(RP_COUNTER_PLATFORM_READ_FAILURES), 1u);
+}
+
+} // namespace
