Add validate and the config section of status

Cause: operators must see faults before they publish, and what is in force after. Change: rosemarypulley validate prints each fault with file, place and remedy and warns of records that do not fit together; the config task answers RP_MSG_STATUS_WANT with records, refusals and warnings.

--- a/cli/main.c
+++ b/cli/main.c
@@ -22,6 +22,7 @@
 };
 
 static const struct subcommand subcommands[] = {
+    {"validate", cli_validate_main, "check records before they are published"},
     {"status", cli_status_main, "show what entry VMs are doing"},
     {"timeline", cli_timeline_main, "print one time line of all entry VMs"},
     {"version", version_main, "print the version"},
--- /dev/null
+++ b/cli/validate.c
@@ -0,0 +1,141 @@
+#include <argp.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <sysexits.h>
+
+#include "cli.h"
+#include "record.h"
+#include "record_set.h"
+
+struct validate_options {
+    char **files;
+    int file_count;
+    bool quiet;
+};
+
+static const struct argp_option options[] = {
+    {"quiet", 'q', NULL, 0, "print faults only", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+    struct validate_options *chosen = state->input;
+    switch (key) {
+    case 'q':
+        chosen->quiet = true;
+        return 0;
+    case ARGP_KEY_ARGS:
+        chosen->files = state->argv + state->next;
+        chosen->file_count = state->argc - state->next;
+        return 0;
+    case ARGP_KEY_NO_ARGS:
+        argp_usage(state);
+        return EINVAL;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+print_faults(const char *file, const GPtrArray *faults)
+{
+    for (guint i = 0; i < faults->len; i++) {
+        printf("%s: %s\n", file, (const char *)g_ptr_array_index(faults, i));
+    }
+}
+
+/* Offers a valid record to the set of all files, so that what does not fit
+ * together shows. Two files with one key are two versions of it. */
+static bool
+add_to_set(struct rp_record_set *set, const char *file, const char *key,
+           GBytes *value)
+{
+    GError *error = NULL;
+    struct rp_record_item item = {(char *)key, 1, value};
+    struct rp_record_offer_result result;
+    rp_record_set_offer(set, &item, &result, &error);
+    if (error != NULL) {
+        printf("%s: %s\n", file, error->message);
+        g_error_free(error);
+        return false;
+    }
+    if (result.conflict) {
+        printf("%s: version: %" G_GINT64_FORMAT
+               " of '%s' is in another file too, with other content; give "
+               "one of the two a greater version\n",
+               file, result.offered.version, key);
+        return false;
+    }
+    return true;
+}
+
+static bool
+check_file(struct rp_record_set *set, const char *file, bool quiet)
+{
+    char *text = NULL;
+    gsize bytes = 0;
+    GError *error = NULL;
+    if (!g_file_get_contents(file, &text, &bytes, &error)) {
+        printf("%s: cannot be read: %s; check the name\n", file,
+               error->message);
+        g_error_free(error);
+        return false;
+    }
+    GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+    struct rp_record *record =
+        rp_record_parse(NULL, text, bytes, faults, NULL);
+    print_faults(file, faults);
+    g_ptr_array_unref(faults);
+    GBytes *value = g_bytes_new_take(text, bytes);
+    bool valid = record != NULL && add_to_set(set, file, record->key, value);
+    if (valid && !quiet) {
+        printf("%s: ok: key %s, version %" G_GINT64_FORMAT "%s\n", file,
+               record->key, record->version,
+               record->retired ? ", retired" : "");
+    }
+    g_bytes_unref(value);
+    rp_record_free(record);
+    return valid;
+}
+
+/* Checks files of one record each and prints each fault with file, place and
+ * remedy, then what does not fit together (warnings, since records may be
+ * published one by one). Returns 0, or 1 when a record would be refused. */
+int
+cli_validate_main(int argc, char **argv)
+{
+    static const struct argp argp = {
+        options,
+        parse_option,
+        "FILE...",
+        "Check records before they are published."
+        "\vEach file holds one record, of any schema and kind; "
+        "docs/records.md "
+        "describes them. The exit status is 1 when a record would be "
+        "refused.",
+        NULL,
+        NULL,
+        NULL,
+    };
+    struct validate_options chosen = {0};
+    argp_parse(&argp, argc, argv, 0, NULL, &chosen);
+    struct rp_record_set *set = rp_record_set_new();
+    int status = 0;
+    for (int i = 0; i < chosen.file_count; i++) {
+        if (!check_file(set, chosen.files[i], chosen.quiet)) {
+            status = 1;
+        }
+    }
+    GPtrArray *warnings = g_ptr_array_new_with_free_func(g_free);
+    rp_snapshot_unref(rp_record_set_build(set, warnings));
+    for (guint i = 0; i < warnings->len && !chosen.quiet; i++) {
+        printf("warning: %s\n", (const char *)g_ptr_array_index(warnings, i));
+    }
+    g_ptr_array_unref(warnings);
+    rp_record_set_free(set);
+    return status;
+}
--- a/src/config_task.c
+++ b/src/config_task.c
@@ -3,10 +3,11 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "error.h"
+#include "config_status.h"
 #include "invariant.h"
 #include "readiness.h"
 #include "snapshot.h"
+#include "status.h"
 #include "vm_list.h"
 
 /* Values above this are not pushed; heartbeat digests spread them on demand,
@@ -32,7 +33,9 @@
     struct rp_snapshot *snapshot; /* in force; NULL until one is held */
     struct rp_readiness *readiness;
     enum rp_config_phase phase;
-    GHashTable *reported;        /* digests of refusals and conflicts */
+    GHashTable *reported; /* digests of refusals and conflicts */
+    struct rp_config_refusals *refusals;
+    GPtrArray *warnings;         /* about the snapshot in force; may be NULL */
     int64_t changed_ns;          /* last time that the records changed */
     char want_peer[RP_ID_BYTES]; /* of the comparison that is under way */
     uint32_t want_part;
@@ -102,6 +105,7 @@
                const struct rp_record_offer_result *result,
                const GError *error, int64_t now_ns)
 {
+    rp_config_refusals_put(config->refusals, key, error->message);
     if (!report_once(config, key, result->offered.content)) {
         return;
     }
@@ -140,6 +144,7 @@
                 int64_t now_ns)
 {
     count(config, RP_COUNTER_RECORDS_ACCEPTED);
+    rp_config_refusals_remove(config->refusals, key);
     struct rp_event *event = rp_event_add(
         config->context->events, RP_EVENT_RECORD_ACCEPTED, now_ns, key);
     event->value = result->offered.version;
@@ -282,7 +287,8 @@
     rp_snapshot_unref(config->snapshot);
     config->snapshot = snapshot;
     report_warnings(config, warnings, now_ns);
-    g_ptr_array_unref(warnings);
+    g_clear_pointer(&config->warnings, g_ptr_array_unref);
+    config->warnings = warnings;
 }
 
 static bool
@@ -427,6 +433,17 @@
     g_ptr_array_unref(batches);
 }
 
+static void
+answer_status(struct rp_config_task *config, const struct rp_message *want)
+{
+    uint64_t age_ms = rp_counter_get(&config->context->counters,
+                                     RP_COUNTER_PLATFORM_FRESHNESS_MS);
+    rp_status_reply(config->task, want, "config",
+                    rp_config_status(config->set, config->phase,
+                                     config->refusals, config->warnings,
+                                     (int64_t)age_ms));
+}
+
 static void
 on_message(struct rp_task *task, const struct rp_message *message,
            int64_t now_ns, void *data)
@@ -445,6 +462,9 @@
     case RP_MSG_CONFIG_WANT:
         answer_want(config, message->body);
         break;
+    case RP_MSG_STATUS_WANT:
+        answer_status(config, message);
+        break;
     case RP_MSG_PLATFORM_VMS: {
         const struct rp_vm_list_message *vms = message->body;
         rp_readiness_set_vms(config->readiness, vms->list);
@@ -475,6 +495,8 @@
     rp_record_set_free(config->set);
     rp_readiness_free(config->readiness);
     g_hash_table_unref(config->reported);
+    rp_config_refusals_free(config->refusals);
+    g_clear_pointer(&config->warnings, g_ptr_array_unref);
     g_free(config);
 }
 
@@ -499,6 +521,7 @@
     config->set = rp_record_set_new();
     config->readiness =
         rp_readiness_new(config->context->identity.id, boot_wait_ns, now_ns);
+    config->refusals = rp_config_refusals_new();
     config->reported =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     rp_task_set_timer(task, TIMER_PHASE,
--- a/src/record_set.c
+++ b/src/record_set.c
@@ -232,6 +232,33 @@
     return true;
 }
 
+struct foreach_state {
+    void (*each)(const struct rp_record *record,
+                 const struct rp_record_order *order, void *data);
+    void *data;
+};
+
+static gboolean
+call_each(gpointer key, gpointer value, gpointer data)
+{
+    const struct foreach_state *state = data;
+    const struct record_entry *entry = value;
+    state->each(entry->record, &entry->order, state->data);
+    return FALSE;
+}
+
+/* Calls each for every record in order of key, retired ones included. */
+void
+rp_record_set_foreach(const struct rp_record_set *set,
+                      void (*each)(const struct rp_record *record,
+                                   const struct rp_record_order *order,
+                                   void *data),
+                      void *data)
+{
+    struct foreach_state state = {each, data};
+    g_tree_foreach(set->entries, call_each, &state);
+}
+
 /* Returns the number of keys, retired ones included. */
 uint32_t
 rp_record_set_count(const struct rp_record_set *set)
--- a/src/record_set.h
+++ b/src/record_set.h
@@ -57,6 +57,11 @@
                             const struct rp_record_order *b);
 bool rp_record_set_find(const struct rp_record_set *set, const char *key,
                         struct rp_record_order *order, bool *retired);
+void rp_record_set_foreach(const struct rp_record_set *set,
+                           void (*each)(const struct rp_record *record,
+                                        const struct rp_record_order *order,
+                                        void *data),
+                           void *data);
 uint32_t rp_record_set_count(const struct rp_record_set *set);
 uint32_t rp_record_set_retired_count(const struct rp_record_set *set);
 uint64_t rp_record_set_bytes(const struct rp_record_set *set);
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -10,7 +10,7 @@
 
 #define MAX_WAIT_MS 30000
 #define MAX_PAGE 1024
-#define MAX_UPLOAD_BYTES (2u * 1024u * 1024u)
+#define MAX_UPLOAD_BYTES 2097152u
 #define MAX_READERS 4096u
 /* The platform allows about this many reads a second over all readers. */
 #define READS_PER_S 2000
