--- a/standin/standin.h
+++ b/standin/standin.h
@@ -6,5 +6,6 @@
 int standin_target_main(int argc, char **argv);
 int standin_caller_main(int argc, char **argv);
 int standin_load_main(int argc, char **argv);
+int standin_platform_main(int argc, char **argv);
 
 #endif
