--- /dev/null
+++ b/src/member.h
@@ -0,0 +1,178 @@
+#ifndef RP_MEMBER_H
+#define RP_MEMBER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "context.h"
+
+#define RP_MEMBER_TICKET_BYTES 192
+#define RP_MEMBER_LIMIT 4096 /* members in one table, dead ones included */
+#define RP_MEMBER_SEED_LIMIT 64
+#define RP_MEMBER_HELPERS 3 /* members asked to probe for another one */
+#define RP_MEMBER_HEARTBEAT_NS INT64_C(500000000)
+
+/* Of two statements about one incarnation and refutation, the greater state
+ * holds. */
+enum rp_member_state {
+    RP_MEMBER_ALIVE,
+    RP_MEMBER_LEAVING, /* serves what it has; callers are sent elsewhere */
+    RP_MEMBER_SUSPECT, /* silent; not yet given up */
+    RP_MEMBER_DEAD,
+    RP_MEMBER_STATE_COUNT
+};
+
+/* How far an entry VM is with its start; see docs/design.md, section 5. */
+enum rp_member_phase {
+    RP_PHASE_STARTING,    /* not ready */
+    RP_PHASE_PROVISIONAL, /* ready with platform data only: ranked last */
+    RP_PHASE_IN_FORCE,    /* ready */
+    RP_PHASE_COUNT
+};
+
+/* What a member says about itself, and the state that others give it.
+ *
+ * incarnation is that of the process, as in tickets. refutation rises within
+ * an incarnation each time the member contradicts a suspicion; version rises
+ * each time it changes anything else about itself. */
+struct rp_member_info {
+    char id[RP_ID_BYTES];
+    char domain[RP_DOMAIN_BYTES];
+    char address[RP_ADDRESS_BYTES];
+    char peer_address[RP_ADDRESS_BYTES];
+    char ticket_prefix[RP_MEMBER_TICKET_BYTES]; /* "" when there is none */
+    uint64_t incarnation;
+    uint32_t refutation;
+    uint32_t version;
+    uint32_t load_permille; /* busy share of what it can serve */
+    enum rp_member_state state;
+    enum rp_member_phase phase;
+};
+
+/* A statement about a member as it travels. */
+struct rp_member_update {
+    struct rp_member_info info;
+    uint32_t age_ms;       /* since the member itself said this */
+    uint32_t ticket_ms;    /* remaining time of the ticket prefix */
+    uint32_t accuser_hash; /* with SUSPECT: who did not hear the member */
+};
+
+/* A member as readers of a view see it. */
+struct rp_member {
+    struct rp_member_info info;
+    int64_t heard_ns; /* when what info says was true, latest estimate */
+    int64_t ticket_expires_ns; /* stop handing out the prefix by then */
+    bool is_self;
+    bool listed_leaving; /* by the platform's list, which lags */
+};
+
+/* All members at one moment: immutable and reference counted. Members are
+ * sorted by id and include this entry VM itself. */
+struct rp_member_view {
+    grefcount references;
+    uint64_t digest; /* equal when ids, incarnations and states are equal */
+    uint32_t count;
+    struct rp_member members[];
+};
+
+/* Body of RP_MSG_MEMBERS: holds one reference, released by the kernel. */
+struct rp_member_message {
+    struct rp_member_view *view;
+};
+
+/* One entry VM of the platform's list. */
+struct rp_member_listed {
+    char id[RP_ID_BYTES];
+    char address[RP_ADDRESS_BYTES];
+    char peer_address[RP_ADDRESS_BYTES];
+    char domain[RP_DOMAIN_BYTES];
+    bool leaving;
+};
+
+/* A member that has been silent too long and whom to ask about it. */
+struct rp_member_probe {
+    char id[RP_ID_BYTES];
+    char peer_address[RP_ADDRESS_BYTES];
+    uint64_t incarnation;
+    uint32_t helper_count;
+    char helper_addresses[RP_MEMBER_HELPERS][RP_ADDRESS_BYTES];
+};
+
+/* What became known about a member, for the time line. */
+struct rp_member_change {
+    char id[RP_ID_BYTES];
+    uint64_t incarnation;
+    enum rp_member_state state;
+    bool is_new;
+};
+
+struct rp_member_table;
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_member_table *rp_member_table_new(const struct rp_identity *identity,
+                                            GRand *random, int64_t now_ns);
+void rp_member_table_free(struct rp_member_table *table);
+bool rp_member_add_seed(struct rp_member_table *table,
+                        const char *peer_address);
+void rp_member_set_listed(struct rp_member_table *table,
+                          const struct rp_member_listed *listed,
+                          uint32_t count, int64_t now_ns);
+
+/* About this entry VM itself. */
+const struct rp_member_info *
+rp_member_self(const struct rp_member_table *table);
+void rp_member_set_load(struct rp_member_table *table, uint32_t load_permille);
+void rp_member_set_ticket(struct rp_member_table *table, const char *prefix,
+                          int64_t expires_ns);
+void rp_member_set_phase(struct rp_member_table *table,
+                         enum rp_member_phase phase);
+void rp_member_leave(struct rp_member_table *table);
+
+/* What peers say and do. */
+bool rp_member_apply(struct rp_member_table *table,
+                     const struct rp_member_update *update, int64_t now_ns);
+bool rp_member_hear(struct rp_member_table *table, const char *id,
+                    uint64_t incarnation, int64_t now_ns);
+void rp_member_notice_pause(struct rp_member_table *table, int64_t gap_ns,
+                            int64_t now_ns);
+
+/* What follows from it; called once in each heartbeat interval. */
+void rp_member_tick(struct rp_member_table *table, int64_t now_ns);
+bool rp_member_next_probe(struct rp_member_table *table, int64_t now_ns,
+                          struct rp_member_probe *probe);
+bool rp_member_next_change(struct rp_member_table *table,
+                           struct rp_member_change *change);
+uint32_t rp_member_neighbors(const struct rp_member_table *table,
+                             const struct rp_member_info **neighbors,
+                             uint32_t limit);
+bool rp_member_next_contact(struct rp_member_table *table,
+                            char address[RP_ADDRESS_BYTES]);
+bool rp_member_next_update(struct rp_member_table *table, int64_t now_ns,
+                           struct rp_member_update *update);
+void rp_member_begin_updates(struct rp_member_table *table, int64_t now_ns);
+
+/* Readers. */
+const struct rp_member_info *
+rp_member_find(const struct rp_member_table *table, const char *id);
+uint32_t rp_member_count(const struct rp_member_table *table,
+                         enum rp_member_state state);
+uint32_t rp_member_local_health(const struct rp_member_table *table);
+uint64_t rp_member_digest(const struct rp_member_table *table);
+struct rp_member_view *rp_member_view_new(const struct rp_member_table *table);
+struct rp_member_view *rp_member_view_ref(struct rp_member_view *view);
+void rp_member_view_unref(struct rp_member_view *view);
+const struct rp_member *rp_member_view_find(const struct rp_member_view *view,
+                                            const char *id);
+void rp_member_message_release(void *body);
+const char *rp_member_state_name(enum rp_member_state state);
+const char *rp_member_phase_name(enum rp_member_phase phase);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/neighbor.c
@@ -0,0 +1,48 @@
+#include "neighbor.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Returns the hash by which members are sorted for the neighbour rule. Every
+ * process must compute the same one. */
+uint64_t
+rp_neighbor_hash(const char *id)
+{
+    return XXH64(id, strlen(id), 0);
+}
+
+/* Returns the number of neighbours that each of count members sends to:
+ * ceil(log2 count), so that traffic grows as the logarithm of the fleet. */
+uint32_t
+rp_neighbor_degree(uint32_t count)
+{
+    uint32_t degree = 0;
+    while (degree < RP_NEIGHBOR_LIMIT && (UINT32_C(1) << degree) < count) {
+        degree++;
+    }
+    return degree;
+}
+
+/* Writes the positions of the members that the one at position self sends
+ * to, out of count members sorted by rp_neighbor_hash, and returns their
+ * number. The strides are 1, 2, 4, ... (a circulant graph): any member is
+ * reached in at most ceil(log2 count) steps. */
+uint32_t
+rp_neighbor_select(uint32_t count, uint32_t self,
+                   uint32_t neighbors[RP_NEIGHBOR_LIMIT])
+{
+    uint32_t degree = rp_neighbor_degree(count);
+    for (uint32_t i = 0; i < degree; i++) {
+        neighbors[i] = (self + (UINT32_C(1) << i)) % count;
+    }
+    return degree;
+}
+
+/* Returns whether the member at position from sends to the one at position
+ * to under the same rule. */
+bool
+rp_neighbor_sends_to(uint32_t count, uint32_t from, uint32_t to)
+{
+    uint32_t stride = (to + count - from) % count;
+    return stride != 0 && (stride & (stride - 1)) == 0;
+}
--- /dev/null
+++ b/src/wire.h
@@ -0,0 +1,59 @@
+#ifndef RP_WIRE_H
+#define RP_WIRE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "kernel.h"
+#include "loop.h"
+
+/* A record value may be 1 MB; the rest is for its envelope. */
+#define RP_WIRE_MAX_BYTES (1024u * 1024u + 65536u)
+#define RP_WIRE_KEY_CHARS 40
+#define RP_WIRE_ALLOWED_LIMIT 4096
+
+/* Body of RP_MSG_WIRE_SEND, sent to the task named "wire": deliver payload to
+ * the process bound to peer_address ("ip:port"). Delivery is not promised.
+ * Send it by rp_task_send_owned with rp_wire_send_release. */
+struct rp_wire_send {
+    char peer_address[RP_ADDRESS_BYTES];
+    GBytes *payload;
+};
+
+/* Body of RP_MSG_WIRE_RECEIVED, sent to the task named "gossip". Who sent it
+ * is said by the payload. Released by rp_wire_received_release. */
+struct rp_wire_received {
+    GBytes *payload;
+};
+
+/* CURVE keys are Z85 text of 40 characters. All three are given, or none:
+ * then the sockets are plain, and a warning is logged at the start. */
+struct rp_wire_settings {
+    const char *bind_address; /* "ip:port" */
+    const char *public_key;   /* own pair; NULL for plain */
+    const char *secret_key;
+    const char *const *allowed_keys; /* public keys, own one included */
+    uint32_t allowed_key_count;
+    /* Public key that other processes prove when they are connected to; NULL
+     * when the whole fleet shares the own pair. */
+    const char *server_key;
+};
+
+struct rp_wire;
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rp_wire *rp_wire_new(struct rp_loop *loop,
+                            const struct rp_wire_settings *settings,
+                            GError **error);
+void rp_wire_free(struct rp_wire *wire);
+void rp_wire_send_release(void *body);
+void rp_wire_received_release(void *body);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
