--- /dev/null
+++ b/src/member.c
@@ -0,0 +1,637 @@
+#include "member.h"
+
+#include <string.h>
+
+#include "member_table.h"
+#include "neighbor.h"
+
+#define CHANGE_LIMIT 256
+#define LISTED_LIMIT RP_MEMBER_LIMIT
+#define PATIENCE_MAX 8
+
+/* Each piece of news is sent this often times log2 of the members by each of
+ * them (SWIM, section 4.1), after which it is known everywhere. */
+#define TRANSMIT_FACTOR 3
+
+static void
+free_entry(gpointer data)
+{
+    g_free(data);
+}
+
+static int
+compare_entries(gconstpointer a, gconstpointer b)
+{
+    const struct member_entry *left = *(struct member_entry *const *)a;
+    const struct member_entry *right = *(struct member_entry *const *)b;
+    if (left->hash != right->hash) {
+        return left->hash < right->hash ? -1 : 1;
+    }
+    return strcmp(left->member.info.id, right->member.info.id);
+}
+
+static void
+rebuild_ring(struct rp_member_table *table)
+{
+    g_ptr_array_set_size(table->ring, 0);
+    for (guint i = 0; i < table->entries->len; i++) {
+        struct member_entry *entry = g_ptr_array_index(table->entries, i);
+        if (entry->member.info.state == RP_MEMBER_DEAD) {
+            entry->position = UINT32_MAX;
+            continue;
+        }
+        entry->position = table->ring->len;
+        g_ptr_array_add(table->ring, entry);
+    }
+}
+
+static struct member_entry *
+add_entry(struct rp_member_table *table, const struct rp_member_info *info,
+          int64_t now_ns)
+{
+    struct member_entry *entry = g_new0(struct member_entry, 1);
+    entry->member.info = *info;
+    entry->hash = rp_neighbor_hash(info->id);
+    entry->patience = 1;
+    entry->expect_ns = now_ns;
+    g_ptr_array_add(table->entries, entry);
+    g_ptr_array_sort(table->entries, compare_entries);
+    g_hash_table_insert(table->by_id, entry->member.info.id, entry);
+    rebuild_ring(table);
+    return entry;
+}
+
+/* Creates a table that knows only this entry VM, alive and starting. random
+ * is borrowed. Free it with rp_member_table_free. */
+struct rp_member_table *
+rp_member_table_new(const struct rp_identity *identity, GRand *random,
+                    int64_t now_ns)
+{
+    struct rp_member_table *table = g_new0(struct rp_member_table, 1);
+    table->random = random;
+    table->entries = g_ptr_array_new_with_free_func(free_entry);
+    table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    table->ring = g_ptr_array_new();
+    table->outgoing = g_ptr_array_new();
+    table->seeds = g_array_new(FALSE, TRUE, RP_ADDRESS_BYTES);
+    table->listed = g_array_new(FALSE, TRUE, sizeof(struct rp_member_listed));
+    table->changes = g_array_new(FALSE, TRUE, sizeof(struct rp_member_change));
+    table->health_ns = now_ns;
+    table->quiet_until_ns = now_ns;
+    struct rp_member_info info = {
+        .incarnation = identity->incarnation,
+        .version = 1,
+        .state = RP_MEMBER_ALIVE,
+        .phase = RP_PHASE_STARTING,
+    };
+    g_strlcpy(info.id, identity->id, sizeof(info.id));
+    g_strlcpy(info.domain, identity->domain, sizeof(info.domain));
+    g_strlcpy(info.address, identity->address, sizeof(info.address));
+    g_strlcpy(info.peer_address, identity->peer_address,
+              sizeof(info.peer_address));
+    table->self = add_entry(table, &info, now_ns);
+    table->self->member.is_self = true;
+    table->self->member.heard_ns = now_ns;
+    return table;
+}
+
+/* Frees a table; NULL is allowed. */
+void
+rp_member_table_free(struct rp_member_table *table)
+{
+    if (table == NULL) {
+        return;
+    }
+    g_array_unref(table->changes);
+    g_array_unref(table->listed);
+    g_array_unref(table->seeds);
+    g_ptr_array_unref(table->outgoing);
+    g_ptr_array_unref(table->ring);
+    g_hash_table_unref(table->by_id);
+    g_ptr_array_unref(table->entries);
+    g_free(table);
+}
+
+/* Adds a peer address from the settings at which other members may be found.
+ * Returns false when there are RP_MEMBER_SEED_LIMIT already. */
+bool
+rp_member_add_seed(struct rp_member_table *table, const char *peer_address)
+{
+    if (table->seeds->len == RP_MEMBER_SEED_LIMIT) {
+        return false;
+    }
+    char address[RP_ADDRESS_BYTES] = "";
+    g_strlcpy(address, peer_address, sizeof(address));
+    g_array_append_val(table->seeds, address);
+    return true;
+}
+
+/* Takes over the platform's list of entry VMs. It lags: it never makes a
+ * member alive or dead, it only says whom else to contact, who is leaving
+ * and who need not be remembered. Entries past the limit are left out. */
+void
+rp_member_set_listed(struct rp_member_table *table,
+                     const struct rp_member_listed *listed, uint32_t count,
+                     int64_t now_ns)
+{
+    g_array_set_size(table->listed, 0);
+    g_array_append_vals(table->listed, listed, MIN(count, LISTED_LIMIT));
+    for (guint i = 0; i < table->entries->len; i++) {
+        struct member_entry *entry = g_ptr_array_index(table->entries, i);
+        entry->listed = false;
+        entry->member.listed_leaving = false;
+    }
+    for (guint i = 0; i < table->listed->len; i++) {
+        const struct rp_member_listed *vm =
+            &g_array_index(table->listed, struct rp_member_listed, i);
+        struct member_entry *entry = rp_member_entry(table, vm->id);
+        if (entry != NULL) {
+            entry->listed = true;
+            entry->member.listed_leaving = vm->leaving;
+        }
+    }
+}
+
+/* Returns what this entry VM says about itself. */
+const struct rp_member_info *
+rp_member_self(const struct rp_member_table *table)
+{
+    return &table->self->member.info;
+}
+
+/* Sets the busy share of this entry VM. It travels with the next heartbeats
+ * and is not spread ahead of other news. */
+void
+rp_member_set_load(struct rp_member_table *table, uint32_t load_permille)
+{
+    struct rp_member_info *info = &table->self->member.info;
+    if (info->load_permille != load_permille) {
+        info->load_permille = load_permille;
+        info->version++;
+    }
+}
+
+/* Sets the ticket prefix that other entry VMs may hand out for this one. */
+void
+rp_member_set_ticket(struct rp_member_table *table, const char *prefix,
+                     int64_t expires_ns)
+{
+    struct rp_member *self = &table->self->member;
+    g_strlcpy(self->info.ticket_prefix, prefix,
+              sizeof(self->info.ticket_prefix));
+    self->ticket_expires_ns = expires_ns;
+    self->info.version++;
+    table->self->transmits = 0;
+}
+
+/* Sets how far the start of this entry VM is. */
+void
+rp_member_set_phase(struct rp_member_table *table, enum rp_member_phase phase)
+{
+    struct rp_member_info *info = &table->self->member.info;
+    if (info->phase != phase) {
+        info->phase = phase;
+        info->version++;
+        table->self->transmits = 0;
+    }
+}
+
+/* Announces that this entry VM is leaving; there is no way back within the
+ * incarnation. */
+void
+rp_member_leave(struct rp_member_table *table)
+{
+    struct rp_member_info *info = &table->self->member.info;
+    if (info->state != RP_MEMBER_LEAVING) {
+        info->state = RP_MEMBER_LEAVING;
+        info->refutation++;
+        info->version++;
+        table->self->transmits = 0;
+    }
+}
+
+/* Returns the entry of that id, or NULL. */
+struct member_entry *
+rp_member_entry(const struct rp_member_table *table, const char *id)
+{
+    return g_hash_table_lookup(table->by_id, id);
+}
+
+static void
+note_change(struct rp_member_table *table, const struct member_entry *entry,
+            bool is_new)
+{
+    if (table->changes->len == CHANGE_LIMIT) {
+        g_array_remove_index(table->changes, 0);
+    }
+    struct rp_member_change change = {
+        .incarnation = entry->member.info.incarnation,
+        .state = entry->member.info.state,
+        .is_new = is_new,
+    };
+    g_strlcpy(change.id, entry->member.info.id, sizeof(change.id));
+    g_array_append_val(table->changes, change);
+}
+
+/* Changes a member's state, with all that follows: news to spread, the ring
+ * of the neighbour rule, patience with a member that was suspected wrongly. */
+void
+rp_member_entry_set_state(struct rp_member_table *table,
+                          struct member_entry *entry,
+                          enum rp_member_state state, int64_t now_ns)
+{
+    enum rp_member_state old = entry->member.info.state;
+    if (old == state) {
+        return;
+    }
+    entry->member.info.state = state;
+    entry->transmits = 0;
+    entry->probing = false;
+    entry->probe_wanted = false;
+    if (state == RP_MEMBER_SUSPECT) {
+        entry->suspect_ns = now_ns;
+    }
+    else if (state == RP_MEMBER_DEAD) {
+        entry->dead_ns = now_ns;
+    }
+    else if (old == RP_MEMBER_SUSPECT || old == RP_MEMBER_DEAD) {
+        entry->patience = MIN(entry->patience * 2, PATIENCE_MAX);
+        entry->patience_ns = now_ns;
+        entry->accuser_count = 0;
+    }
+    if (old == RP_MEMBER_DEAD || state == RP_MEMBER_DEAD) {
+        rebuild_ring(table);
+    }
+    note_change(table, entry, false);
+}
+
+/* Removes a member from the table; it is freed. */
+void
+rp_member_entry_remove(struct rp_member_table *table,
+                       struct member_entry *entry)
+{
+    g_ptr_array_set_size(table->outgoing, 0);
+    g_hash_table_remove(table->by_id, entry->member.info.id);
+    g_ptr_array_remove(table->entries, entry);
+    rebuild_ring(table);
+}
+
+/* Adds one of those who say that they do not hear a suspect. Independent
+ * accusers shorten the suspicion (Lifeguard). */
+void
+rp_member_entry_accuse(struct member_entry *entry, uint32_t accuser_hash)
+{
+    for (uint32_t i = 0; i < entry->accuser_count; i++) {
+        if (entry->accusers[i] == accuser_hash) {
+            return;
+        }
+    }
+    if (entry->accuser_count < RP_MEMBER_ACCUSERS) {
+        entry->accusers[entry->accuser_count++] = accuser_hash;
+        entry->transmits = 0;
+    }
+}
+
+static bool
+make_room(struct rp_member_table *table)
+{
+    if (table->entries->len < RP_MEMBER_LIMIT) {
+        return true;
+    }
+    struct member_entry *oldest = NULL;
+    for (guint i = 0; i < table->entries->len; i++) {
+        struct member_entry *entry = g_ptr_array_index(table->entries, i);
+        if (entry->member.info.state == RP_MEMBER_DEAD &&
+            (oldest == NULL || entry->dead_ns < oldest->dead_ns))
+        {
+            oldest = entry;
+        }
+    }
+    if (oldest != NULL) {
+        rp_member_entry_remove(table, oldest);
+    }
+    return oldest != NULL;
+}
+
+/* Contradicts a suspicion of this entry VM. One that comes round again with
+ * an older refutation was answered already. */
+static bool
+refute(struct rp_member_table *table, const struct rp_member_update *update,
+       int64_t now_ns)
+{
+    struct rp_member_info *info = &table->self->member.info;
+    if (update->info.incarnation != info->incarnation ||
+        update->info.refutation < info->refutation ||
+        update->info.state <= info->state)
+    {
+        return false;
+    }
+    info->refutation = update->info.refutation + 1;
+    info->version++;
+    table->self->transmits = 0;
+    rp_member_worsen_health(table, now_ns);
+    return true;
+}
+
+static bool
+about_same_incarnation(struct rp_member_table *table,
+                       struct member_entry *entry,
+                       const struct rp_member_update *update, int64_t now_ns)
+{
+    struct rp_member_info *info = &entry->member.info;
+    const struct rp_member_info *said = &update->info;
+    bool news = false;
+    if (said->refutation > info->refutation ||
+        (said->refutation == info->refutation && said->state > info->state))
+    {
+        if (said->refutation > info->refutation) {
+            /* A suspicion after a refutation is a new one. */
+            entry->suspect_ns = now_ns;
+            entry->accuser_count = 0;
+        }
+        info->refutation = said->refutation;
+        entry->transmits = 0;
+        rp_member_entry_set_state(table, entry, said->state, now_ns);
+        news = true;
+    }
+    if (said->refutation == info->refutation &&
+        said->state == RP_MEMBER_SUSPECT && info->state == RP_MEMBER_SUSPECT)
+    {
+        rp_member_entry_accuse(entry, update->accuser_hash);
+    }
+    return news;
+}
+
+static bool
+same_profile(const struct rp_member_info *a, const struct rp_member_info *b)
+{
+    return a->phase == b->phase &&
+           strcmp(a->ticket_prefix, b->ticket_prefix) == 0 &&
+           strcmp(a->address, b->address) == 0 &&
+           strcmp(a->peer_address, b->peer_address) == 0 &&
+           strcmp(a->domain, b->domain) == 0;
+}
+
+static bool
+take_profile(struct member_entry *entry, const struct rp_member_update *update,
+             int64_t now_ns)
+{
+    struct rp_member *member = &entry->member;
+    int64_t said_ns = now_ns - (int64_t)update->age_ms * 1000000;
+    if (update->info.version < member->info.version) {
+        return false;
+    }
+    member->heard_ns = MAX(member->heard_ns, said_ns);
+    if (update->info.version == member->info.version) {
+        return false;
+    }
+    bool news = !same_profile(&member->info, &update->info);
+    struct rp_member_info info = update->info;
+    info.state = member->info.state;
+    info.refutation = member->info.refutation;
+    member->info = info;
+    member->ticket_expires_ns = now_ns + (int64_t)update->ticket_ms * 1000000;
+    return news;
+}
+
+static bool
+add_member(struct rp_member_table *table,
+           const struct rp_member_update *update, int64_t now_ns)
+{
+    /* A member that is dead and not known here needs no memory. */
+    if (update->info.state == RP_MEMBER_DEAD || !make_room(table)) {
+        return false;
+    }
+    struct member_entry *entry = add_entry(table, &update->info, now_ns);
+    entry->member.heard_ns = now_ns - (int64_t)update->age_ms * 1000000;
+    entry->member.ticket_expires_ns =
+        now_ns + (int64_t)update->ticket_ms * 1000000;
+    if (update->info.state == RP_MEMBER_SUSPECT) {
+        entry->suspect_ns = now_ns;
+        rp_member_entry_accuse(entry, update->accuser_hash);
+    }
+    for (guint i = 0; i < table->listed->len; i++) {
+        const struct rp_member_listed *vm =
+            &g_array_index(table->listed, struct rp_member_listed, i);
+        if (strcmp(vm->id, update->info.id) == 0) {
+            entry->listed = true;
+            entry->member.listed_leaving = vm->leaving;
+        }
+    }
+    note_change(table, entry, true);
+    return true;
+}
+
+static void
+start_incarnation(struct rp_member_table *table, struct member_entry *entry,
+                  const struct rp_member_update *update, int64_t now_ns)
+{
+    struct rp_member_info info = update->info;
+    info.state = entry->member.info.state;
+    entry->member.info = info;
+    entry->member.heard_ns = now_ns - (int64_t)update->age_ms * 1000000;
+    entry->member.ticket_expires_ns =
+        now_ns + (int64_t)update->ticket_ms * 1000000;
+    entry->transmits = 0;
+    entry->expect_ns = now_ns;
+    entry->accuser_count = 0;
+    entry->probing = false;
+    entry->probe_wanted = false;
+    rp_member_entry_set_state(table, entry, update->info.state, now_ns);
+    if (update->info.state == RP_MEMBER_SUSPECT) {
+        rp_member_entry_accuse(entry, update->accuser_hash);
+    }
+    entry->patience = 1; /* a new process has no history */
+}
+
+/* Takes over a statement about a member. The order of arrival does not
+ * matter: what is known is the greatest of all statements by incarnation,
+ * refutation and state, and by version for the rest. Returns whether it was
+ * news that should be spread.
+ *
+ * Das, Gupta, Motivala, "SWIM", 2002. */
+bool
+rp_member_apply(struct rp_member_table *table,
+                const struct rp_member_update *update, int64_t now_ns)
+{
+    struct member_entry *entry = rp_member_entry(table, update->info.id);
+    if (entry == NULL) {
+        return add_member(table, update, now_ns);
+    }
+    if (entry == table->self) {
+        return refute(table, update, now_ns);
+    }
+    uint64_t known = entry->member.info.incarnation;
+    if (update->info.incarnation < known) {
+        return false;
+    }
+    if (update->info.incarnation > known) {
+        start_incarnation(table, entry, update, now_ns);
+        return true;
+    }
+    bool news = about_same_incarnation(table, entry, update, now_ns);
+    if (take_profile(entry, update, now_ns)) {
+        entry->transmits = 0;
+        news = true;
+    }
+    return news;
+}
+
+/* Writes the members that this one sends heartbeats to and returns their
+ * number. The pointers are valid until the table changes. */
+uint32_t
+rp_member_neighbors(const struct rp_member_table *table,
+                    const struct rp_member_info **neighbors, uint32_t limit)
+{
+    uint32_t positions[RP_NEIGHBOR_LIMIT];
+    uint32_t count =
+        rp_neighbor_select(table->ring->len, table->self->position, positions);
+    count = MIN(count, limit);
+    for (uint32_t i = 0; i < count; i++) {
+        struct member_entry *entry =
+            g_ptr_array_index(table->ring, positions[i]);
+        neighbors[i] = &entry->member.info;
+    }
+    return count;
+}
+
+static bool
+is_live_address(const struct rp_member_table *table, const char *address)
+{
+    for (guint i = 0; i < table->ring->len; i++) {
+        struct member_entry *entry = g_ptr_array_index(table->ring, i);
+        if (strcmp(entry->member.info.peer_address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Chooses at random the address of a VM that may be there though it is not
+ * known to be: a seed, one of the platform's list, or a dead member. Without
+ * this the sides of a healed partition would not find each other. Returns
+ * false when there is none. */
+bool
+rp_member_next_contact(struct rp_member_table *table,
+                       char address[RP_ADDRESS_BYTES])
+{
+    uint32_t seen = 0;
+    for (guint i = 0; i < table->seeds->len + table->listed->len; i++) {
+        const char *candidate =
+            i < table->seeds->len
+                ? table->seeds->data + (gsize)i * RP_ADDRESS_BYTES
+                : g_array_index(table->listed, struct rp_member_listed,
+                                i - table->seeds->len)
+                      .peer_address;
+        if (candidate[0] != '\0' && !is_live_address(table, candidate) &&
+            g_rand_int_range(table->random, 0, (gint32)++seen) == 0)
+        {
+            g_strlcpy(address, candidate, RP_ADDRESS_BYTES);
+        }
+    }
+    for (guint i = 0; i < table->entries->len; i++) {
+        struct member_entry *entry = g_ptr_array_index(table->entries, i);
+        if (entry->member.info.state == RP_MEMBER_DEAD &&
+            g_rand_int_range(table->random, 0, (gint32)++seen) == 0)
+        {
+            g_strlcpy(address, entry->member.info.peer_address,
+                      RP_ADDRESS_BYTES);
+        }
+    }
+    return seen > 0;
+}
+
+static int
+compare_outgoing(gconstpointer a, gconstpointer b)
+{
+    const struct member_entry *left = *(struct member_entry *const *)a;
+    const struct member_entry *right = *(struct member_entry *const *)b;
+    if (left->transmits != right->transmits) {
+        return left->transmits < right->transmits ? -1 : 1;
+    }
+    if (left->sent_serial != right->sent_serial) {
+        return left->sent_serial < right->sent_serial ? -1 : 1;
+    }
+    return 0;
+}
+
+/* Prepares the updates for one message to a member: first this entry VM
+ * itself, then the receiver if it must refute something, then what is new,
+ * then the rest in turn. to_id may be "" when it is not known. */
+void
+rp_member_begin_updates(struct rp_member_table *table, const char *to_id)
+{
+    uint32_t limit =
+        TRANSMIT_FACTOR * MAX(1, rp_neighbor_degree(table->entries->len));
+    g_ptr_array_set_size(table->outgoing, 0);
+    for (guint i = 0; i < table->entries->len; i++) {
+        struct member_entry *entry = g_ptr_array_index(table->entries, i);
+        /* All that is past the limit is in one class, sent in turn. */
+        entry->transmits = MIN(entry->transmits, limit);
+        if (entry != table->self) {
+            g_ptr_array_add(table->outgoing, entry);
+        }
+    }
+    g_ptr_array_sort(table->outgoing, compare_outgoing);
+    struct member_entry *to = rp_member_entry(table, to_id);
+    if (to != NULL && to != table->self &&
+        to->member.info.state >= RP_MEMBER_SUSPECT &&
+        g_ptr_array_remove(table->outgoing, to))
+    {
+        g_ptr_array_insert(table->outgoing, 0, to);
+    }
+    g_ptr_array_insert(table->outgoing, 0, table->self);
+    table->outgoing_next = 0;
+}
+
+static uint32_t
+clamp_ms(int64_t ns)
+{
+    return (uint32_t)CLAMP(ns / 1000000, 0, G_MAXINT32);
+}
+
+/* Writes the next update of the message that rp_member_begin_updates began
+ * and counts it as sent. Returns false after the last one. Suspicions are
+ * held back after a pause of this process until they have been re-checked. */
+bool
+rp_member_next_update(struct rp_member_table *table, int64_t now_ns,
+                      struct rp_member_update *update)
+{
+    while (table->outgoing_next < table->outgoing->len) {
+        struct member_entry *entry =
+            g_ptr_array_index(table->outgoing, table->outgoing_next++);
+        struct rp_member *member = &entry->member;
+        if (now_ns < table->quiet_until_ns &&
+            member->info.state >= RP_MEMBER_SUSPECT) {
+            continue;
+        }
+        if (entry == table->self) {
+            member->heard_ns = now_ns;
+        }
+        update->info = member->info;
+        update->age_ms = clamp_ms(now_ns - member->heard_ns);
+        update->ticket_ms = clamp_ms(member->ticket_expires_ns - now_ns);
+        update->accuser_hash =
+            entry->accuser_count == 0
+                ? 0
+                : entry->accusers[entry->transmits % entry->accuser_count];
+        entry->transmits++;
+        entry->sent_serial = ++table->next_sent_serial;
+        return true;
+    }
+    return false;
+}
+
+/* Takes the oldest change of a member's state that was not taken yet. At
+ * most 256 are kept. */
+bool
+rp_member_next_change(struct rp_member_table *table,
+                      struct rp_member_change *change)
+{
+    if (table->changes->len == 0) {
+        return false;
+    }
+    *change = g_array_index(table->changes, struct rp_member_change, 0);
+    g_array_remove_index(table->changes, 0);
+    return true;
+}
--- a/src/member.h
+++ b/src/member.h
@@ -137,6 +137,7 @@
                      const struct rp_member_update *update, int64_t now_ns);
 bool rp_member_hear(struct rp_member_table *table, const char *id,
                     uint64_t incarnation, int64_t now_ns);
+void rp_member_helper_answered(struct rp_member_table *table, const char *id);
 void rp_member_notice_pause(struct rp_member_table *table, int64_t gap_ns,
                             int64_t now_ns);
 
@@ -151,9 +152,9 @@
                              uint32_t limit);
 bool rp_member_next_contact(struct rp_member_table *table,
                             char address[RP_ADDRESS_BYTES]);
+void rp_member_begin_updates(struct rp_member_table *table, const char *to_id);
 bool rp_member_next_update(struct rp_member_table *table, int64_t now_ns,
                            struct rp_member_update *update);
-void rp_member_begin_updates(struct rp_member_table *table, int64_t now_ns);
 
 /* Readers. */
 const struct rp_member_info *
