--- a/src/gossip.h
+++ b/src/gossip.h
@@ -8,25 +8,11 @@
 #include "kernel.h"
 #include "member.h"
 
-/* Records are grouped by the hash of their key, so that two members find out
- * what differs without naming each key. */
-#define RP_GOSSIP_BUCKETS 64
-
-/* One record version as it travels. */
-struct rp_peer_record {
-    char *key;
-    uint64_t revision; /* of the platform */
-    char *value;       /* JSON text, NUL-terminated */
-    uint32_t value_bytes;
-};
+#ifndef RP_RECORD_SET_BUCKETS
+#define RP_RECORD_SET_BUCKETS 64 /* as in record_set.h */
+#endif
 
-/* Record versions handed over as one body: immutable once it is shared, and
- * reference counted. */
-struct rp_peer_records {
-    grefcount references;
-    uint32_t count;
-    struct rp_peer_record *records;
-};
+struct rp_record_batch;
 
 /* Body of RP_MSG_CONFIG_STATE, config to gossip: what this entry VM has in
  * force, sent when any of it changes. */
@@ -37,32 +23,36 @@
                                  be this, by this VM or by word of a peer;
                                  INT64_MIN for never */
     enum rp_member_phase phase;
-    uint64_t bucket_digests[RP_GOSSIP_BUCKETS];
+    uint64_t bucket_digests[RP_RECORD_SET_BUCKETS];
 };
 
+/* Bodies that hold one reference to a batch begin with it; send them by
+ * rp_task_send_owned with rp_gossip_batch_release. */
+
 /* Body of RP_MSG_CONFIG_ACCEPTED, config to gossip: record versions newly in
- * force here, to be pushed to the neighbours. Holds one reference; send it
- * with rp_peer_records_message_release. */
+ * force here, to be pushed to the neighbours. */
 struct rp_config_accepted {
-    struct rp_peer_records *records;
+    struct rp_record_batch *batch;
+    char from[RP_ID_BYTES]; /* peer that sent them, "" for the platform */
 };
 
-/* Body of RP_MSG_CONFIG_REQUEST, gossip to config: a peer lacks some of these
- * buckets. config answers with RP_MSG_CONFIG_ANSWER. */
+/* Body of RP_MSG_CONFIG_REQUEST, gossip to config: a peer has these bucket
+ * digests. config answers with one RP_MSG_CONFIG_ANSWER for each batch that
+ * the peer may lack. */
 struct rp_config_request {
     char peer_address[RP_ADDRESS_BYTES];
-    uint64_t buckets; /* bit i stands for bucket i */
+    uint64_t bucket_digests[RP_RECORD_SET_BUCKETS];
 };
 
-/* Body of RP_MSG_CONFIG_ANSWER, config to gossip; released as above. */
+/* Body of RP_MSG_CONFIG_ANSWER, config to gossip. */
 struct rp_config_answer {
-    struct rp_peer_records *records; /* first, as in rp_config_accepted */
+    struct rp_record_batch *batch;
     char peer_address[RP_ADDRESS_BYTES];
 };
 
-/* Body of RP_MSG_PEER_RECORDS, gossip to config; released as above. */
-struct rp_peer_records_received {
-    struct rp_peer_records *records; /* first, as in rp_config_accepted */
+/* Body of RP_MSG_PEER_RECORDS, gossip to config. */
+struct rp_peer_records {
+    struct rp_record_batch *batch;
     char from[RP_ID_BYTES];
 };
 
@@ -94,7 +84,9 @@
     uint32_t burst_bytes; /* 0 for the default, RP_GOSSIP_BURST_BYTES */
 };
 
-#define RP_GOSSIP_BYTES_PER_S 13000u
+/* Sent bytes: heartbeats have their share, the rest is for records. */
+#define RP_GOSSIP_BYTES_PER_S 6500u
+#define RP_GOSSIP_BURST_BYTES 262144u
 
 struct rp_gossip;
 
@@ -102,8 +94,6 @@
 extern "C" {
 #endif
 
-/* Registers the task "gossip". It talks to "wire", "config", "dispatch",
- * "entry", "prober" and "admin", which may be missing. */
 struct rp_gossip *rp_gossip_new(struct rp_kernel *kernel,
                                 const struct rp_gossip_settings *settings,
                                 int64_t now_ns, GError **error);
@@ -111,14 +101,7 @@
 const struct rp_member_table *
 rp_gossip_members(const struct rp_gossip *gossip);
 
-uint32_t rp_gossip_bucket(const char *key);
-struct rp_peer_records *rp_peer_records_new(uint32_t count);
-void rp_peer_records_set(struct rp_peer_records *records, uint32_t index,
-                         const char *key, uint64_t revision, const char *value,
-                         uint32_t value_bytes);
-struct rp_peer_records *rp_peer_records_ref(struct rp_peer_records *records);
-void rp_peer_records_unref(struct rp_peer_records *records);
-void rp_peer_records_message_release(void *body);
+void rp_gossip_batch_release(void *body);
 
 #ifdef __cplusplus
 }
