--- /dev/null
+++ b/src/hint_pool.c
@@ -0,0 +1,157 @@
+#include "hint_pool.h"
+
+#include <string.h>
+
+/* A hint this little newer than the known one is no news. Without this
+ * margin, the estimates of age at different members would make the same hint
+ * look newer each time it comes round. */
+#define NEWER_NS INT64_C(200000000)
+
+struct pooled_hint {
+    struct rp_target_hint hint;
+    uint32_t transmits;
+    uint64_t sent_serial;
+    uint64_t added_serial;
+};
+
+struct rp_hint_pool {
+    GHashTable *hints; /* of struct pooled_hint, keyed by themselves */
+    GPtrArray *outgoing;
+    uint32_t outgoing_next;
+    uint64_t next_serial;
+};
+
+static guint
+hash_hint(gconstpointer key)
+{
+    const struct pooled_hint *pooled = key;
+    return g_str_hash(pooled->hint.address) * 31 +
+           g_str_hash(pooled->hint.service);
+}
+
+static gboolean
+equal_hints(gconstpointer a, gconstpointer b)
+{
+    const struct pooled_hint *left = a;
+    const struct pooled_hint *right = b;
+    return strcmp(left->hint.address, right->hint.address) == 0 &&
+           strcmp(left->hint.service, right->hint.service) == 0;
+}
+
+/* Creates an empty pool. Free it with rp_hint_pool_free. */
+struct rp_hint_pool *
+rp_hint_pool_new(void)
+{
+    struct rp_hint_pool *pool = g_new0(struct rp_hint_pool, 1);
+    pool->hints = g_hash_table_new_full(hash_hint, equal_hints, g_free, NULL);
+    pool->outgoing = g_ptr_array_new();
+    return pool;
+}
+
+/* Frees a pool; NULL is allowed. */
+void
+rp_hint_pool_free(struct rp_hint_pool *pool)
+{
+    if (pool == NULL) {
+        return;
+    }
+    g_ptr_array_unref(pool->outgoing);
+    g_hash_table_unref(pool->hints);
+    g_free(pool);
+}
+
+/* Puts a hint into the pool. Returns whether it is news: not too old, and
+ * newer than what is known of the target. A full pool takes no new targets
+ * until old hints have gone. */
+bool
+rp_hint_pool_offer(struct rp_hint_pool *pool,
+                   const struct rp_target_hint *hint, int64_t now_ns)
+{
+    if (now_ns - hint->seen_ns > RP_HINT_MAX_AGE_NS) {
+        return false;
+    }
+    struct pooled_hint probe = {.hint = *hint};
+    struct pooled_hint *known = g_hash_table_lookup(pool->hints, &probe);
+    if (known == NULL) {
+        if (g_hash_table_size(pool->hints) >= RP_HINT_POOL_LIMIT) {
+            return false;
+        }
+        known = g_new0(struct pooled_hint, 1);
+        known->hint = *hint;
+        known->added_serial = ++pool->next_serial;
+        g_hash_table_add(pool->hints, known);
+        return true;
+    }
+    if (hint->seen_ns < known->hint.seen_ns + NEWER_NS) {
+        return false;
+    }
+    known->hint = *hint;
+    known->transmits = 0;
+    return true;
+}
+
+static int
+compare_hints(gconstpointer a, gconstpointer b)
+{
+    const struct pooled_hint *left = *(struct pooled_hint *const *)a;
+    const struct pooled_hint *right = *(struct pooled_hint *const *)b;
+    /* What keeps work away from a target goes first. */
+    bool left_bad = left->hint.kind != RP_HINT_LOAD;
+    bool right_bad = right->hint.kind != RP_HINT_LOAD;
+    if (left_bad != right_bad) {
+        return left_bad ? -1 : 1;
+    }
+    if (left->transmits != right->transmits) {
+        return left->transmits < right->transmits ? -1 : 1;
+    }
+    if (left->sent_serial != right->sent_serial) {
+        return left->sent_serial < right->sent_serial ? -1 : 1;
+    }
+    return left->added_serial < right->added_serial ? -1 : 1;
+}
+
+/* Drops hints that are too old and orders those that were sent fewer times
+ * than the limit for one message. */
+void
+rp_hint_pool_begin(struct rp_hint_pool *pool, uint32_t transmit_limit,
+                   int64_t now_ns)
+{
+    GHashTableIter iterator;
+    gpointer key;
+    g_ptr_array_set_size(pool->outgoing, 0);
+    pool->outgoing_next = 0;
+    g_hash_table_iter_init(&iterator, pool->hints);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        struct pooled_hint *pooled = key;
+        if (now_ns - pooled->hint.seen_ns > RP_HINT_MAX_AGE_NS) {
+            g_hash_table_iter_remove(&iterator);
+        }
+        else if (pooled->transmits < transmit_limit) {
+            g_ptr_array_add(pool->outgoing, pooled);
+        }
+    }
+    g_ptr_array_sort(pool->outgoing, compare_hints);
+}
+
+/* Writes the next hint to be sent and counts it as sent; returns false after
+ * the last one. */
+bool
+rp_hint_pool_next(struct rp_hint_pool *pool, struct rp_target_hint *hint)
+{
+    if (pool->outgoing_next == pool->outgoing->len) {
+        return false;
+    }
+    struct pooled_hint *pooled =
+        g_ptr_array_index(pool->outgoing, pool->outgoing_next++);
+    pooled->transmits++;
+    pooled->sent_serial = ++pool->next_serial;
+    *hint = pooled->hint;
+    return true;
+}
+
+/* Returns the number of targets with a hint. */
+uint32_t
+rp_hint_pool_count(const struct rp_hint_pool *pool)
+{
+    return g_hash_table_size(pool->hints);
+}
--- a/src/member.c
+++ b/src/member.c
@@ -13,6 +13,12 @@
  * them (SWIM, section 4.1), after which it is known everywhere. */
 #define TRANSMIT_FACTOR 3
 
+/* Addresses and tickets that are no news go with one update in this many. */
+#define PROFILE_EVERY 4
+
+/* Heartbeats of others that may still be under way to an accuser. */
+#define FRESHER_NS (4 * RP_MEMBER_HEARTBEAT_NS)
+
 static void
 free_entry(gpointer data)
 {
@@ -165,10 +171,7 @@
 rp_member_set_load(struct rp_member_table *table, uint32_t load_permille)
 {
     struct rp_member_info *info = &table->self->member.info;
-    if (info->load_permille != load_permille) {
-        info->load_permille = load_permille;
-        info->version++;
-    }
+    info->load_permille = load_permille;
 }
 
 /* Sets the ticket prefix that other entry VMs may hand out for this one. */
@@ -205,7 +208,6 @@
     if (info->state != RP_MEMBER_LEAVING) {
         info->state = RP_MEMBER_LEAVING;
         info->refutation++;
-        info->version++;
         table->self->transmits = 0;
     }
 }
@@ -327,12 +329,23 @@
         return false;
     }
     info->refutation = update->info.refutation + 1;
-    info->version++;
     table->self->transmits = 0;
     rp_member_worsen_health(table, now_ns);
     return true;
 }
 
+/* Returns whether this VM knows of signs of life so much later than those
+ * that an accusation rests on that it need not be believed. */
+static bool
+outdated_accusation(const struct member_entry *entry,
+                    const struct rp_member_update *update, int64_t now_ns)
+{
+    int64_t said_ns = now_ns - (int64_t)update->age_ms * 1000000;
+    return update->info.state >= RP_MEMBER_SUSPECT &&
+           entry->member.info.state < RP_MEMBER_SUSPECT &&
+           said_ns < entry->member.heard_ns - FRESHER_NS;
+}
+
 static bool
 about_same_incarnation(struct rp_member_table *table,
                        struct member_entry *entry,
@@ -340,9 +353,14 @@
 {
     struct rp_member_info *info = &entry->member.info;
     const struct rp_member_info *said = &update->info;
+    /* A death is a suspicion here until the own suspicion time is over. */
+    enum rp_member_state state = MIN(said->state, RP_MEMBER_SUSPECT);
     bool news = false;
+    if (outdated_accusation(entry, update, now_ns)) {
+        return false;
+    }
     if (said->refutation > info->refutation ||
-        (said->refutation == info->refutation && said->state > info->state))
+        (said->refutation == info->refutation && state > info->state))
     {
         if (said->refutation > info->refutation) {
             /* A suspicion after a refutation is a new one. */
@@ -351,11 +369,11 @@
         }
         info->refutation = said->refutation;
         entry->transmits = 0;
-        rp_member_entry_set_state(table, entry, said->state, now_ns);
+        rp_member_entry_set_state(table, entry, state, now_ns);
         news = true;
     }
-    if (said->refutation == info->refutation &&
-        said->state == RP_MEMBER_SUSPECT && info->state == RP_MEMBER_SUSPECT)
+    if (said->refutation == info->refutation && state == RP_MEMBER_SUSPECT &&
+        info->state == RP_MEMBER_SUSPECT)
     {
         rp_member_entry_accuse(entry, update->accuser_hash);
     }
@@ -378,17 +396,18 @@
 {
     struct rp_member *member = &entry->member;
     int64_t said_ns = now_ns - (int64_t)update->age_ms * 1000000;
-    if (update->info.version < member->info.version) {
-        return false;
+    if (said_ns > member->heard_ns) {
+        member->heard_ns = said_ns;
+        member->info.load_permille = update->info.load_permille;
     }
-    member->heard_ns = MAX(member->heard_ns, said_ns);
-    if (update->info.version == member->info.version) {
+    if (!update->has_profile || update->info.version <= member->info.version) {
         return false;
     }
     bool news = !same_profile(&member->info, &update->info);
     struct rp_member_info info = update->info;
     info.state = member->info.state;
     info.refutation = member->info.refutation;
+    info.load_permille = member->info.load_permille;
     member->info = info;
     member->ticket_expires_ns = now_ns + (int64_t)update->ticket_ms * 1000000;
     return news;
@@ -399,7 +418,9 @@
            const struct rp_member_update *update, int64_t now_ns)
 {
     /* A member that is dead and not known here needs no memory. */
-    if (update->info.state == RP_MEMBER_DEAD || !make_room(table)) {
+    if (!update->has_profile || update->info.state == RP_MEMBER_DEAD ||
+        !make_room(table))
+    {
         return false;
     }
     struct member_entry *entry = add_entry(table, &update->info, now_ns);
@@ -437,8 +458,9 @@
     entry->accuser_count = 0;
     entry->probing = false;
     entry->probe_wanted = false;
-    rp_member_entry_set_state(table, entry, update->info.state, now_ns);
-    if (update->info.state == RP_MEMBER_SUSPECT) {
+    rp_member_entry_set_state(
+        table, entry, MIN(update->info.state, RP_MEMBER_SUSPECT), now_ns);
+    if (update->info.state >= RP_MEMBER_SUSPECT) {
         rp_member_entry_accuse(entry, update->accuser_hash);
     }
     entry->patience = 1; /* a new process has no history */
@@ -466,6 +488,9 @@
         return false;
     }
     if (update->info.incarnation > known) {
+        if (!update->has_profile) {
+            return false;
+        }
         start_incarnation(table, entry, update, now_ns);
         return true;
     }
@@ -557,17 +582,20 @@
 
 /* Prepares the updates for one message to a member: first this entry VM
  * itself, then the receiver if it must refute something, then what is new,
- * then the rest in turn. to_id may be "" when it is not known. */
+ * then the rest in turn. to_id may be "" when it is not known; full asks for
+ * the profile of each. */
 void
-rp_member_begin_updates(struct rp_member_table *table, const char *to_id)
+rp_member_begin_updates(struct rp_member_table *table, const char *to_id,
+                        bool full)
 {
-    uint32_t limit =
+    table->transmit_limit =
         TRANSMIT_FACTOR * MAX(1, rp_neighbor_degree(table->entries->len));
+    table->outgoing_full = full;
     g_ptr_array_set_size(table->outgoing, 0);
     for (guint i = 0; i < table->entries->len; i++) {
         struct member_entry *entry = g_ptr_array_index(table->entries, i);
         /* All that is past the limit is in one class, sent in turn. */
-        entry->transmits = MIN(entry->transmits, limit);
+        entry->transmits = MIN(entry->transmits, table->transmit_limit);
         if (entry != table->self) {
             g_ptr_array_add(table->outgoing, entry);
         }
@@ -609,6 +637,9 @@
             member->heard_ns = now_ns;
         }
         update->info = member->info;
+        update->has_profile =
+            table->outgoing_full || entry->transmits < table->transmit_limit ||
+            g_rand_int_range(table->random, 0, PROFILE_EVERY) == 0;
         update->age_ms = clamp_ms(now_ns - member->heard_ns);
         update->ticket_ms = clamp_ms(member->ticket_expires_ns - now_ns);
         update->accuser_hash =
--- a/src/member.h
+++ b/src/member.h
@@ -50,9 +50,11 @@
     enum rp_member_phase phase;
 };
 
-/* A statement about a member as it travels. */
+/* A statement about a member as it travels. Without a profile, only id,
+ * incarnation, refutation, state, version and load are given. */
 struct rp_member_update {
     struct rp_member_info info;
+    bool has_profile;
     uint32_t age_ms;       /* since the member itself said this */
     uint32_t ticket_ms;    /* remaining time of the ticket prefix */
     uint32_t accuser_hash; /* with SUSPECT: who did not hear the member */
@@ -152,7 +154,8 @@
                              uint32_t limit);
 bool rp_member_next_contact(struct rp_member_table *table,
                             char address[RP_ADDRESS_BYTES]);
-void rp_member_begin_updates(struct rp_member_table *table, const char *to_id);
+void rp_member_begin_updates(struct rp_member_table *table, const char *to_id,
+                             bool full);
 bool rp_member_next_update(struct rp_member_table *table, int64_t now_ns,
                            struct rp_member_update *update);
 
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -45,6 +45,8 @@
     GArray *changes;     /* of struct rp_member_change */
     GPtrArray *outgoing; /* entries chosen for the message being filled */
     uint32_t outgoing_next;
+    bool outgoing_full;
+    uint32_t transmit_limit;
     uint64_t next_sent_serial;
     uint32_t local_health;  /* Lifeguard's multiplier, 0 is healthy */
     int64_t health_ns;      /* last change of it */
--- /dev/null
+++ b/src/peer_message.c
@@ -0,0 +1,600 @@
+#include "peer_message.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#include "error.h"
+#include "msgpack_check.h"
+#include "wire.h"
+
+/* Numbers of one update or hint take at most this much. */
+#define UPDATE_NUMBER_BYTES 48
+#define HINT_NUMBER_BYTES 32
+
+/* A greater refutation would leave the member no greater one to answer
+ * with. */
+#define MAX_REFUTATION (UINT32_MAX / 2)
+#define MAX_AGE_MS ((uint32_t)INT32_MAX)
+
+/* Returns an upper bound of the encoded size of an update. */
+uint32_t
+rp_peer_update_bytes(const struct rp_member_update *update)
+{
+    size_t bytes = UPDATE_NUMBER_BYTES + strlen(update->info.id);
+    if (update->has_profile) {
+        bytes += strlen(update->info.domain) + strlen(update->info.address) +
+                 strlen(update->info.peer_address) +
+                 strlen(update->info.ticket_prefix);
+    }
+    return (uint32_t)bytes;
+}
+
+/* Returns an upper bound of the encoded size of a hint. */
+uint32_t
+rp_peer_hint_bytes(const struct rp_peer_hint *hint)
+{
+    return (uint32_t)(HINT_NUMBER_BYTES + strlen(hint->service) +
+                      strlen(hint->address));
+}
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t bytes = strlen(text);
+    msgpack_pack_str(packer, bytes);
+    msgpack_pack_str_body(packer, text, bytes);
+}
+
+static void
+pack_bool(msgpack_packer *packer, bool value)
+{
+    if (value) {
+        msgpack_pack_true(packer);
+    }
+    else {
+        msgpack_pack_false(packer);
+    }
+}
+
+static void
+pack_update(msgpack_packer *packer, const struct rp_member_update *update)
+{
+    const struct rp_member_info *info = &update->info;
+    msgpack_pack_array(packer, update->has_profile ? 14 : 8);
+    pack_text(packer, info->id);
+    msgpack_pack_uint64(packer, info->incarnation);
+    msgpack_pack_uint32(packer, info->refutation);
+    msgpack_pack_uint32(packer, (uint32_t)info->state);
+    msgpack_pack_uint32(packer, update->accuser_hash);
+    msgpack_pack_uint32(packer, info->version);
+    msgpack_pack_uint32(packer, info->load_permille);
+    msgpack_pack_uint32(packer, update->age_ms);
+    if (update->has_profile) {
+        msgpack_pack_uint32(packer, (uint32_t)info->phase);
+        pack_text(packer, info->domain);
+        pack_text(packer, info->address);
+        pack_text(packer, info->peer_address);
+        pack_text(packer, info->ticket_prefix);
+        msgpack_pack_uint32(packer, update->ticket_ms);
+    }
+}
+
+static void
+pack_hint(msgpack_packer *packer, const struct rp_peer_hint *hint)
+{
+    msgpack_pack_array(packer, hint->has_load ? 9 : 4);
+    pack_text(packer, hint->service);
+    pack_text(packer, hint->address);
+    msgpack_pack_uint32(packer, (uint32_t)hint->kind);
+    msgpack_pack_uint32(packer, hint->age_ms);
+    if (hint->has_load) {
+        msgpack_pack_uint32(packer, hint->load.in_flight);
+        msgpack_pack_uint32(packer, hint->load.slots);
+        msgpack_pack_uint32(packer, hint->load.queued);
+        msgpack_pack_uint32(packer, hint->load.service_us);
+        msgpack_pack_uint32(packer, (uint32_t)hint->load.state);
+    }
+}
+
+static void
+pack_heartbeat(msgpack_packer *packer,
+               const struct rp_peer_heartbeat *heartbeat)
+{
+    const struct rp_peer_config *config = &heartbeat->config;
+    pack_text(packer, "answer");
+    pack_bool(packer, heartbeat->is_answer);
+    pack_text(packer, "config");
+    msgpack_pack_array(packer, 3);
+    msgpack_pack_uint64(packer, config->digest);
+    msgpack_pack_uint64(packer, config->revision);
+    if (config->has_platform_age) {
+        msgpack_pack_uint32(packer, config->platform_age_ms);
+    }
+    else {
+        msgpack_pack_nil(packer);
+    }
+    pack_text(packer, "digest");
+    msgpack_pack_uint64(packer, heartbeat->member_digest);
+    pack_text(packer, "members");
+    msgpack_pack_array(packer, heartbeat->update_count);
+    for (uint32_t i = 0; i < heartbeat->update_count; i++) {
+        pack_update(packer, &heartbeat->updates[i]);
+    }
+    pack_text(packer, "hints");
+    msgpack_pack_array(packer, heartbeat->hint_count);
+    for (uint32_t i = 0; i < heartbeat->hint_count; i++) {
+        pack_hint(packer, &heartbeat->hints[i]);
+    }
+}
+
+static void
+pack_want(msgpack_packer *packer, const struct rp_peer_want *want)
+{
+    pack_text(packer, "reply_to");
+    pack_text(packer, want->reply_to);
+    pack_text(packer, "buckets");
+    msgpack_pack_array(packer, RP_RECORD_SET_BUCKETS);
+    for (int i = 0; i < RP_RECORD_SET_BUCKETS; i++) {
+        msgpack_pack_uint64(packer, want->bucket_digests[i]);
+    }
+}
+
+static void
+pack_probe(msgpack_packer *packer, const struct rp_peer_probe *probe)
+{
+    pack_text(packer, "subject");
+    pack_text(packer, probe->subject);
+    pack_text(packer, "address");
+    pack_text(packer, probe->subject_address);
+    pack_text(packer, "reply_to");
+    pack_text(packer, probe->reply_to);
+    pack_text(packer, "origin");
+    pack_text(packer, probe->origin);
+}
+
+static void
+pack_ack(msgpack_packer *packer, const struct rp_peer_ack *ack)
+{
+    pack_text(packer, "subject");
+    pack_text(packer, ack->subject);
+    pack_text(packer, "origin");
+    pack_text(packer, ack->origin);
+    pack_text(packer, "incarnation");
+    msgpack_pack_uint64(packer, ack->incarnation);
+    pack_text(packer, "reached");
+    pack_bool(packer, ack->reached);
+}
+
+static uint32_t
+body_fields(uint32_t kind)
+{
+    switch (kind) {
+    case RP_PEER_HEARTBEAT:
+        return 5;
+    case RP_PEER_CONFIG_WANT:
+        return 2;
+    case RP_PEER_CONFIG_RECORDS:
+        return 1;
+    case RP_PEER_SUSPECT_PROBE:
+    case RP_PEER_SUSPECT_ACK:
+        return 4;
+    default:
+        return 0;
+    }
+}
+
+static void
+pack_body(msgpack_packer *packer, const struct rp_peer_message *message)
+{
+    switch (message->kind) {
+    case RP_PEER_HEARTBEAT:
+        pack_heartbeat(packer, &message->body.heartbeat);
+        break;
+    case RP_PEER_CONFIG_WANT:
+        pack_want(packer, &message->body.want);
+        break;
+    case RP_PEER_CONFIG_RECORDS:
+        pack_text(packer, "batch");
+        msgpack_pack_bin(packer, message->body.records.byte_count);
+        msgpack_pack_bin_body(packer, message->body.records.bytes,
+                              message->body.records.byte_count);
+        break;
+    case RP_PEER_SUSPECT_PROBE:
+        pack_probe(packer, &message->body.probe);
+        break;
+    case RP_PEER_SUSPECT_ACK:
+        pack_ack(packer, &message->body.ack);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Returns the message as a MessagePack map; the caller unrefs the bytes. */
+GBytes *
+rp_peer_message_encode(const struct rp_peer_message *message)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_map(&packer, 5 + body_fields(message->kind));
+    pack_text(&packer, "v");
+    msgpack_pack_uint32(&packer, message->version);
+    pack_text(&packer, "kind");
+    msgpack_pack_uint32(&packer, message->kind);
+    pack_text(&packer, "from");
+    msgpack_pack_map(&packer, 2);
+    pack_text(&packer, "id");
+    pack_text(&packer, message->from);
+    pack_text(&packer, "incarnation");
+    msgpack_pack_uint64(&packer, message->incarnation);
+    pack_text(&packer, "seq");
+    msgpack_pack_uint64(&packer, message->seq);
+    pack_text(&packer, "hlc");
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int64(&packer, message->hlc.wall_ms);
+    msgpack_pack_uint32(&packer, message->hlc.count);
+    pack_body(&packer, message);
+    GBytes *bytes = g_bytes_new(buffer.data, buffer.size);
+    msgpack_sbuffer_destroy(&buffer);
+    return bytes;
+}
+
+/* The reading functions below return false when a field is missing or out of
+ * its bounds. Elements and fields that they do not know are passed over. */
+
+static const msgpack_object *
+find_field(const msgpack_object *map, const char *name)
+{
+    size_t bytes = strlen(name);
+    for (uint32_t i = 0; i < map->via.map.size; i++) {
+        const msgpack_object *key = &map->via.map.ptr[i].key;
+        if (key->type == MSGPACK_OBJECT_STR && key->via.str.size == bytes &&
+            memcmp(key->via.str.ptr, name, bytes) == 0)
+        {
+            return &map->via.map.ptr[i].val;
+        }
+    }
+    return NULL;
+}
+
+static bool
+read_u64(const msgpack_object *object, uint64_t *value)
+{
+    if (object == NULL || object->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return false;
+    }
+    *value = object->via.u64;
+    return true;
+}
+
+static bool
+read_u32(const msgpack_object *object, uint32_t limit, uint32_t *value)
+{
+    uint64_t wide;
+    if (!read_u64(object, &wide) || wide > limit) {
+        return false;
+    }
+    *value = (uint32_t)wide;
+    return true;
+}
+
+static bool
+read_bool(const msgpack_object *object, bool *value)
+{
+    if (object == NULL || object->type != MSGPACK_OBJECT_BOOLEAN) {
+        return false;
+    }
+    *value = object->via.boolean;
+    return true;
+}
+
+/* Only printable ASCII: these texts go into logs, address answers and the
+ * time line. */
+static bool
+read_text(const msgpack_object *object, char *text, size_t text_bytes)
+{
+    if (object == NULL || object->type != MSGPACK_OBJECT_STR ||
+        object->via.str.size >= text_bytes)
+    {
+        return false;
+    }
+    for (uint32_t i = 0; i < object->via.str.size; i++) {
+        if (!g_ascii_isprint(object->via.str.ptr[i])) {
+            return false;
+        }
+    }
+    memcpy(text, object->via.str.ptr, object->via.str.size);
+    text[object->via.str.size] = '\0';
+    return true;
+}
+
+static bool
+read_id(const msgpack_object *object, char id[RP_ID_BYTES])
+{
+    return read_text(object, id, RP_ID_BYTES) && id[0] != '\0';
+}
+
+static bool
+read_array(const msgpack_object *object, uint32_t least, uint32_t most)
+{
+    return object != NULL && object->type == MSGPACK_OBJECT_ARRAY &&
+           object->via.array.size >= least && object->via.array.size <= most;
+}
+
+static bool
+read_profile(const msgpack_object *fields, struct rp_member_update *update)
+{
+    struct rp_member_info *info = &update->info;
+    uint32_t phase;
+    if (!read_u32(&fields[0], RP_PHASE_COUNT - 1, &phase) ||
+        !read_text(&fields[1], info->domain, sizeof(info->domain)) ||
+        !read_text(&fields[2], info->address, sizeof(info->address)) ||
+        !read_text(&fields[3], info->peer_address,
+                   sizeof(info->peer_address)) ||
+        !read_text(&fields[4], info->ticket_prefix,
+                   sizeof(info->ticket_prefix)) ||
+        !read_u32(&fields[5], MAX_AGE_MS, &update->ticket_ms))
+    {
+        return false;
+    }
+    info->phase = (enum rp_member_phase)phase;
+    update->has_profile = true;
+    return true;
+}
+
+static bool
+read_update(const msgpack_object *object, struct rp_member_update *update)
+{
+    struct rp_member_info *info = &update->info;
+    uint32_t state;
+    memset(update, 0, sizeof(*update));
+    if (!read_array(object, 8, 32)) {
+        return false;
+    }
+    const msgpack_object *fields = object->via.array.ptr;
+    if (!read_id(&fields[0], info->id) ||
+        !read_u64(&fields[1], &info->incarnation) ||
+        !read_u32(&fields[2], MAX_REFUTATION, &info->refutation) ||
+        !read_u32(&fields[3], RP_MEMBER_STATE_COUNT - 1, &state) ||
+        !read_u32(&fields[4], UINT32_MAX, &update->accuser_hash) ||
+        !read_u32(&fields[5], UINT32_MAX, &info->version) ||
+        !read_u32(&fields[6], UINT32_MAX, &info->load_permille) ||
+        !read_u32(&fields[7], MAX_AGE_MS, &update->age_ms))
+    {
+        return false;
+    }
+    info->state = (enum rp_member_state)state;
+    return object->via.array.size < 14 || read_profile(&fields[8], update);
+}
+
+static bool
+read_load(const msgpack_object *fields, struct rp_load_report *load)
+{
+    uint32_t state;
+    if (!read_u32(&fields[0], INT32_MAX, &load->in_flight) ||
+        !read_u32(&fields[1], INT32_MAX, &load->slots) ||
+        !read_u32(&fields[2], INT32_MAX, &load->queued) ||
+        !read_u32(&fields[3], INT32_MAX, &load->service_us) ||
+        !read_u32(&fields[4], RP_TARGET_DRAINING, &state))
+    {
+        return false;
+    }
+    load->state = (enum rp_target_state)state;
+    return true;
+}
+
+static bool
+read_hint(const msgpack_object *object, struct rp_peer_hint *hint)
+{
+    uint32_t kind;
+    memset(hint, 0, sizeof(*hint));
+    if (!read_array(object, 4, 32)) {
+        return false;
+    }
+    const msgpack_object *fields = object->via.array.ptr;
+    if (!read_text(&fields[0], hint->service, sizeof(hint->service)) ||
+        !read_text(&fields[1], hint->address, sizeof(hint->address)) ||
+        !read_u32(&fields[2], RP_HINT_KIND_COUNT - 1, &kind) ||
+        !read_u32(&fields[3], MAX_AGE_MS, &hint->age_ms))
+    {
+        return false;
+    }
+    hint->kind = (enum rp_hint_kind)kind;
+    hint->has_load = object->via.array.size >= 9;
+    return !hint->has_load || read_load(&fields[4], &hint->load);
+}
+
+static bool
+read_config(const msgpack_object *object, struct rp_peer_config *config)
+{
+    if (!read_array(object, 3, 32)) {
+        return false;
+    }
+    const msgpack_object *fields = object->via.array.ptr;
+    config->has_platform_age = fields[2].type != MSGPACK_OBJECT_NIL;
+    return read_u64(&fields[0], &config->digest) &&
+           read_u64(&fields[1], &config->revision) &&
+           (!config->has_platform_age ||
+            read_u32(&fields[2], MAX_AGE_MS, &config->platform_age_ms));
+}
+
+static bool
+read_heartbeat(const msgpack_object *map, struct rp_peer_heartbeat *heartbeat)
+{
+    const msgpack_object *members = find_field(map, "members");
+    const msgpack_object *hints = find_field(map, "hints");
+    if (!read_bool(find_field(map, "answer"), &heartbeat->is_answer) ||
+        !read_config(find_field(map, "config"), &heartbeat->config) ||
+        !read_u64(find_field(map, "digest"), &heartbeat->member_digest) ||
+        !read_array(members, 1, RP_PEER_UPDATES) ||
+        !read_array(hints, 0, RP_PEER_HINTS))
+    {
+        return false;
+    }
+    heartbeat->update_count = members->via.array.size;
+    for (uint32_t i = 0; i < heartbeat->update_count; i++) {
+        if (!read_update(&members->via.array.ptr[i], &heartbeat->updates[i])) {
+            return false;
+        }
+    }
+    heartbeat->hint_count = hints->via.array.size;
+    for (uint32_t i = 0; i < heartbeat->hint_count; i++) {
+        if (!read_hint(&hints->via.array.ptr[i], &heartbeat->hints[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_want(const msgpack_object *map, struct rp_peer_want *want)
+{
+    const msgpack_object *buckets = find_field(map, "buckets");
+    if (!read_text(find_field(map, "reply_to"), want->reply_to,
+                   sizeof(want->reply_to)) ||
+        !read_array(buckets, RP_RECORD_SET_BUCKETS, RP_RECORD_SET_BUCKETS))
+    {
+        return false;
+    }
+    for (uint32_t i = 0; i < RP_RECORD_SET_BUCKETS; i++) {
+        if (!read_u64(&buckets->via.array.ptr[i], &want->bucket_digests[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_records(const msgpack_object *map, struct rp_peer_batch *records)
+{
+    const msgpack_object *batch = find_field(map, "batch");
+    if (batch == NULL || batch->type != MSGPACK_OBJECT_BIN) {
+        return false;
+    }
+    records->bytes = (const uint8_t *)batch->via.bin.ptr;
+    records->byte_count = batch->via.bin.size;
+    return true;
+}
+
+static bool
+read_probe(const msgpack_object *map, struct rp_peer_probe *probe)
+{
+    return read_id(find_field(map, "subject"), probe->subject) &&
+           read_text(find_field(map, "address"), probe->subject_address,
+                     sizeof(probe->subject_address)) &&
+           read_text(find_field(map, "reply_to"), probe->reply_to,
+                     sizeof(probe->reply_to)) &&
+           read_text(find_field(map, "origin"), probe->origin,
+                     sizeof(probe->origin));
+}
+
+static bool
+read_ack(const msgpack_object *map, struct rp_peer_ack *ack)
+{
+    return read_id(find_field(map, "subject"), ack->subject) &&
+           read_text(find_field(map, "origin"), ack->origin,
+                     sizeof(ack->origin)) &&
+           read_u64(find_field(map, "incarnation"), &ack->incarnation) &&
+           read_bool(find_field(map, "reached"), &ack->reached);
+}
+
+static bool
+read_hlc(const msgpack_object *object, struct rp_hlc *hlc)
+{
+    if (!read_array(object, 2, 32)) {
+        return false;
+    }
+    const msgpack_object *fields = object->via.array.ptr;
+    uint64_t wall_ms;
+    if (!read_u64(&fields[0], &wall_ms) || wall_ms > INT64_MAX / 2 ||
+        !read_u32(&fields[1], UINT32_MAX / 2, &hlc->count))
+    {
+        return false;
+    }
+    hlc->wall_ms = (int64_t)wall_ms;
+    return true;
+}
+
+static bool
+read_envelope(const msgpack_object *map, struct rp_peer_message *message)
+{
+    const msgpack_object *from;
+    if (map->type != MSGPACK_OBJECT_MAP ||
+        !read_u32(find_field(map, "v"), UINT32_MAX, &message->version) ||
+        !read_u32(find_field(map, "kind"), UINT32_MAX, &message->kind))
+    {
+        return false;
+    }
+    if (!rp_peer_message_known(message)) {
+        return true; /* the rest may have any form */
+    }
+    from = find_field(map, "from");
+    return from != NULL && from->type == MSGPACK_OBJECT_MAP &&
+           read_id(find_field(from, "id"), message->from) &&
+           read_u64(find_field(from, "incarnation"), &message->incarnation) &&
+           read_u64(find_field(map, "seq"), &message->seq) &&
+           read_hlc(find_field(map, "hlc"), &message->hlc);
+}
+
+static bool
+read_body(const msgpack_object *map, struct rp_peer_message *message)
+{
+    switch (message->kind) {
+    case RP_PEER_HEARTBEAT:
+        return read_heartbeat(map, &message->body.heartbeat);
+    case RP_PEER_CONFIG_WANT:
+        return read_want(map, &message->body.want);
+    case RP_PEER_CONFIG_RECORDS:
+        return read_records(map, &message->body.records);
+    case RP_PEER_SUSPECT_PROBE:
+        return read_probe(map, &message->body.probe);
+    case RP_PEER_SUSPECT_ACK:
+        return read_ack(map, &message->body.ack);
+    default:
+        return true;
+    }
+}
+
+/* Returns whether this release knows the message's version and kind; others
+ * are counted and passed over. */
+bool
+rp_peer_message_known(const struct rp_peer_message *message)
+{
+    return message->version == RP_PEER_VERSION &&
+           message->kind >= RP_PEER_HEARTBEAT &&
+           message->kind <= RP_PEER_SUSPECT_ACK;
+}
+
+/* Decodes a message. Unknown fields and elements are passed over; of an
+ * unknown version or kind only these two are read. Returns false with
+ * RP_ERROR_MESSAGE set when it is malformed or over its bounds; message then
+ * holds nothing of use. */
+bool
+rp_peer_message_decode(const void *bytes, size_t byte_count,
+                       struct rp_peer_message *message, GError **error)
+{
+    bool valid = false;
+    message->version = 0;
+    message->kind = 0;
+    if (byte_count <= RP_WIRE_MAX_BYTES && rp_msgpack_check(bytes, byte_count))
+    {
+        msgpack_unpacked unpacked;
+        msgpack_unpacked_init(&unpacked);
+        valid = msgpack_unpack_next(&unpacked, bytes, byte_count, NULL) ==
+                    MSGPACK_UNPACK_SUCCESS &&
+                read_envelope(&unpacked.data, message) &&
+                (!rp_peer_message_known(message) ||
+                 read_body(&unpacked.data, message));
+        msgpack_unpacked_destroy(&unpacked);
+    }
+    if (!valid) {
+        g_set_error(error, RP_ERROR, RP_ERROR_MESSAGE,
+                    "%zu bytes from a peer are no message of version %d; "
+                    "check what else connects to the peer port and which "
+                    "release the peer runs",
+                    byte_count, RP_PEER_VERSION);
+    }
+    return valid;
+}
--- a/src/wire.h
+++ b/src/wire.h
@@ -26,17 +26,16 @@
     GBytes *payload;
 };
 
-/* CURVE keys are Z85 text of 40 characters. All three are given, or none:
- * then the sockets are plain, and a warning is logged at the start. */
+/* CURVE keys are Z85 text of 40 characters. The fleet shares one pair, which
+ * is the server's and the client's at once, since a client must know the
+ * server's public key. Without keys the sockets are plain, and a warning is
+ * logged at the start. */
 struct rp_wire_settings {
     const char *bind_address; /* "ip:port" */
     const char *public_key;   /* own pair; NULL for plain */
     const char *secret_key;
-    const char *const *allowed_keys; /* public keys, own one included */
+    const char *const *allowed_keys; /* public keys besides the own one */
     uint32_t allowed_key_count;
-    /* Public key that other processes prove when they are connected to; NULL
-     * when the whole fleet shares the own pair. */
-    const char *server_key;
 };
 
 struct rp_wire;
