--- /dev/null
+++ b/src/gossip.c
@@ -0,0 +1,660 @@
+#include "gossip.h"
+
+#include <string.h>
+
+#include "error.h"
+#include "gossip_internal.h"
+#include "msgpack_check.h"
+#include "record_batch.h"
+#include "status.h"
+#include "wire.h"
+
+#define TIMER_TICK 0
+
+/* One contact in four heartbeat intervals is tried with an address that may
+ * belong to a member that is not known; a member that knows nobody tries in
+ * each interval. */
+#define CONTACT_TICKS 4
+#define FORGET_TICKS 120
+
+/* Heartbeats answered to one peer, and requests for records, are spaced by
+ * this, so that a difference that takes time to settle costs little. */
+#define ANSWER_NS RP_MEMBER_HEARTBEAT_NS
+#define WANT_NS INT64_C(1000000000)
+
+#define QUIET_NS (2 * RP_MEMBER_HEARTBEAT_NS)
+#define OFFSET_PERIOD_NS INT64_C(60000000000)
+#define DELAY_MAX_MS 60000
+#define MALFORMED_EVENT_NS INT64_C(10000000000)
+
+static const char *const view_readers[] = {"entry", "dispatch", "config",
+                                           "prober", "admin"};
+
+/* Releases the reference in a body that begins with a batch. */
+void
+rp_gossip_batch_release(void *body)
+{
+    struct rp_record_batch **batch = body;
+    rp_record_batch_unref(*batch);
+}
+
+static void
+publish_members(struct rp_gossip *gossip)
+{
+    struct rp_member_view *view = rp_member_view_new(gossip->members);
+    for (guint i = 0; i < G_N_ELEMENTS(view_readers); i++) {
+        struct rp_member_message message = {rp_member_view_ref(view)};
+        if (!rp_task_send_owned(
+                gossip->task,
+                rp_kernel_find_task(gossip->kernel, view_readers[i]),
+                RP_MSG_MEMBERS, &message, sizeof(message),
+                rp_member_message_release))
+        {
+            rp_member_message_release(&message);
+        }
+    }
+    rp_member_view_unref(view);
+}
+
+static enum rp_event_kind
+change_event(const struct rp_member_change *change)
+{
+    switch (change->state) {
+    case RP_MEMBER_LEAVING:
+        return RP_EVENT_MEMBER_LEAVING;
+    case RP_MEMBER_SUSPECT:
+        return RP_EVENT_MEMBER_SUSPECT;
+    case RP_MEMBER_DEAD:
+        return RP_EVENT_MEMBER_DEAD;
+    default:
+        return change->is_new ? RP_EVENT_MEMBER_JOINED : RP_EVENT_MEMBER_ALIVE;
+    }
+}
+
+/* Reports what changed to the time line and to the readers of the view. */
+static bool
+report_changes(struct rp_gossip *gossip, int64_t now_ns)
+{
+    struct rp_member_change change;
+    bool changed = false;
+    while (rp_member_next_change(gossip->members, &change)) {
+        struct rp_event *event = rp_event_add(
+            gossip->context->events, change_event(&change), now_ns, change.id);
+        event->value = (int64_t)change.incarnation;
+        rp_event_set_detail(event, "%s, incarnation %" G_GUINT64_FORMAT,
+                            rp_member_state_name(change.state),
+                            change.incarnation);
+        changed = true;
+    }
+    return changed;
+}
+
+static void
+set_gauges(struct rp_gossip *gossip)
+{
+    struct rp_counters *counters = &gossip->context->counters;
+    const struct rp_member_table *members = gossip->members;
+    rp_counter_set(counters, RP_COUNTER_MEMBERS_ALIVE,
+                   rp_member_count(members, RP_MEMBER_ALIVE));
+    rp_counter_set(counters, RP_COUNTER_MEMBERS_LEAVING,
+                   rp_member_count(members, RP_MEMBER_LEAVING));
+    rp_counter_set(counters, RP_COUNTER_MEMBERS_SUSPECT,
+                   rp_member_count(members, RP_MEMBER_SUSPECT));
+    rp_counter_set(counters, RP_COUNTER_MEMBERS_DEAD,
+                   rp_member_count(members, RP_MEMBER_DEAD));
+    rp_counter_set(counters, RP_COUNTER_LOCAL_HEALTH,
+                   rp_member_local_health(members));
+    rp_counter_set(counters, RP_COUNTER_HINTS_POOLED,
+                   rp_hint_pool_count(gossip->hints));
+}
+
+static gboolean
+peer_is_forgotten(gpointer key, gpointer value, gpointer data)
+{
+    (void)value;
+    struct rp_gossip *gossip = data;
+    return rp_member_find(gossip->members, key) == NULL;
+}
+
+static void
+on_tick(struct rp_gossip *gossip, int64_t now_ns)
+{
+    char address[RP_ADDRESS_BYTES];
+    gossip->ticks++;
+    rp_member_tick(gossip->members, now_ns);
+    rp_gossip_send_heartbeats(gossip, now_ns);
+    rp_gossip_send_probes(gossip, now_ns);
+    bool alone = rp_member_count(gossip->members, RP_MEMBER_ALIVE) < 2;
+    if ((alone || gossip->ticks % CONTACT_TICKS == 0) &&
+        rp_member_next_contact(gossip->members, address))
+    {
+        rp_gossip_send_heartbeat(gossip, "", address, false, true, now_ns);
+    }
+    if (gossip->ticks % FORGET_TICKS == 0) {
+        g_hash_table_foreach_remove(gossip->peers, peer_is_forgotten, gossip);
+    }
+    report_changes(gossip, now_ns);
+    publish_members(gossip);
+    set_gauges(gossip);
+}
+
+static struct gossip_peer *
+find_peer(struct rp_gossip *gossip, const char *id)
+{
+    struct gossip_peer *peer = g_hash_table_lookup(gossip->peers, id);
+    if (peer != NULL) {
+        return peer;
+    }
+    if (g_hash_table_size(gossip->peers) >= RP_MEMBER_LIMIT) {
+        return NULL;
+    }
+    peer = g_new0(struct gossip_peer, 1);
+    g_strlcpy(peer->id, id, sizeof(peer->id));
+    peer->answered_ns = INT64_MIN / 2;
+    peer->least_offset_ms = INT64_MAX;
+    peer->next_least_offset_ms = INT64_MAX;
+    g_hash_table_insert(gossip->peers, peer->id, peer);
+    return peer;
+}
+
+/* Notes the order of a peer's messages; returns false for one that is older
+ * than another of the same process, or of an earlier process. */
+static bool
+note_order(struct gossip_peer *peer, const struct rp_peer_message *message)
+{
+    if (message->incarnation > peer->incarnation) {
+        peer->incarnation = message->incarnation;
+        peer->seq = 0;
+    }
+    if (message->incarnation < peer->incarnation || message->seq <= peer->seq)
+    {
+        return false;
+    }
+    peer->seq = message->seq;
+    return true;
+}
+
+/* Returns how long a message was under way beyond the quickest one of its
+ * sender, in milliseconds. Clocks are not compared: a constant difference
+ * between them cancels out. */
+static uint32_t
+note_delay(struct gossip_peer *peer, const struct rp_hlc *hlc, int64_t now_ns)
+{
+    int64_t offset_ms = now_ns / 1000000 - hlc->wall_ms;
+    if (now_ns - peer->offset_period_ns > OFFSET_PERIOD_NS) {
+        peer->least_offset_ms = peer->next_least_offset_ms;
+        peer->next_least_offset_ms = INT64_MAX;
+        peer->offset_period_ns = now_ns;
+    }
+    peer->next_least_offset_ms = MIN(peer->next_least_offset_ms, offset_ms);
+    peer->least_offset_ms = MIN(peer->least_offset_ms, offset_ms);
+    return (uint32_t)CLAMP(offset_ms - peer->least_offset_ms, 0, DELAY_MAX_MS);
+}
+
+static void
+apply_updates(struct rp_gossip *gossip, struct rp_peer_heartbeat *heartbeat,
+              uint32_t delay_ms, int64_t now_ns)
+{
+    for (uint32_t i = 0; i < heartbeat->update_count; i++) {
+        struct rp_member_update *update = &heartbeat->updates[i];
+        update->age_ms += delay_ms;
+        update->ticket_ms -= MIN(delay_ms, update->ticket_ms);
+        uint32_t refutation = rp_member_self(gossip->members)->refutation;
+        rp_member_apply(gossip->members, update, now_ns);
+        if (rp_member_self(gossip->members)->refutation != refutation) {
+            rp_counter_add(&gossip->context->counters, RP_COUNTER_REFUTATIONS,
+                           1);
+            rp_event_add(gossip->context->events, RP_EVENT_MEMBER_REFUTED,
+                         now_ns, rp_member_self(gossip->members)->id);
+            rp_gossip_send_heartbeats(gossip, now_ns);
+        }
+    }
+}
+
+static void
+apply_hints(struct rp_gossip *gossip,
+            const struct rp_peer_heartbeat *heartbeat, uint32_t delay_ms,
+            int64_t now_ns)
+{
+    struct rp_task *dispatch = rp_kernel_find_task(gossip->kernel, "dispatch");
+    struct rp_task *prober = rp_kernel_find_task(gossip->kernel, "prober");
+    for (uint32_t i = 0; i < heartbeat->hint_count; i++) {
+        const struct rp_peer_hint *said = &heartbeat->hints[i];
+        int64_t age_ns = ((int64_t)said->age_ms + delay_ms) * 1000000;
+        struct rp_target_hint hint = {
+            .source = RP_HINT_PEER,
+            .kind = said->kind,
+            .has_load = said->has_load,
+            .load = said->load,
+            .seen_ns = now_ns - age_ns,
+        };
+        g_strlcpy(hint.service, said->service, sizeof(hint.service));
+        g_strlcpy(hint.address, said->address, sizeof(hint.address));
+        if (rp_hint_pool_offer(gossip->hints, &hint, now_ns)) {
+            rp_task_send(gossip->task, dispatch, RP_MSG_TARGET_HINT, &hint,
+                         sizeof(hint));
+            rp_task_send(gossip->task, prober, RP_MSG_TARGET_HINT, &hint,
+                         sizeof(hint));
+        }
+    }
+}
+
+static void
+tell_config(struct rp_gossip *gossip, const struct rp_member_info *from,
+            const struct rp_peer_config *config, uint32_t delay_ms,
+            int64_t now_ns)
+{
+    struct rp_peer_state state = {
+        .phase = from->phase,
+        .digest = config->digest,
+        .revision = config->revision,
+        .platform_read_ns = INT64_MIN,
+    };
+    if (config->has_platform_age) {
+        state.platform_read_ns =
+            now_ns - ((int64_t)config->platform_age_ms + delay_ms) * 1000000;
+    }
+    g_strlcpy(state.id, from->id, sizeof(state.id));
+    rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
+                 RP_MSG_PEER_STATE, &state, sizeof(state));
+}
+
+/* Asks for records when the peer seems to have what is missing here. A peer
+ * with an older revision may have such records too, but more likely it is
+ * behind and will ask itself, so it is asked only when the difference
+ * stays. */
+static void
+compare_config(struct rp_gossip *gossip, struct gossip_peer *peer,
+               const char *address, const struct rp_peer_config *config,
+               int64_t now_ns)
+{
+    if (!gossip->has_config || config->digest == gossip->config.digest) {
+        peer->digest_differs = 0;
+        return;
+    }
+    peer->digest_differs++;
+    bool ahead = config->revision > gossip->config.revision ||
+                 gossip->config.phase == RP_PHASE_STARTING;
+    if (now_ns >= gossip->next_want_ns && (ahead || peer->digest_differs > 2))
+    {
+        gossip->next_want_ns = now_ns + WANT_NS;
+        rp_gossip_send_want(gossip, address, now_ns);
+    }
+}
+
+static void
+on_heartbeat(struct rp_gossip *gossip, struct gossip_peer *peer,
+             struct rp_peer_message *message, uint32_t delay_ms,
+             int64_t now_ns)
+{
+    struct rp_peer_heartbeat *heartbeat = &message->body.heartbeat;
+    apply_updates(gossip, heartbeat, delay_ms, now_ns);
+    bool tell = rp_member_hear(gossip->members, message->from,
+                               message->incarnation, now_ns);
+    apply_hints(gossip, heartbeat, delay_ms, now_ns);
+    const struct rp_member_info *from =
+        rp_member_find(gossip->members, message->from);
+    if (from == NULL || from->incarnation != message->incarnation) {
+        return; /* its profile comes with a later heartbeat */
+    }
+    tell_config(gossip, from, &heartbeat->config, delay_ms, now_ns);
+    compare_config(gossip, peer, from->peer_address, &heartbeat->config,
+                   now_ns);
+    bool differs =
+        heartbeat->member_digest != rp_member_digest(gossip->members);
+    if (!heartbeat->is_answer && (tell || differs) &&
+        now_ns - peer->answered_ns >= ANSWER_NS)
+    {
+        peer->answered_ns = now_ns;
+        rp_gossip_send_heartbeat(gossip, from->id, from->peer_address, true,
+                                 true, now_ns);
+    }
+}
+
+static void
+on_records(struct rp_gossip *gossip, const struct rp_peer_message *message,
+           int64_t now_ns)
+{
+    const struct rp_peer_batch *records = &message->body.records;
+    struct rp_peer_records body = {0};
+    if (rp_msgpack_check(records->bytes, records->byte_count)) {
+        body.batch =
+            rp_record_batch_decode(records->bytes, records->byte_count, NULL);
+    }
+    if (body.batch == NULL) {
+        rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_MALFORMED,
+                       1);
+        return;
+    }
+    (void)now_ns;
+    g_strlcpy(body.from, message->from, sizeof(body.from));
+    if (!rp_task_send_owned(
+            gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
+            RP_MSG_PEER_RECORDS, &body, sizeof(body), rp_gossip_batch_release))
+    {
+        rp_gossip_batch_release(&body);
+    }
+}
+
+static void
+on_want(struct rp_gossip *gossip, const struct rp_peer_want *want)
+{
+    struct rp_config_request request;
+    g_strlcpy(request.peer_address, want->reply_to,
+              sizeof(request.peer_address));
+    memcpy(request.bucket_digests, want->bucket_digests,
+           sizeof(request.bucket_digests));
+    rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
+                 RP_MSG_CONFIG_REQUEST, &request, sizeof(request));
+}
+
+static void
+send_ack(struct rp_gossip *gossip, const struct rp_peer_probe *probe,
+         bool reached, int64_t now_ns)
+{
+    struct rp_peer_message message = {.kind = RP_PEER_SUSPECT_ACK};
+    struct rp_peer_ack *ack = &message.body.ack;
+    g_strlcpy(ack->subject, probe->subject, sizeof(ack->subject));
+    g_strlcpy(ack->origin, probe->origin, sizeof(ack->origin));
+    ack->incarnation = rp_member_self(gossip->members)->incarnation;
+    ack->reached = reached;
+    rp_gossip_send(gossip, &message, probe->reply_to, now_ns);
+}
+
+/* Answers a probe of this VM, or passes one of another member on once. */
+static void
+on_probe(struct rp_gossip *gossip, const struct rp_peer_message *received,
+         int64_t now_ns)
+{
+    const struct rp_member_info *self = rp_member_self(gossip->members);
+    const struct rp_peer_probe *probe = &received->body.probe;
+    if (strcmp(probe->subject, self->id) == 0) {
+        send_ack(gossip, probe, true, now_ns);
+        return;
+    }
+    /* Only the origin may ask for this, or a probe could go in circles. */
+    if (strcmp(probe->reply_to, probe->origin) != 0) {
+        return;
+    }
+    send_ack(gossip, probe, false, now_ns);
+    struct rp_peer_message message = {.kind = RP_PEER_SUSPECT_PROBE};
+    message.body.probe = *probe;
+    g_strlcpy(message.body.probe.reply_to, self->peer_address,
+              sizeof(message.body.probe.reply_to));
+    rp_gossip_send(gossip, &message, probe->subject_address, now_ns);
+}
+
+static void
+on_ack(struct rp_gossip *gossip, const struct rp_peer_message *received,
+       int64_t now_ns)
+{
+    const struct rp_member_info *self = rp_member_self(gossip->members);
+    const struct rp_peer_ack *ack = &received->body.ack;
+    if (strcmp(ack->origin, self->peer_address) != 0) {
+        /* Only the subject's own answer is passed on, and only once. */
+        if (ack->reached && strcmp(received->from, ack->subject) == 0) {
+            struct rp_peer_message message = {.kind = RP_PEER_SUSPECT_ACK};
+            message.body.ack = *ack;
+            rp_gossip_send(gossip, &message, ack->origin, now_ns);
+        }
+        return;
+    }
+    if (ack->reached) {
+        rp_member_hear(gossip->members, ack->subject, ack->incarnation,
+                       now_ns);
+    }
+    else {
+        rp_member_helper_answered(gossip->members, ack->subject);
+    }
+}
+
+static void
+dispatch_kind(struct rp_gossip *gossip, struct gossip_peer *peer,
+              struct rp_peer_message *message, int64_t now_ns)
+{
+    uint32_t delay_ms = note_delay(peer, &message->hlc, now_ns);
+    switch (message->kind) {
+    case RP_PEER_HEARTBEAT:
+        on_heartbeat(gossip, peer, message, delay_ms, now_ns);
+        break;
+    case RP_PEER_CONFIG_WANT:
+        on_want(gossip, &message->body.want);
+        break;
+    case RP_PEER_CONFIG_RECORDS:
+        on_records(gossip, message, now_ns);
+        break;
+    case RP_PEER_SUSPECT_PROBE:
+        on_probe(gossip, message, now_ns);
+        break;
+    default:
+        on_ack(gossip, message, now_ns);
+        break;
+    }
+}
+
+/* One event in 10 s, so that a flood of malformed messages does not push the
+ * rest of the time line out of its ring. */
+static void
+note_malformed(struct rp_gossip *gossip, const GError *error, int64_t now_ns)
+{
+    rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_MALFORMED, 1);
+    gossip->malformed_unreported++;
+    if (now_ns < gossip->next_malformed_event_ns) {
+        return;
+    }
+    gossip->next_malformed_event_ns = now_ns + MALFORMED_EVENT_NS;
+    struct rp_event *event = rp_event_add(gossip->context->events,
+                                          RP_EVENT_PEER_MALFORMED, now_ns, "");
+    event->value = (int64_t)gossip->malformed_unreported;
+    rp_event_set_detail(event, "%s", error->message);
+    gossip->malformed_unreported = 0;
+}
+
+static void
+on_received(struct rp_gossip *gossip, GBytes *payload, int64_t now_ns)
+{
+    struct rp_counters *counters = &gossip->context->counters;
+    struct rp_event_ring *events = gossip->context->events;
+    struct rp_peer_message message;
+    GError *error = NULL;
+    gsize byte_count;
+    const void *bytes = g_bytes_get_data(payload, &byte_count);
+    rp_counter_add(counters, RP_COUNTER_PEER_RECEIVED, 1);
+    rp_counter_add(counters, RP_COUNTER_PEER_RECEIVED_BYTES, byte_count);
+    if (!rp_peer_message_decode(bytes, byte_count, &message, &error)) {
+        note_malformed(gossip, error, now_ns);
+        g_error_free(error);
+        return;
+    }
+    if (!rp_peer_message_known(&message)) {
+        rp_counter_add(counters, RP_COUNTER_PEER_UNKNOWN, 1);
+        return;
+    }
+    struct gossip_peer *peer = find_peer(gossip, message.from);
+    bool own = strcmp(message.from, gossip->context->identity.id) == 0;
+    /* Records are joined, so that their order does not matter. */
+    if (peer == NULL || own ||
+        (!note_order(peer, &message) &&
+         message.kind != RP_PEER_CONFIG_RECORDS))
+    {
+        rp_counter_add(counters, RP_COUNTER_PEER_STALE, 1);
+        return;
+    }
+    rp_hlc_merge(rp_event_ring_clock(events), message.hlc,
+                 rp_event_ring_wall_ms(events, now_ns));
+    dispatch_kind(gossip, peer, &message, now_ns);
+    if (report_changes(gossip, now_ns)) {
+        publish_members(gossip);
+    }
+}
+
+static void
+on_self_state(struct rp_gossip *gossip, const struct rp_self_state *state)
+{
+    if (state->flags & RP_SELF_LOAD) {
+        rp_member_set_load(gossip->members, state->load_permille);
+    }
+    if (state->flags & RP_SELF_TICKET) {
+        rp_member_set_ticket(gossip->members, state->ticket_prefix,
+                             state->ticket_expires_ns);
+    }
+}
+
+static void
+on_status(struct rp_gossip *gossip, const struct rp_message *want)
+{
+    struct rp_member_view *view = rp_member_view_new(gossip->members);
+    json_t *members = json_array();
+    for (uint32_t i = 0; i < view->count; i++) {
+        const struct rp_member *member = &view->members[i];
+        json_array_append_new(
+            members,
+            json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:i}", "id",
+                      member->info.id, "domain", member->info.domain,
+                      "address", member->info.address, "state",
+                      rp_member_state_name(member->info.state), "phase",
+                      rp_member_phase_name(member->info.phase), "incarnation",
+                      (json_int_t)member->info.incarnation, "load_permille",
+                      (int)member->info.load_permille));
+    }
+    rp_member_view_unref(view);
+    rp_status_reply(gossip->task, want, "members",
+                    json_pack("{s:i, s:o}", "local_health",
+                              (int)rp_member_local_health(gossip->members),
+                              "members", members));
+}
+
+static void
+on_pause(struct rp_gossip *gossip, const struct rp_pause *pause,
+         int64_t now_ns)
+{
+    gossip->quiet_until_ns = now_ns + QUIET_NS;
+    rp_member_notice_pause(gossip->members, pause->gap_ns, now_ns);
+    rp_gossip_send_probes(gossip, now_ns);
+}
+
+static void
+on_message(struct rp_task *task, const struct rp_message *message,
+           int64_t now_ns, void *data)
+{
+    (void)task;
+    struct rp_gossip *gossip = data;
+    switch (message->kind) {
+    case RP_MSG_WIRE_RECEIVED:
+        on_received(gossip,
+                    ((const struct rp_wire_received *)message->body)->payload,
+                    now_ns);
+        break;
+    case RP_MSG_CONFIG_STATE:
+        gossip->config = *(const struct rp_config_state *)message->body;
+        gossip->has_config = true;
+        rp_member_set_phase(gossip->members, gossip->config.phase);
+        break;
+    case RP_MSG_CONFIG_ACCEPTED:
+        rp_gossip_push(gossip, message->body, now_ns);
+        break;
+    case RP_MSG_CONFIG_ANSWER:
+        rp_gossip_answer_want(gossip, message->body, now_ns);
+        break;
+    case RP_MSG_TARGET_HINT:
+        rp_hint_pool_offer(gossip->hints, message->body, now_ns);
+        break;
+    case RP_MSG_SELF_STATE:
+        on_self_state(gossip, message->body);
+        break;
+    case RP_MSG_PAUSE_NOTICED:
+        on_pause(gossip, message->body, now_ns);
+        break;
+    case RP_MSG_STOP:
+        rp_member_leave(gossip->members);
+        rp_gossip_send_heartbeats(gossip, now_ns);
+        publish_members(gossip);
+        break;
+    case RP_MSG_STATUS_WANT:
+        on_status(gossip, message);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+on_timer(struct rp_task *task, uint32_t timer, int64_t now_ns, void *data)
+{
+    (void)timer;
+    on_tick(data, now_ns);
+    rp_task_set_timer(task, TIMER_TICK, now_ns + RP_MEMBER_HEARTBEAT_NS);
+}
+
+static const struct rp_task_ops gossip_ops = {
+    .on_message = on_message,
+    .on_timer = on_timer,
+};
+
+/* Registers the task named gossip, which owns the membership. It sends and
+ * receives through the task named wire, which must be there already; the
+ * settings are copied. Returns NULL with error set when there are too many
+ * seeds or the task cannot be added. Free it with rp_gossip_free after the
+ * kernel. */
+struct rp_gossip *
+rp_gossip_new(struct rp_kernel *kernel,
+              const struct rp_gossip_settings *settings, int64_t now_ns,
+              GError **error)
+{
+    struct rp_gossip *gossip = g_new0(struct rp_gossip, 1);
+    struct rp_context *context = rp_kernel_context(kernel);
+    gossip->kernel = kernel;
+    gossip->context = context;
+    gossip->wire = rp_kernel_find_task(kernel, "wire");
+    gossip->members =
+        rp_member_table_new(&context->identity, context->random, now_ns);
+    gossip->hints = rp_hint_pool_new();
+    gossip->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    gossip->config.platform_read_ns = INT64_MIN;
+    gossip->next_malformed_event_ns = now_ns;
+    rp_byte_budget_init(&gossip->push_budget, RP_GOSSIP_PUSH_BYTES_PER_S,
+                        RP_GOSSIP_PUSH_BURST_BYTES, now_ns);
+    rp_byte_budget_init(&gossip->repair_budget, RP_GOSSIP_REPAIR_BYTES_PER_S,
+                        RP_GOSSIP_REPAIR_BURST_BYTES, now_ns);
+    gossip->task =
+        rp_kernel_add_task(kernel, "gossip", &gossip_ops, gossip, error);
+    if (gossip->task == NULL) {
+        rp_gossip_free(gossip);
+        return NULL;
+    }
+    for (uint32_t i = 0; i < settings->seed_count; i++) {
+        if (!rp_member_add_seed(gossip->members, settings->seeds[i])) {
+            g_set_error(error, RP_ERROR, RP_ERROR_FULL,
+                        "more than %d peers are given; a few that run all the "
+                        "time are enough",
+                        RP_MEMBER_SEED_LIMIT);
+            return NULL;
+        }
+    }
+    /* Members that start together do not send at the same moment. */
+    int64_t offset_ns =
+        (int64_t)g_rand_int_range(context->random, 0, 500) * 1000000;
+    rp_task_set_timer(gossip->task, TIMER_TICK, now_ns + offset_ns);
+    return gossip;
+}
+
+/* Frees the task's state; NULL is allowed. The kernel must be gone. */
+void
+rp_gossip_free(struct rp_gossip *gossip)
+{
+    if (gossip == NULL) {
+        return;
+    }
+    rp_member_table_free(gossip->members);
+    rp_hint_pool_free(gossip->hints);
+    g_hash_table_unref(gossip->peers);
+    g_free(gossip);
+}
+
+/* Returns the membership for reading. */
+const struct rp_member_table *
+rp_gossip_members(const struct rp_gossip *gossip)
+{
+    return gossip->members;
+}
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -80,13 +80,20 @@
 struct rp_gossip_settings {
     const char *const *seeds; /* peer addresses, "ip:port" */
     uint32_t seed_count;
-    uint32_t bytes_per_s; /* 0 for the default, RP_GOSSIP_BYTES_PER_S */
-    uint32_t burst_bytes; /* 0 for the default, RP_GOSSIP_BURST_BYTES */
 };
 
-/* Sent bytes: heartbeats have their share, the rest is for records. */
+/* Bytes a second that a member sends. Each byte sent is received by another
+ * member, so that both directions together keep to 13,000. */
 #define RP_GOSSIP_BYTES_PER_S 6500u
-#define RP_GOSSIP_BURST_BYTES 262144u
+#define RP_GOSSIP_HEARTBEAT_BYTES_PER_S 4500u
+#define RP_GOSSIP_PUSH_BYTES_PER_S 1000u
+#define RP_GOSSIP_REPAIR_BYTES_PER_S 1000u
+/* Records beyond that: one change pushed to all neighbours, and the whole
+ * configuration for a booting VM. */
+#define RP_GOSSIP_PUSH_BURST_BYTES 65536u
+#define RP_GOSSIP_REPAIR_BURST_BYTES 262144u
+/* Larger batches are not pushed but announced, and sent to who asks. */
+#define RP_GOSSIP_PUSH_MAX_BYTES 4096u
 
 struct rp_gossip;
 
--- /dev/null
+++ b/src/gossip_internal.h
@@ -0,0 +1,68 @@
+#ifndef RP_GOSSIP_INTERNAL_H
+#define RP_GOSSIP_INTERNAL_H
+
+/* Inside of the gossip task, for gossip.c and gossip_send.c only. */
+
+#include "byte_budget.h"
+#include "gossip.h"
+#include "hint_pool.h"
+#include "peer_message.h"
+
+/* What the order and the delay of a peer's messages are judged by. */
+struct gossip_peer {
+    char id[RP_ID_BYTES];
+    uint64_t incarnation;
+    uint64_t seq; /* greatest one received */
+    /* Least difference seen between this clock and the peer's, which is that
+     * of a message without delay; in two periods, so that it follows drift. */
+    int64_t least_offset_ms;
+    int64_t next_least_offset_ms;
+    int64_t offset_period_ns;
+    int64_t answered_ns;
+    uint32_t digest_differs; /* heartbeats in a row */
+};
+
+struct rp_gossip {
+    struct rp_kernel *kernel;
+    struct rp_context *context;
+    struct rp_task *task;
+    struct rp_task *wire;
+    struct rp_member_table *members;
+    struct rp_hint_pool *hints;
+    GHashTable *peers; /* of struct gossip_peer, keyed by their ids */
+    struct rp_byte_budget push_budget;
+    struct rp_byte_budget repair_budget;
+    struct rp_config_state config;
+    bool has_config;
+    uint64_t seq;
+    uint64_t ticks;
+    int64_t next_want_ns;
+    int64_t quiet_until_ns; /* after a pause: nothing is pushed */
+    int64_t next_malformed_event_ns;
+    uint64_t malformed_unreported;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+void rp_gossip_send(struct rp_gossip *gossip, struct rp_peer_message *message,
+                    const char *address, int64_t now_ns);
+void rp_gossip_send_heartbeat(struct rp_gossip *gossip, const char *to_id,
+                              const char *address, bool is_answer, bool full,
+                              int64_t now_ns);
+void rp_gossip_send_heartbeats(struct rp_gossip *gossip, int64_t now_ns);
+void rp_gossip_send_probes(struct rp_gossip *gossip, int64_t now_ns);
+void rp_gossip_send_want(struct rp_gossip *gossip, const char *address,
+                         int64_t now_ns);
+void rp_gossip_push(struct rp_gossip *gossip,
+                    const struct rp_config_accepted *accepted, int64_t now_ns);
+void rp_gossip_answer_want(struct rp_gossip *gossip,
+                           const struct rp_config_answer *answer,
+                           int64_t now_ns);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/gossip_send.c
@@ -0,0 +1,268 @@
+#include <string.h>
+
+#include "gossip_internal.h"
+#include "neighbor.h"
+#include "record_batch.h"
+#include "wire.h"
+
+/* What CURVE, ZeroMQ's framing, TCP and IP add to a message, with half an
+ * acknowledgement; it counts against the budget. */
+#define OVERHEAD_BYTES 120
+
+/* Bounds of one heartbeat, whatever the budget and the degree say. */
+#define HEARTBEAT_LEAST_BYTES 200
+#define HEARTBEAT_MOST_BYTES 1200
+
+/* A heartbeat without updates and hints. */
+#define HEARTBEAT_BASE_BYTES 150
+
+/* Sends a message to the process bound to the address. The envelope is filled
+ * here; kind and body are the caller's. */
+void
+rp_gossip_send(struct rp_gossip *gossip, struct rp_peer_message *message,
+               const char *address, int64_t now_ns)
+{
+    const struct rp_member_info *self = rp_member_self(gossip->members);
+    struct rp_event_ring *events = gossip->context->events;
+    if (address[0] == '\0' || strcmp(address, self->peer_address) == 0) {
+        return;
+    }
+    message->version = RP_PEER_VERSION;
+    g_strlcpy(message->from, self->id, sizeof(message->from));
+    message->incarnation = self->incarnation;
+    message->seq = ++gossip->seq;
+    message->hlc = rp_hlc_tick(rp_event_ring_clock(events),
+                               rp_event_ring_wall_ms(events, now_ns));
+    struct rp_wire_send send = {.payload = rp_peer_message_encode(message)};
+    g_strlcpy(send.peer_address, address, sizeof(send.peer_address));
+    struct rp_counters *counters = &gossip->context->counters;
+    rp_counter_add(counters, RP_COUNTER_PEER_SENT, 1);
+    rp_counter_add(counters, RP_COUNTER_PEER_SENT_BYTES,
+                   g_bytes_get_size(send.payload));
+    if (!rp_task_send_owned(gossip->task, gossip->wire, RP_MSG_WIRE_SEND,
+                            &send, sizeof(send), rp_wire_send_release))
+    {
+        rp_wire_send_release(&send);
+        rp_counter_add(counters, RP_COUNTER_PEER_SEND_DROPPED, 1);
+    }
+}
+
+static uint32_t
+heartbeat_bytes(const struct rp_gossip *gossip, bool full)
+{
+    const struct rp_member_info *neighbors[RP_NEIGHBOR_LIMIT];
+    uint32_t degree =
+        rp_member_neighbors(gossip->members, neighbors, RP_NEIGHBOR_LIMIT);
+    if (full || degree == 0) {
+        return HEARTBEAT_MOST_BYTES;
+    }
+    uint32_t interval_ms = (uint32_t)(RP_MEMBER_HEARTBEAT_NS / 1000000);
+    int32_t share = (int32_t)(RP_GOSSIP_HEARTBEAT_BYTES_PER_S * interval_ms /
+                              1000 / degree) -
+                    OVERHEAD_BYTES;
+    return (uint32_t)CLAMP(share, HEARTBEAT_LEAST_BYTES, HEARTBEAT_MOST_BYTES);
+}
+
+static uint32_t
+fill_updates(struct rp_gossip *gossip, const char *to_id, bool full,
+             uint32_t room_bytes, struct rp_peer_heartbeat *heartbeat,
+             int64_t now_ns)
+{
+    uint32_t used = 0;
+    rp_member_begin_updates(gossip->members, to_id, full);
+    /* The last one may exceed the room, so that even the smallest heartbeat
+     * carries a statement about another member. */
+    while (heartbeat->update_count < RP_PEER_UPDATES &&
+           (used < room_bytes || heartbeat->update_count < 2))
+    {
+        struct rp_member_update *update =
+            &heartbeat->updates[heartbeat->update_count];
+        if (!rp_member_next_update(gossip->members, now_ns, update)) {
+            break;
+        }
+        used += rp_peer_update_bytes(update);
+        heartbeat->update_count++;
+    }
+    return used;
+}
+
+static void
+fill_hints(struct rp_gossip *gossip, uint32_t room_bytes,
+           struct rp_peer_heartbeat *heartbeat, int64_t now_ns)
+{
+    struct rp_target_hint hint;
+    uint32_t used = 0;
+    uint32_t members = rp_member_count(gossip->members, RP_MEMBER_ALIVE);
+    rp_hint_pool_begin(gossip->hints, MAX(1, rp_neighbor_degree(members)),
+                       now_ns);
+    while (heartbeat->hint_count < RP_PEER_HINTS && used < room_bytes &&
+           rp_hint_pool_next(gossip->hints, &hint))
+    {
+        struct rp_peer_hint *sent = &heartbeat->hints[heartbeat->hint_count++];
+        memset(sent, 0, sizeof(*sent));
+        g_strlcpy(sent->service, hint.service, sizeof(sent->service));
+        g_strlcpy(sent->address, hint.address, sizeof(sent->address));
+        sent->kind = hint.kind;
+        sent->has_load = hint.has_load;
+        sent->load = hint.load;
+        sent->age_ms =
+            (uint32_t)CLAMP((now_ns - hint.seen_ns) / 1000000, 0, G_MAXINT32);
+        used += rp_peer_hint_bytes(sent);
+    }
+}
+
+static void
+fill_config(const struct rp_gossip *gossip, struct rp_peer_config *config,
+            int64_t now_ns)
+{
+    config->digest = gossip->config.digest;
+    config->revision = gossip->config.revision;
+    config->has_platform_age =
+        gossip->has_config && gossip->config.platform_read_ns != INT64_MIN;
+    if (config->has_platform_age) {
+        config->platform_age_ms = (uint32_t)CLAMP(
+            (now_ns - gossip->config.platform_read_ns) / 1000000, 0,
+            G_MAXINT32);
+    }
+}
+
+/* Sends one heartbeat. An answer is never answered; a full one has the
+ * profiles of members with it and is not bound to the heartbeats' share of
+ * the budget. */
+void
+rp_gossip_send_heartbeat(struct rp_gossip *gossip, const char *to_id,
+                         const char *address, bool is_answer, bool full,
+                         int64_t now_ns)
+{
+    struct rp_peer_message message = {.kind = RP_PEER_HEARTBEAT};
+    struct rp_peer_heartbeat *heartbeat = &message.body.heartbeat;
+    uint32_t room_bytes = heartbeat_bytes(gossip, full) - HEARTBEAT_BASE_BYTES;
+    heartbeat->is_answer = is_answer;
+    heartbeat->update_count = 0;
+    heartbeat->hint_count = 0;
+    heartbeat->member_digest = rp_member_digest(gossip->members);
+    fill_config(gossip, &heartbeat->config, now_ns);
+    uint32_t used = fill_updates(gossip, to_id, full, room_bytes * 2 / 3,
+                                 heartbeat, now_ns);
+    if (used < room_bytes) {
+        fill_hints(gossip, room_bytes - used, heartbeat, now_ns);
+    }
+    rp_gossip_send(gossip, &message, address, now_ns);
+}
+
+/* Sends a heartbeat to each neighbour. */
+void
+rp_gossip_send_heartbeats(struct rp_gossip *gossip, int64_t now_ns)
+{
+    const struct rp_member_info *neighbors[RP_NEIGHBOR_LIMIT];
+    uint32_t count =
+        rp_member_neighbors(gossip->members, neighbors, RP_NEIGHBOR_LIMIT);
+    for (uint32_t i = 0; i < count; i++) {
+        rp_gossip_send_heartbeat(gossip, neighbors[i]->id,
+                                 neighbors[i]->peer_address, false, false,
+                                 now_ns);
+    }
+}
+
+static void
+send_probe(struct rp_gossip *gossip, const struct rp_member_probe *probe,
+           const char *address, int64_t now_ns)
+{
+    const char *self = rp_member_self(gossip->members)->peer_address;
+    struct rp_peer_message message = {.kind = RP_PEER_SUSPECT_PROBE};
+    struct rp_peer_probe *body = &message.body.probe;
+    g_strlcpy(body->subject, probe->id, sizeof(body->subject));
+    g_strlcpy(body->subject_address, probe->peer_address,
+              sizeof(body->subject_address));
+    g_strlcpy(body->reply_to, self, sizeof(body->reply_to));
+    g_strlcpy(body->origin, self, sizeof(body->origin));
+    rp_gossip_send(gossip, &message, address, now_ns);
+}
+
+/* Probes all members that have been silent too long, directly and through
+ * helpers at once. */
+void
+rp_gossip_send_probes(struct rp_gossip *gossip, int64_t now_ns)
+{
+    struct rp_member_probe probe;
+    while (rp_member_next_probe(gossip->members, now_ns, &probe)) {
+        send_probe(gossip, &probe, probe.peer_address, now_ns);
+        for (uint32_t i = 0; i < probe.helper_count; i++) {
+            send_probe(gossip, &probe, probe.helper_addresses[i], now_ns);
+        }
+    }
+}
+
+/* Asks a peer for the records that it has and this VM has not. */
+void
+rp_gossip_send_want(struct rp_gossip *gossip, const char *address,
+                    int64_t now_ns)
+{
+    struct rp_peer_message message = {.kind = RP_PEER_CONFIG_WANT};
+    struct rp_peer_want *want = &message.body.want;
+    g_strlcpy(want->reply_to, rp_member_self(gossip->members)->peer_address,
+              sizeof(want->reply_to));
+    memcpy(want->bucket_digests, gossip->config.bucket_digests,
+           sizeof(want->bucket_digests));
+    rp_gossip_send(gossip, &message, address, now_ns);
+}
+
+static bool
+send_batch(struct rp_gossip *gossip, const struct rp_record_batch *batch,
+           const char *address, struct rp_byte_budget *budget, int64_t now_ns)
+{
+    if (!rp_byte_budget_take(
+            budget, rp_record_batch_bytes(batch) + OVERHEAD_BYTES, now_ns))
+    {
+        rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_HELD_BACK,
+                       1);
+        return false;
+    }
+    GByteArray *bytes = g_byte_array_new();
+    rp_record_batch_encode(batch, bytes);
+    struct rp_peer_message message = {.kind = RP_PEER_CONFIG_RECORDS};
+    message.body.records.bytes = bytes->data;
+    message.body.records.byte_count = bytes->len;
+    rp_gossip_send(gossip, &message, address, now_ns);
+    g_byte_array_unref(bytes);
+    return true;
+}
+
+/* Passes newly accepted records on to the neighbours at once. What is large,
+ * over the budget or accepted right after a pause is announced by a heartbeat
+ * instead: then it goes only to those who lack it. */
+void
+rp_gossip_push(struct rp_gossip *gossip,
+               const struct rp_config_accepted *accepted, int64_t now_ns)
+{
+    const struct rp_member_info *neighbors[RP_NEIGHBOR_LIMIT];
+    uint32_t count =
+        rp_member_neighbors(gossip->members, neighbors, RP_NEIGHBOR_LIMIT);
+    bool announce =
+        now_ns < gossip->quiet_until_ns ||
+        gossip->config.phase == RP_PHASE_STARTING ||
+        rp_record_batch_bytes(accepted->batch) > RP_GOSSIP_PUSH_MAX_BYTES;
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(neighbors[i]->id, accepted->from) == 0) {
+            continue;
+        }
+        if (announce ||
+            !send_batch(gossip, accepted->batch, neighbors[i]->peer_address,
+                        &gossip->push_budget, now_ns))
+        {
+            rp_gossip_send_heartbeat(gossip, neighbors[i]->id,
+                                     neighbors[i]->peer_address, false, false,
+                                     now_ns);
+        }
+    }
+}
+
+/* Sends records that a peer asked for, as far as the budget goes; it asks
+ * again for the rest. */
+void
+rp_gossip_answer_want(struct rp_gossip *gossip,
+                      const struct rp_config_answer *answer, int64_t now_ns)
+{
+    send_batch(gossip, answer->batch, answer->peer_address,
+               &gossip->repair_budget, now_ns);
+}
