--- a/src/gossip.c
+++ b/src/gossip.c
@@ -5,8 +5,10 @@
 #include "error.h"
 #include "gossip_internal.h"
 #include "msgpack_check.h"
+#include "platform.h"
 #include "record_batch.h"
 #include "status.h"
+#include "vm_list.h"
 #include "wire.h"
 
 #define TIMER_TICK 0
@@ -16,11 +18,12 @@
  * each interval. */
 #define CONTACT_TICKS 4
 #define FORGET_TICKS 120
+#define ASK_TICKS 2
+#define ASK_LIMIT 256
 
-/* Heartbeats answered to one peer, and requests for records, are spaced by
- * this, so that a difference that takes time to settle costs little. */
+/* Answers to one peer are spaced by this, so that a difference that takes
+ * time to settle costs little. */
 #define ANSWER_NS RP_MEMBER_HEARTBEAT_NS
-#define WANT_NS INT64_C(1000000000)
 
 #define QUIET_NS (2 * RP_MEMBER_HEARTBEAT_NS)
 #define OFFSET_PERIOD_NS INT64_C(60000000000)
@@ -30,14 +33,6 @@
 static const char *const view_readers[] = {"entry", "dispatch", "config",
                                            "prober", "admin"};
 
-/* Releases the reference in a body that begins with a batch. */
-void
-rp_gossip_batch_release(void *body)
-{
-    struct rp_record_batch **batch = body;
-    rp_record_batch_unref(*batch);
-}
-
 static void
 publish_members(struct rp_gossip *gossip)
 {
@@ -116,6 +111,19 @@
     return rp_member_find(gossip->members, key) == NULL;
 }
 
+/* Asks all entry VMs of the platform's list what they have in force: one that
+ * starts needs the word of all. */
+static void
+ask_listed(struct rp_gossip *gossip, int64_t now_ns)
+{
+    const char *addresses[ASK_LIMIT];
+    uint32_t count = rp_member_contacts(gossip->members, addresses, ASK_LIMIT);
+    for (uint32_t i = 0; i < count; i++) {
+        rp_gossip_send_heartbeat(gossip, "", addresses[i],
+                                 HEARTBEAT_ASK | HEARTBEAT_FULL, now_ns);
+    }
+}
+
 static void
 on_tick(struct rp_gossip *gossip, int64_t now_ns)
 {
@@ -128,7 +136,12 @@
     if ((alone || gossip->ticks % CONTACT_TICKS == 0) &&
         rp_member_next_contact(gossip->members, address))
     {
-        rp_gossip_send_heartbeat(gossip, "", address, false, true, now_ns);
+        rp_gossip_send_heartbeat(gossip, "", address, HEARTBEAT_FULL, now_ns);
+    }
+    if (gossip->config.phase == RP_CONFIG_STARTING &&
+        gossip->ticks % ASK_TICKS == 1)
+    {
+        ask_listed(gossip, now_ns);
     }
     if (gossip->ticks % FORGET_TICKS == 0) {
         g_hash_table_foreach_remove(gossip->peers, peer_is_forgotten, gossip);
@@ -239,46 +252,39 @@
     }
 }
 
+/* Notes a later state of the platform that a peer knows of. */
 static void
-tell_config(struct rp_gossip *gossip, const struct rp_member_info *from,
-            const struct rp_peer_config *config, uint32_t delay_ms,
-            int64_t now_ns)
+note_platform(struct rp_gossip *gossip, int64_t fresh_ns, uint64_t revision,
+              bool tell)
 {
-    struct rp_peer_state state = {
-        .phase = from->phase,
-        .digest = config->digest,
-        .revision = config->revision,
-        .platform_read_ns = INT64_MIN,
-    };
-    if (config->has_platform_age) {
-        state.platform_read_ns =
-            now_ns - ((int64_t)config->platform_age_ms + delay_ms) * 1000000;
-    }
-    g_strlcpy(state.id, from->id, sizeof(state.id));
-    rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
-                 RP_MSG_PEER_STATE, &state, sizeof(state));
+    if (gossip->has_platform && fresh_ns <= gossip->platform_fresh_ns) {
+        return;
+    }
+    gossip->has_platform = true;
+    gossip->platform_fresh_ns = fresh_ns;
+    gossip->platform_revision = MAX(gossip->platform_revision, revision);
+    if (tell) {
+        struct rp_platform_freshness freshness = {fresh_ns, revision};
+        rp_task_send(gossip->task,
+                     rp_kernel_find_task(gossip->kernel, "platform"),
+                     RP_MSG_PLATFORM_FRESHNESS, &freshness, sizeof(freshness));
+    }
 }
 
-/* Asks for records when the peer seems to have what is missing here. A peer
- * with an older revision may have such records too, but more likely it is
- * behind and will ask itself, so it is asked only when the difference
- * stays. */
 static void
-compare_config(struct rp_gossip *gossip, struct gossip_peer *peer,
-               const char *address, const struct rp_peer_config *config,
-               int64_t now_ns)
+tell_config(struct rp_gossip *gossip, const char *id,
+            const struct rp_peer_config *config, uint32_t delay_ms,
+            int64_t now_ns)
 {
-    if (!gossip->has_config || config->digest == gossip->config.digest) {
-        peer->digest_differs = 0;
-        return;
-    }
-    peer->digest_differs++;
-    bool ahead = config->revision > gossip->config.revision ||
-                 gossip->config.phase == RP_PHASE_STARTING;
-    if (now_ns >= gossip->next_want_ns && (ahead || peer->digest_differs > 2))
-    {
-        gossip->next_want_ns = now_ns + WANT_NS;
-        rp_gossip_send_want(gossip, address, now_ns);
+    struct rp_config_peer peer = {.phase = config->phase,
+                                  .digest = config->digest};
+    g_strlcpy(peer.id, id, sizeof(peer.id));
+    rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
+                 RP_MSG_CONFIG_PEER, &peer, sizeof(peer));
+    if (config->has_platform) {
+        int64_t age_ms = (int64_t)config->platform_age_ms + delay_ms;
+        note_platform(gossip, now_ns - age_ms * 1000000,
+                      config->platform_revision, true);
     }
 }
 
@@ -297,18 +303,36 @@
     if (from == NULL || from->incarnation != message->incarnation) {
         return; /* its profile comes with a later heartbeat */
     }
-    tell_config(gossip, from, &heartbeat->config, delay_ms, now_ns);
-    compare_config(gossip, peer, from->peer_address, &heartbeat->config,
-                   now_ns);
+    tell_config(gossip, from->id, &heartbeat->config, delay_ms, now_ns);
     bool differs =
         heartbeat->member_digest != rp_member_digest(gossip->members);
-    if (!heartbeat->is_answer && (tell || differs) &&
+    if (!heartbeat->is_answer && (tell || differs || heartbeat->asks) &&
         now_ns - peer->answered_ns >= ANSWER_NS)
     {
         peer->answered_ns = now_ns;
-        rp_gossip_send_heartbeat(gossip, from->id, from->peer_address, true,
-                                 true, now_ns);
+        rp_gossip_send_heartbeat(gossip, from->id, from->peer_address,
+                                 HEARTBEAT_ANSWER | HEARTBEAT_FULL, now_ns);
+    }
+}
+
+/* One event in 10 s, so that a flood of malformed messages does not push the
+ * rest of the time line out of its ring. */
+static void
+note_malformed(struct rp_gossip *gossip, const GError *error, int64_t now_ns)
+{
+    rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_MALFORMED, 1);
+    gossip->malformed_unreported++;
+    if (now_ns < gossip->next_malformed_event_ns) {
+        return;
     }
+    gossip->next_malformed_event_ns = now_ns + MALFORMED_EVENT_NS;
+    struct rp_event *event = rp_event_add(gossip->context->events,
+                                          RP_EVENT_PEER_MALFORMED, now_ns, "");
+    event->value = (int64_t)gossip->malformed_unreported;
+    rp_event_set_detail(event, "%s",
+                        error == NULL ? "batch of records is malformed"
+                                      : error->message);
+    gossip->malformed_unreported = 0;
 }
 
 static void
@@ -316,36 +340,33 @@
            int64_t now_ns)
 {
     const struct rp_peer_batch *records = &message->body.records;
-    struct rp_peer_records body = {0};
+    struct rp_record_batch *batch = NULL;
+    GError *error = NULL;
     if (rp_msgpack_check(records->bytes, records->byte_count)) {
-        body.batch =
-            rp_record_batch_decode(records->bytes, records->byte_count, NULL);
+        batch = rp_record_batch_decode(records->bytes, records->byte_count,
+                                       &error);
     }
-    if (body.batch == NULL) {
-        rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_MALFORMED,
-                       1);
+    if (batch == NULL) {
+        note_malformed(gossip, error, now_ns);
+        g_clear_error(&error);
         return;
     }
-    (void)now_ns;
-    g_strlcpy(body.from, message->from, sizeof(body.from));
-    if (!rp_task_send_owned(
-            gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
-            RP_MSG_PEER_RECORDS, &body, sizeof(body), rp_gossip_batch_release))
-    {
-        rp_gossip_batch_release(&body);
-    }
+    rp_config_records_send(gossip->task,
+                           rp_kernel_find_task(gossip->kernel, "config"),
+                           RP_MSG_CONFIG_RECORDS, batch, message->from,
+                           records->part, records->is_answer && records->last);
+    rp_record_batch_unref(batch);
 }
 
 static void
-on_want(struct rp_gossip *gossip, const struct rp_peer_want *want)
+on_want(struct rp_gossip *gossip, const struct rp_peer_message *message)
 {
-    struct rp_config_request request;
-    g_strlcpy(request.peer_address, want->reply_to,
-              sizeof(request.peer_address));
-    memcpy(request.bucket_digests, want->bucket_digests,
-           sizeof(request.bucket_digests));
+    struct rp_config_want want;
+    g_strlcpy(want.peer, message->from, sizeof(want.peer));
+    memcpy(want.buckets, message->body.want.bucket_digests,
+           sizeof(want.buckets));
     rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
-                 RP_MSG_CONFIG_REQUEST, &request, sizeof(request));
+                 RP_MSG_CONFIG_WANT, &want, sizeof(want));
 }
 
 static void
@@ -418,7 +439,7 @@
         on_heartbeat(gossip, peer, message, delay_ms, now_ns);
         break;
     case RP_PEER_CONFIG_WANT:
-        on_want(gossip, &message->body.want);
+        on_want(gossip, message);
         break;
     case RP_PEER_CONFIG_RECORDS:
         on_records(gossip, message, now_ns);
@@ -432,24 +453,6 @@
     }
 }
 
-/* One event in 10 s, so that a flood of malformed messages does not push the
- * rest of the time line out of its ring. */
-static void
-note_malformed(struct rp_gossip *gossip, const GError *error, int64_t now_ns)
-{
-    rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_MALFORMED, 1);
-    gossip->malformed_unreported++;
-    if (now_ns < gossip->next_malformed_event_ns) {
-        return;
-    }
-    gossip->next_malformed_event_ns = now_ns + MALFORMED_EVENT_NS;
-    struct rp_event *event = rp_event_add(gossip->context->events,
-                                          RP_EVENT_PEER_MALFORMED, now_ns, "");
-    event->value = (int64_t)gossip->malformed_unreported;
-    rp_event_set_detail(event, "%s", error->message);
-    gossip->malformed_unreported = 0;
-}
-
 static void
 on_received(struct rp_gossip *gossip, GBytes *payload, int64_t now_ns)
 {
@@ -547,14 +550,26 @@
         break;
     case RP_MSG_CONFIG_STATE:
         gossip->config = *(const struct rp_config_state *)message->body;
-        gossip->has_config = true;
         rp_member_set_phase(gossip->members, gossip->config.phase);
         break;
-    case RP_MSG_CONFIG_ACCEPTED:
+    case RP_MSG_CONFIG_WANT:
+        rp_gossip_send_want(gossip, message->body, now_ns);
+        break;
+    case RP_MSG_CONFIG_RECORDS:
+        rp_gossip_send_records(gossip, message->body, now_ns);
+        break;
+    case RP_MSG_CONFIG_SPREAD:
         rp_gossip_push(gossip, message->body, now_ns);
         break;
-    case RP_MSG_CONFIG_ANSWER:
-        rp_gossip_answer_want(gossip, message->body, now_ns);
+    case RP_MSG_PLATFORM_FRESHNESS: {
+        const struct rp_platform_freshness *freshness = message->body;
+        note_platform(gossip, freshness->fresh_ns, freshness->revision, false);
+        break;
+    }
+    case RP_MSG_PLATFORM_VMS:
+        rp_member_set_listed(
+            gossip->members,
+            ((const struct rp_vm_list_message *)message->body)->list);
         break;
     case RP_MSG_TARGET_HINT:
         rp_hint_pool_offer(gossip->hints, message->body, now_ns);
@@ -601,6 +616,13 @@
               const struct rp_gossip_settings *settings, int64_t now_ns,
               GError **error)
 {
+    if (settings->seed_count > RP_MEMBER_SEED_LIMIT) {
+        g_set_error(error, RP_ERROR, RP_ERROR_SETTING,
+                    "%u peers are given and the limit is %d; a few that run "
+                    "all the time are enough",
+                    settings->seed_count, RP_MEMBER_SEED_LIMIT);
+        return NULL;
+    }
     struct rp_gossip *gossip = g_new0(struct rp_gossip, 1);
     struct rp_context *context = rp_kernel_context(kernel);
     gossip->kernel = kernel;
@@ -611,7 +633,7 @@
     gossip->hints = rp_hint_pool_new();
     gossip->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-    gossip->config.platform_read_ns = INT64_MIN;
+    gossip->config.phase = RP_CONFIG_STARTING;
     gossip->next_malformed_event_ns = now_ns;
     rp_byte_budget_init(&gossip->push_budget, RP_GOSSIP_PUSH_BYTES_PER_S,
                         RP_GOSSIP_PUSH_BURST_BYTES, now_ns);
@@ -624,13 +646,7 @@
         return NULL;
     }
     for (uint32_t i = 0; i < settings->seed_count; i++) {
-        if (!rp_member_add_seed(gossip->members, settings->seeds[i])) {
-            g_set_error(error, RP_ERROR, RP_ERROR_FULL,
-                        "more than %d peers are given; a few that run all the "
-                        "time are enough",
-                        RP_MEMBER_SEED_LIMIT);
-            return NULL;
-        }
+        rp_member_add_seed(gossip->members, settings->seeds[i]);
     }
     /* Members that start together do not send at the same moment. */
     int64_t offset_ns =
--- a/src/gossip_internal.h
+++ b/src/gossip_internal.h
@@ -4,6 +4,7 @@
 /* Inside of the gossip task, for gossip.c and gossip_send.c only. */
 
 #include "byte_budget.h"
+#include "config_task.h"
 #include "gossip.h"
 #include "hint_pool.h"
 #include "peer_message.h"
@@ -19,9 +20,13 @@
     int64_t next_least_offset_ms;
     int64_t offset_period_ns;
     int64_t answered_ns;
-    uint32_t digest_differs; /* heartbeats in a row */
 };
 
+/* Flags of a heartbeat. */
+#define HEARTBEAT_ANSWER (1u << 0) /* never answered again */
+#define HEARTBEAT_ASK (1u << 1)    /* to be answered in any case */
+#define HEARTBEAT_FULL (1u << 2)   /* with the profiles of members */
+
 struct rp_gossip {
     struct rp_kernel *kernel;
     struct rp_context *context;
@@ -33,10 +38,11 @@
     struct rp_byte_budget push_budget;
     struct rp_byte_budget repair_budget;
     struct rp_config_state config;
-    bool has_config;
+    bool has_platform;
+    uint64_t platform_revision;
+    int64_t platform_fresh_ns; /* by this VM or by word of a peer */
     uint64_t seq;
     uint64_t ticks;
-    int64_t next_want_ns;
     int64_t quiet_until_ns; /* after a pause: nothing is pushed */
     int64_t next_malformed_event_ns;
     uint64_t malformed_unreported;
@@ -49,17 +55,17 @@
 void rp_gossip_send(struct rp_gossip *gossip, struct rp_peer_message *message,
                     const char *address, int64_t now_ns);
 void rp_gossip_send_heartbeat(struct rp_gossip *gossip, const char *to_id,
-                              const char *address, bool is_answer, bool full,
+                              const char *address, uint32_t flags,
                               int64_t now_ns);
 void rp_gossip_send_heartbeats(struct rp_gossip *gossip, int64_t now_ns);
 void rp_gossip_send_probes(struct rp_gossip *gossip, int64_t now_ns);
-void rp_gossip_send_want(struct rp_gossip *gossip, const char *address,
-                         int64_t now_ns);
+void rp_gossip_send_want(struct rp_gossip *gossip,
+                         const struct rp_config_want *want, int64_t now_ns);
 void rp_gossip_push(struct rp_gossip *gossip,
-                    const struct rp_config_accepted *accepted, int64_t now_ns);
-void rp_gossip_answer_want(struct rp_gossip *gossip,
-                           const struct rp_config_answer *answer,
-                           int64_t now_ns);
+                    const struct rp_config_records *records, int64_t now_ns);
+void rp_gossip_send_records(struct rp_gossip *gossip,
+                            const struct rp_config_records *records,
+                            int64_t now_ns);
 
 #ifdef __cplusplus
 }
--- a/src/gossip_send.c
+++ b/src/gossip_send.c
@@ -115,29 +115,29 @@
 fill_config(const struct rp_gossip *gossip, struct rp_peer_config *config,
             int64_t now_ns)
 {
+    config->phase = gossip->config.phase;
     config->digest = gossip->config.digest;
     config->revision = gossip->config.revision;
-    config->has_platform_age =
-        gossip->has_config && gossip->config.platform_read_ns != INT64_MIN;
-    if (config->has_platform_age) {
+    config->has_platform = gossip->has_platform;
+    if (config->has_platform) {
+        config->platform_revision = gossip->platform_revision;
         config->platform_age_ms = (uint32_t)CLAMP(
-            (now_ns - gossip->config.platform_read_ns) / 1000000, 0,
-            G_MAXINT32);
+            (now_ns - gossip->platform_fresh_ns) / 1000000, 0, G_MAXINT32);
     }
 }
 
-/* Sends one heartbeat. An answer is never answered; a full one has the
- * profiles of members with it and is not bound to the heartbeats' share of
- * the budget. */
+/* Sends one heartbeat; flags are HEARTBEAT_... A full one is not bound to the
+ * heartbeats' share of the budget. to_id may be "" when it is not known. */
 void
 rp_gossip_send_heartbeat(struct rp_gossip *gossip, const char *to_id,
-                         const char *address, bool is_answer, bool full,
-                         int64_t now_ns)
+                         const char *address, uint32_t flags, int64_t now_ns)
 {
     struct rp_peer_message message = {.kind = RP_PEER_HEARTBEAT};
     struct rp_peer_heartbeat *heartbeat = &message.body.heartbeat;
+    bool full = (flags & HEARTBEAT_FULL) != 0;
     uint32_t room_bytes = heartbeat_bytes(gossip, full) - HEARTBEAT_BASE_BYTES;
-    heartbeat->is_answer = is_answer;
+    heartbeat->is_answer = (flags & HEARTBEAT_ANSWER) != 0;
+    heartbeat->asks = (flags & HEARTBEAT_ASK) != 0;
     heartbeat->update_count = 0;
     heartbeat->hint_count = 0;
     heartbeat->member_digest = rp_member_digest(gossip->members);
@@ -159,8 +159,7 @@
         rp_member_neighbors(gossip->members, neighbors, RP_NEIGHBOR_LIMIT);
     for (uint32_t i = 0; i < count; i++) {
         rp_gossip_send_heartbeat(gossip, neighbors[i]->id,
-                                 neighbors[i]->peer_address, false, false,
-                                 now_ns);
+                                 neighbors[i]->peer_address, 0, now_ns);
     }
 }
 
@@ -195,36 +194,40 @@
 
 /* Asks a peer for the records that it has and this VM has not. */
 void
-rp_gossip_send_want(struct rp_gossip *gossip, const char *address,
-                    int64_t now_ns)
+rp_gossip_send_want(struct rp_gossip *gossip,
+                    const struct rp_config_want *want, int64_t now_ns)
 {
+    const struct rp_member_info *peer =
+        rp_member_find(gossip->members, want->peer);
     struct rp_peer_message message = {.kind = RP_PEER_CONFIG_WANT};
-    struct rp_peer_want *want = &message.body.want;
-    g_strlcpy(want->reply_to, rp_member_self(gossip->members)->peer_address,
-              sizeof(want->reply_to));
-    memcpy(want->bucket_digests, gossip->config.bucket_digests,
-           sizeof(want->bucket_digests));
-    rp_gossip_send(gossip, &message, address, now_ns);
+    memcpy(message.body.want.bucket_digests, want->buckets,
+           sizeof(want->buckets));
+    if (peer != NULL) {
+        rp_gossip_send(gossip, &message, peer->peer_address, now_ns);
+    }
 }
 
 static bool
-send_batch(struct rp_gossip *gossip, const struct rp_record_batch *batch,
-           const char *address, struct rp_byte_budget *budget, int64_t now_ns)
+send_batch(struct rp_gossip *gossip, const struct rp_config_records *records,
+           bool is_answer, const char *address, struct rp_byte_budget *budget,
+           int64_t now_ns)
 {
-    if (!rp_byte_budget_take(
-            budget, rp_record_batch_bytes(batch) + OVERHEAD_BYTES, now_ns))
-    {
+    uint32_t bytes = rp_record_batch_bytes(records->batch) + OVERHEAD_BYTES;
+    if (!rp_byte_budget_take(budget, bytes, now_ns)) {
         rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_HELD_BACK,
                        1);
         return false;
     }
-    GByteArray *bytes = g_byte_array_new();
-    rp_record_batch_encode(batch, bytes);
+    GByteArray *encoded = g_byte_array_new();
+    rp_record_batch_encode(records->batch, encoded);
     struct rp_peer_message message = {.kind = RP_PEER_CONFIG_RECORDS};
-    message.body.records.bytes = bytes->data;
-    message.body.records.byte_count = bytes->len;
+    message.body.records.bytes = encoded->data;
+    message.body.records.byte_count = encoded->len;
+    message.body.records.is_answer = is_answer;
+    message.body.records.part = is_answer ? records->part : 0;
+    message.body.records.last = is_answer && records->last;
     rp_gossip_send(gossip, &message, address, now_ns);
-    g_byte_array_unref(bytes);
+    g_byte_array_unref(encoded);
     return true;
 }
 
@@ -233,25 +236,24 @@
  * instead: then it goes only to those who lack it. */
 void
 rp_gossip_push(struct rp_gossip *gossip,
-               const struct rp_config_accepted *accepted, int64_t now_ns)
+               const struct rp_config_records *records, int64_t now_ns)
 {
     const struct rp_member_info *neighbors[RP_NEIGHBOR_LIMIT];
     uint32_t count =
         rp_member_neighbors(gossip->members, neighbors, RP_NEIGHBOR_LIMIT);
     bool announce =
         now_ns < gossip->quiet_until_ns ||
-        gossip->config.phase == RP_PHASE_STARTING ||
-        rp_record_batch_bytes(accepted->batch) > RP_GOSSIP_PUSH_MAX_BYTES;
+        gossip->config.phase == RP_CONFIG_STARTING ||
+        rp_record_batch_bytes(records->batch) > RP_GOSSIP_PUSH_MAX_BYTES;
     for (uint32_t i = 0; i < count; i++) {
-        if (strcmp(neighbors[i]->id, accepted->from) == 0) {
+        const char *address = neighbors[i]->peer_address;
+        if (strcmp(neighbors[i]->id, records->peer) == 0) {
             continue;
         }
-        if (announce ||
-            !send_batch(gossip, accepted->batch, neighbors[i]->peer_address,
-                        &gossip->push_budget, now_ns))
+        if (announce || !send_batch(gossip, records, false, address,
+                                    &gossip->push_budget, now_ns))
         {
-            rp_gossip_send_heartbeat(gossip, neighbors[i]->id,
-                                     neighbors[i]->peer_address, false, false,
+            rp_gossip_send_heartbeat(gossip, neighbors[i]->id, address, 0,
                                      now_ns);
         }
     }
@@ -260,9 +262,13 @@
 /* Sends records that a peer asked for, as far as the budget goes; it asks
  * again for the rest. */
 void
-rp_gossip_answer_want(struct rp_gossip *gossip,
-                      const struct rp_config_answer *answer, int64_t now_ns)
+rp_gossip_send_records(struct rp_gossip *gossip,
+                       const struct rp_config_records *records, int64_t now_ns)
 {
-    send_batch(gossip, answer->batch, answer->peer_address,
-               &gossip->repair_budget, now_ns);
+    const struct rp_member_info *peer =
+        rp_member_find(gossip->members, records->peer);
+    if (peer != NULL) {
+        send_batch(gossip, records, true, peer->peer_address,
+                   &gossip->repair_budget, now_ns);
+    }
 }
--- a/src/member.c
+++ b/src/member.c
@@ -4,6 +4,7 @@
 
 #include "member_table.h"
 #include "neighbor.h"
+#include "vm_list.h"
 
 #define CHANGE_LIMIT 256
 #define LISTED_LIMIT RP_MEMBER_LIMIT
@@ -80,7 +81,7 @@
     table->ring = g_ptr_array_new();
     table->outgoing = g_ptr_array_new();
     table->seeds = g_array_new(FALSE, TRUE, RP_ADDRESS_BYTES);
-    table->listed = g_array_new(FALSE, TRUE, sizeof(struct rp_member_listed));
+    table->listed = g_array_new(FALSE, TRUE, sizeof(struct rp_vm));
     table->changes = g_array_new(FALSE, TRUE, sizeof(struct rp_member_change));
     table->health_ns = now_ns;
     table->quiet_until_ns = now_ns;
@@ -88,7 +89,7 @@
         .incarnation = identity->incarnation,
         .version = 1,
         .state = RP_MEMBER_ALIVE,
-        .phase = RP_PHASE_STARTING,
+        .phase = RP_CONFIG_STARTING,
     };
     g_strlcpy(info.id, identity->id, sizeof(info.id));
     g_strlcpy(info.domain, identity->domain, sizeof(info.domain));
@@ -132,24 +133,30 @@
     return true;
 }
 
-/* Takes over the platform's list of entry VMs. It lags: it never makes a
- * member alive or dead, it only says whom else to contact, who is leaving
- * and who need not be remembered. Entries past the limit are left out. */
+/* Takes over the platform's list of VMs. It lags: it never makes a member
+ * alive or dead, it only says whom else to contact, who is leaving and who
+ * need not be remembered. Entries past the limit are left out. */
 void
 rp_member_set_listed(struct rp_member_table *table,
-                     const struct rp_member_listed *listed, uint32_t count,
-                     int64_t now_ns)
+                     const struct rp_vm_list *list)
 {
     g_array_set_size(table->listed, 0);
-    g_array_append_vals(table->listed, listed, MIN(count, LISTED_LIMIT));
+    for (uint32_t i = 0; i < rp_vm_list_count(list); i++) {
+        const struct rp_vm *vm = rp_vm_list_get(list, i);
+        if (vm->entry && table->listed->len < LISTED_LIMIT &&
+            strcmp(vm->id, table->self->member.info.id) != 0)
+        {
+            g_array_append_vals(table->listed, vm, 1);
+        }
+    }
     for (guint i = 0; i < table->entries->len; i++) {
         struct member_entry *entry = g_ptr_array_index(table->entries, i);
         entry->listed = false;
         entry->member.listed_leaving = false;
     }
     for (guint i = 0; i < table->listed->len; i++) {
-        const struct rp_member_listed *vm =
-            &g_array_index(table->listed, struct rp_member_listed, i);
+        const struct rp_vm *vm =
+            &g_array_index(table->listed, struct rp_vm, i);
         struct member_entry *entry = rp_member_entry(table, vm->id);
         if (entry != NULL) {
             entry->listed = true;
@@ -158,6 +165,32 @@
     }
 }
 
+/* Writes the peer addresses of listed entry VMs that are not leaving, and of
+ * the seeds if none is listed; returns their number. They are valid until
+ * the next list. */
+uint32_t
+rp_member_contacts(const struct rp_member_table *table, const char **addresses,
+                   uint32_t limit)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < table->listed->len && count < limit; i++) {
+        const struct rp_vm *vm =
+            &g_array_index(table->listed, struct rp_vm, i);
+        if (!vm->leaving && vm->peer[0] != '\0') {
+            addresses[count++] = vm->peer;
+        }
+    }
+    if (table->listed->len > 0) {
+        return count;
+    }
+    while (count < MIN(table->seeds->len, limit)) {
+        addresses[count] =
+            table->seeds->data + (gsize)count * RP_ADDRESS_BYTES;
+        count++;
+    }
+    return count;
+}
+
 /* Returns what this entry VM says about itself. */
 const struct rp_member_info *
 rp_member_self(const struct rp_member_table *table)
@@ -189,7 +222,7 @@
 
 /* Sets how far the start of this entry VM is. */
 void
-rp_member_set_phase(struct rp_member_table *table, enum rp_member_phase phase)
+rp_member_set_phase(struct rp_member_table *table, enum rp_config_phase phase)
 {
     struct rp_member_info *info = &table->self->member.info;
     if (info->phase != phase) {
@@ -432,8 +465,8 @@
         rp_member_entry_accuse(entry, update->accuser_hash);
     }
     for (guint i = 0; i < table->listed->len; i++) {
-        const struct rp_member_listed *vm =
-            &g_array_index(table->listed, struct rp_member_listed, i);
+        const struct rp_vm *vm =
+            &g_array_index(table->listed, struct rp_vm, i);
         if (strcmp(vm->id, update->info.id) == 0) {
             entry->listed = true;
             entry->member.listed_leaving = vm->leaving;
@@ -545,9 +578,9 @@
         const char *candidate =
             i < table->seeds->len
                 ? table->seeds->data + (gsize)i * RP_ADDRESS_BYTES
-                : g_array_index(table->listed, struct rp_member_listed,
+                : g_array_index(table->listed, struct rp_vm,
                                 i - table->seeds->len)
-                      .peer_address;
+                      .peer;
         if (candidate[0] != '\0' && !is_live_address(table, candidate) &&
             g_rand_int_range(table->random, 0, (gint32)++seen) == 0)
         {
--- a/src/member.h
+++ b/src/member.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "config_task.h"
 #include "context.h"
 
 #define RP_MEMBER_TICKET_BYTES 192
@@ -23,14 +24,6 @@
     RP_MEMBER_STATE_COUNT
 };
 
-/* How far an entry VM is with its start; see docs/design.md, section 5. */
-enum rp_member_phase {
-    RP_PHASE_STARTING,    /* not ready */
-    RP_PHASE_PROVISIONAL, /* ready with platform data only: ranked last */
-    RP_PHASE_IN_FORCE,    /* ready */
-    RP_PHASE_COUNT
-};
-
 /* What a member says about itself, and the state that others give it.
  *
  * incarnation is that of the process, as in tickets. refutation rises within
@@ -47,7 +40,7 @@
     uint32_t version;
     uint32_t load_permille; /* busy share of what it can serve */
     enum rp_member_state state;
-    enum rp_member_phase phase;
+    enum rp_config_phase phase;
 };
 
 /* A statement about a member as it travels. Without a profile, only id,
@@ -83,15 +76,6 @@
     struct rp_member_view *view;
 };
 
-/* One entry VM of the platform's list. */
-struct rp_member_listed {
-    char id[RP_ID_BYTES];
-    char address[RP_ADDRESS_BYTES];
-    char peer_address[RP_ADDRESS_BYTES];
-    char domain[RP_DOMAIN_BYTES];
-    bool leaving;
-};
-
 /* A member that has been silent too long and whom to ask about it. */
 struct rp_member_probe {
     char id[RP_ID_BYTES];
@@ -110,6 +94,7 @@
 };
 
 struct rp_member_table;
+struct rp_vm_list;
 
 #ifdef __cplusplus
 extern "C" {
@@ -121,8 +106,7 @@
 bool rp_member_add_seed(struct rp_member_table *table,
                         const char *peer_address);
 void rp_member_set_listed(struct rp_member_table *table,
-                          const struct rp_member_listed *listed,
-                          uint32_t count, int64_t now_ns);
+                          const struct rp_vm_list *list);
 
 /* About this entry VM itself. */
 const struct rp_member_info *
@@ -131,7 +115,7 @@
 void rp_member_set_ticket(struct rp_member_table *table, const char *prefix,
                           int64_t expires_ns);
 void rp_member_set_phase(struct rp_member_table *table,
-                         enum rp_member_phase phase);
+                         enum rp_config_phase phase);
 void rp_member_leave(struct rp_member_table *table);
 
 /* What peers say and do. */
@@ -156,6 +140,8 @@
                             char address[RP_ADDRESS_BYTES]);
 void rp_member_begin_updates(struct rp_member_table *table, const char *to_id,
                              bool full);
+uint32_t rp_member_contacts(const struct rp_member_table *table,
+                            const char **addresses, uint32_t limit);
 bool rp_member_next_update(struct rp_member_table *table, int64_t now_ns,
                            struct rp_member_update *update);
 
@@ -173,7 +159,7 @@
                                             const char *id);
 void rp_member_message_release(void *body);
 const char *rp_member_state_name(enum rp_member_state state);
-const char *rp_member_phase_name(enum rp_member_phase phase);
+const char *rp_member_phase_name(enum rp_config_phase phase);
 
 #ifdef __cplusplus
 }
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -41,7 +41,7 @@
     GHashTable *by_id;   /* borrowed ids to borrowed entries */
     GPtrArray *ring;     /* those not dead, in the same order */
     GArray *seeds;       /* of char[RP_ADDRESS_BYTES] */
-    GArray *listed;      /* of struct rp_member_listed */
+    GArray *listed;      /* of struct rp_vm */
     GArray *changes;     /* of struct rp_member_change */
     GPtrArray *outgoing; /* entries chosen for the message being filled */
     uint32_t outgoing_next;
--- a/src/member_view.c
+++ b/src/member_view.c
@@ -6,7 +6,7 @@
 static const char *const state_names[RP_MEMBER_STATE_COUNT] = {
     "alive", "leaving", "suspect", "dead"};
 
-static const char *const phase_names[RP_PHASE_COUNT] = {
+static const char *const phase_names[(RP_CONFIG_IN_FORCE + 1)] = {
     "starting", "provisional", "in-force"};
 
 /* Returns what is known about a member, or NULL. */
@@ -135,7 +135,7 @@
 
 /* Returns the name of a phase as shown in status. */
 const char *
-rp_member_phase_name(enum rp_member_phase phase)
+rp_member_phase_name(enum rp_config_phase phase)
 {
     return phase_names[phase];
 }
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -103,16 +103,17 @@
     const struct rp_peer_config *config = &heartbeat->config;
     pack_text(packer, "answer");
     pack_bool(packer, heartbeat->is_answer);
+    pack_text(packer, "asks");
+    pack_bool(packer, heartbeat->asks);
     pack_text(packer, "config");
-    msgpack_pack_array(packer, 3);
+    msgpack_pack_array(packer, config->has_platform ? 5 : 3);
+    msgpack_pack_uint32(packer, (uint32_t)config->phase);
     msgpack_pack_uint64(packer, config->digest);
     msgpack_pack_uint64(packer, config->revision);
-    if (config->has_platform_age) {
+    if (config->has_platform) {
+        msgpack_pack_uint64(packer, config->platform_revision);
         msgpack_pack_uint32(packer, config->platform_age_ms);
     }
-    else {
-        msgpack_pack_nil(packer);
-    }
     pack_text(packer, "digest");
     msgpack_pack_uint64(packer, heartbeat->member_digest);
     pack_text(packer, "members");
@@ -130,8 +131,6 @@
 static void
 pack_want(msgpack_packer *packer, const struct rp_peer_want *want)
 {
-    pack_text(packer, "reply_to");
-    pack_text(packer, want->reply_to);
     pack_text(packer, "buckets");
     msgpack_pack_array(packer, RP_RECORD_SET_BUCKETS);
     for (int i = 0; i < RP_RECORD_SET_BUCKETS; i++) {
@@ -139,6 +138,20 @@
     }
 }
 
+static void
+pack_records(msgpack_packer *packer, const struct rp_peer_batch *records)
+{
+    pack_text(packer, "batch");
+    msgpack_pack_bin(packer, records->byte_count);
+    msgpack_pack_bin_body(packer, records->bytes, records->byte_count);
+    pack_text(packer, "answer");
+    pack_bool(packer, records->is_answer);
+    pack_text(packer, "part");
+    msgpack_pack_uint32(packer, records->part);
+    pack_text(packer, "last");
+    pack_bool(packer, records->last);
+}
+
 static void
 pack_probe(msgpack_packer *packer, const struct rp_peer_probe *probe)
 {
@@ -170,11 +183,11 @@
 {
     switch (kind) {
     case RP_PEER_HEARTBEAT:
-        return 5;
+        return 6;
     case RP_PEER_CONFIG_WANT:
-        return 2;
-    case RP_PEER_CONFIG_RECORDS:
         return 1;
+    case RP_PEER_CONFIG_RECORDS:
+        return 4;
     case RP_PEER_SUSPECT_PROBE:
     case RP_PEER_SUSPECT_ACK:
         return 4;
@@ -194,10 +207,7 @@
         pack_want(packer, &message->body.want);
         break;
     case RP_PEER_CONFIG_RECORDS:
-        pack_text(packer, "batch");
-        msgpack_pack_bin(packer, message->body.records.byte_count);
-        msgpack_pack_bin_body(packer, message->body.records.bytes,
-                              message->body.records.byte_count);
+        pack_records(packer, &message->body.records);
         break;
     case RP_PEER_SUSPECT_PROBE:
         pack_probe(packer, &message->body.probe);
@@ -328,7 +338,7 @@
 {
     struct rp_member_info *info = &update->info;
     uint32_t phase;
-    if (!read_u32(&fields[0], RP_PHASE_COUNT - 1, &phase) ||
+    if (!read_u32(&fields[0], (RP_CONFIG_IN_FORCE + 1) - 1, &phase) ||
         !read_text(&fields[1], info->domain, sizeof(info->domain)) ||
         !read_text(&fields[2], info->address, sizeof(info->address)) ||
         !read_text(&fields[3], info->peer_address,
@@ -339,7 +349,7 @@
     {
         return false;
     }
-    info->phase = (enum rp_member_phase)phase;
+    info->phase = (enum rp_config_phase)phase;
     update->has_profile = true;
     return true;
 }
@@ -413,11 +423,18 @@
         return false;
     }
     const msgpack_object *fields = object->via.array.ptr;
-    config->has_platform_age = fields[2].type != MSGPACK_OBJECT_NIL;
-    return read_u64(&fields[0], &config->digest) &&
-           read_u64(&fields[1], &config->revision) &&
-           (!config->has_platform_age ||
-            read_u32(&fields[2], MAX_AGE_MS, &config->platform_age_ms));
+    uint32_t phase;
+    if (!read_u32(&fields[0], RP_CONFIG_IN_FORCE, &phase) ||
+        !read_u64(&fields[1], &config->digest) ||
+        !read_u64(&fields[2], &config->revision))
+    {
+        return false;
+    }
+    config->phase = (enum rp_config_phase)phase;
+    config->has_platform = object->via.array.size >= 5;
+    return !config->has_platform ||
+           (read_u64(&fields[3], &config->platform_revision) &&
+            read_u32(&fields[4], MAX_AGE_MS, &config->platform_age_ms));
 }
 
 static bool
@@ -426,6 +443,7 @@
     const msgpack_object *members = find_field(map, "members");
     const msgpack_object *hints = find_field(map, "hints");
     if (!read_bool(find_field(map, "answer"), &heartbeat->is_answer) ||
+        !read_bool(find_field(map, "asks"), &heartbeat->asks) ||
         !read_config(find_field(map, "config"), &heartbeat->config) ||
         !read_u64(find_field(map, "digest"), &heartbeat->member_digest) ||
         !read_array(members, 1, RP_PEER_UPDATES) ||
@@ -452,10 +470,7 @@
 read_want(const msgpack_object *map, struct rp_peer_want *want)
 {
     const msgpack_object *buckets = find_field(map, "buckets");
-    if (!read_text(find_field(map, "reply_to"), want->reply_to,
-                   sizeof(want->reply_to)) ||
-        !read_array(buckets, RP_RECORD_SET_BUCKETS, RP_RECORD_SET_BUCKETS))
-    {
+    if (!read_array(buckets, RP_RECORD_SET_BUCKETS, RP_RECORD_SET_BUCKETS)) {
         return false;
     }
     for (uint32_t i = 0; i < RP_RECORD_SET_BUCKETS; i++) {
@@ -475,7 +490,9 @@
     }
     records->bytes = (const uint8_t *)batch->via.bin.ptr;
     records->byte_count = batch->via.bin.size;
-    return true;
+    return read_bool(find_field(map, "answer"), &records->is_answer) &&
+           read_u32(find_field(map, "part"), UINT32_MAX, &records->part) &&
+           read_bool(find_field(map, "last"), &records->last);
 }
 
 static bool
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -5,7 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "gossip.h"
+#include "config_task.h"
 #include "hlc.h"
 #include "member.h"
 #include "target_hint.h"
@@ -34,15 +34,19 @@
 
 /* What a member has in force. */
 struct rp_peer_config {
+    enum rp_config_phase phase;
     uint64_t digest;
     uint64_t revision;
-    bool has_platform_age;
-    uint32_t platform_age_ms; /* since the platform's state was this */
+    /* The platform's revision and how long ago it was known to be this. */
+    bool has_platform;
+    uint64_t platform_revision;
+    uint32_t platform_age_ms;
 };
 
 /* The sender itself is the first update. */
 struct rp_peer_heartbeat {
     bool is_answer; /* never answered again */
+    bool asks;      /* to be answered even if nothing differs */
     struct rp_peer_config config;
     uint64_t member_digest;
     uint32_t update_count;
@@ -52,7 +56,6 @@
 };
 
 struct rp_peer_want {
-    char reply_to[RP_ADDRESS_BYTES];
     uint64_t bucket_digests[RP_RECORD_SET_BUCKETS];
 };
 
@@ -61,6 +64,9 @@
 struct rp_peer_batch {
     const uint8_t *bytes;
     uint32_t byte_count;
+    bool is_answer; /* to CONFIG_WANT; else pushed */
+    uint32_t part;  /* of the answer, from 0 */
+    bool last;
 };
 
 /* Asks whether subject is alive. One who is not the subject passes it on to
