--- a/src/counter_list.h
+++ b/src/counter_list.h
@@ -40,3 +40,5 @@
 RP_COUNTER(MEMBERS_DEAD, "members_dead", GAUGE, "Entry VMs that are remembered as dead")
 RP_COUNTER(LOCAL_HEALTH, "member_local_health", GAUGE, "Sign of slowness of this process itself, 0 to 8")
 RP_COUNTER(HINTS_POOLED, "target_hints_pooled", GAUGE, "Targets with a recent hint of any entry VM")
+RP_COUNTER(WIRE_DROPPED, "wire_dropped_total", COUNTER, "Messages to or from peers dropped at a high-water mark")
+RP_COUNTER(WIRE_REFUSED, "wire_refused_total", COUNTER, "Connections of peers refused for lack of an allowed key")
--- /dev/null
+++ b/tests/fake_fleet.c
@@ -0,0 +1,362 @@
+#include "fake_fleet.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "record_batch.h"
+#include "vm_list.h"
+#include "wire.h"
+
+#define SEEDS 3
+
+struct datagram {
+    int64_t at_ns;
+    uint64_t serial;
+    uint32_t to;
+    GBytes *payload;
+};
+
+static void
+free_datagram(gpointer data)
+{
+    struct datagram *datagram = data;
+    g_bytes_unref(datagram->payload);
+    g_free(datagram);
+}
+
+static int
+compare_datagrams(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct datagram *left = a;
+    const struct datagram *right = b;
+    (void)data;
+    if (left->at_ns != right->at_ns) {
+        return left->at_ns < right->at_ns ? -1 : 1;
+    }
+    return left->serial < right->serial ? -1 : left->serial > right->serial;
+}
+
+static void
+post(struct fake_fleet *fleet, uint32_t to, GBytes *payload)
+{
+    struct datagram *datagram = g_new0(struct datagram, 1);
+    int64_t spread = (fleet->delay_most_ns - fleet->delay_least_ns) / 1000;
+    datagram->at_ns =
+        fleet->now_ns + fleet->delay_least_ns +
+        g_rand_int_range(fleet->random, 0, (gint32)spread + 1) * INT64_C(1000);
+    datagram->serial = ++fleet->next_serial;
+    datagram->to = to;
+    datagram->payload = g_bytes_ref(payload);
+    g_sequence_insert_sorted(fleet->network, datagram, compare_datagrams,
+                             NULL);
+}
+
+static bool
+happens(struct fake_fleet *fleet, uint32_t permille)
+{
+    return (uint32_t)g_rand_int_range(fleet->random, 0, 1000) < permille;
+}
+
+static void
+on_wire_message(struct rp_task *task, const struct rp_message *message,
+                int64_t now_ns, void *data)
+{
+    struct fake_vm *vm = data;
+    struct fake_fleet *fleet = vm->fleet;
+    (void)task;
+    (void)now_ns;
+    if (message->kind != RP_MSG_WIRE_SEND) {
+        return;
+    }
+    const struct rp_wire_send *send = message->body;
+    g_bytes_unref(fleet->last_payload);
+    fleet->last_payload = g_bytes_ref(send->payload);
+    gpointer index;
+    if (!g_hash_table_lookup_extended(fleet->by_address, send->peer_address,
+                                      NULL, &index))
+    {
+        return;
+    }
+    uint32_t to = GPOINTER_TO_UINT(index);
+    if (fleet->vms[to].side != vm->side || fleet->vms[to].down ||
+        happens(fleet, fleet->loss_permille))
+    {
+        return;
+    }
+    post(fleet, to, send->payload);
+    if (happens(fleet, fleet->duplicate_permille)) {
+        post(fleet, to, send->payload);
+    }
+}
+
+static const struct rp_task_ops wire_ops = {.on_message = on_wire_message};
+
+static void
+send_list(struct fake_fleet *fleet, struct fake_vm *vm)
+{
+    struct rp_vm_list *list = rp_vm_list_new(0);
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        struct rp_vm entry = {.entry = true};
+        snprintf(entry.id, sizeof(entry.id), "vm-%02u", i);
+        g_strlcpy(entry.peer, fleet->vms[i].address, sizeof(entry.peer));
+        g_strlcpy(entry.address, fleet->vms[i].address, sizeof(entry.address));
+        rp_vm_list_add(list, &entry);
+    }
+    static const char *const readers[] = {"gossip", "config"};
+    for (size_t i = 0; i < G_N_ELEMENTS(readers); i++) {
+        struct rp_vm_list_message body = {rp_vm_list_ref(list)};
+        rp_task_send_owned(NULL, rp_kernel_find_task(vm->kernel, readers[i]),
+                           RP_MSG_PLATFORM_VMS, &body, sizeof(body),
+                           rp_vm_list_message_release);
+    }
+    rp_vm_list_unref(list);
+}
+
+/* Starts a VM that is down, as a new process. */
+void
+fake_fleet_start(struct fake_fleet *fleet, uint32_t index,
+                 uint64_t incarnation)
+{
+    struct fake_vm *vm = &fleet->vms[index];
+    struct rp_identity identity = {.incarnation = incarnation,
+                                   .fleet_size = fleet->count};
+    snprintf(identity.id, sizeof(identity.id), "vm-%02u", index);
+    snprintf(identity.domain, sizeof(identity.domain), "domain-%u", index % 4);
+    g_strlcpy(identity.address, vm->address, sizeof(identity.address));
+    g_strlcpy(identity.peer_address, vm->address,
+              sizeof(identity.peer_address));
+    vm->context = rp_context_new(&identity, g_rand_int(fleet->random));
+    vm->kernel = rp_kernel_new(vm->context);
+    rp_kernel_add_task(vm->kernel, "wire", &wire_ops, vm, NULL);
+    const char *seeds[SEEDS];
+    struct rp_gossip_settings settings = {.seeds = seeds};
+    for (uint32_t i = 0; i < MIN(SEEDS, fleet->count); i++) {
+        seeds[settings.seed_count++] = fleet->vms[i].address;
+    }
+    vm->config = rp_config_task_add(vm->kernel, fleet->now_ns, NULL);
+    vm->gossip = rp_gossip_new(vm->kernel, &settings, fleet->now_ns, NULL);
+    vm->due_ns = fleet->now_ns;
+    vm->down = false;
+    send_list(fleet, vm);
+    struct rp_record_batch *none = rp_record_batch_new();
+    rp_config_records_send(NULL, rp_kernel_find_task(vm->kernel, "config"),
+                           RP_MSG_PLATFORM_RECORDS, none, "", 0, true);
+    rp_record_batch_unref(none);
+}
+
+/* Creates a fleet and starts all its VMs. */
+struct fake_fleet *
+fake_fleet_new(uint32_t count, uint32_t seed)
+{
+    struct fake_fleet *fleet = g_new0(struct fake_fleet, 1);
+    fleet->count = count;
+    fleet->vms = g_new0(struct fake_vm, count);
+    fleet->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+    fleet->network = g_sequence_new(free_datagram);
+    fleet->random = g_rand_new_with_seed(seed);
+    fleet->delay_least_ns = FAKE_MS / 2;
+    fleet->delay_most_ns = 2 * FAKE_MS;
+    fleet->now_ns = FAKE_S;
+    fleet->last_payload = g_bytes_new(NULL, 0);
+    for (uint32_t i = 0; i < count; i++) {
+        struct fake_vm *vm = &fleet->vms[i];
+        vm->fleet = fleet;
+        snprintf(vm->address, sizeof(vm->address), "10.0.%u.%u:7000", i / 200,
+                 i % 200 + 1);
+        g_hash_table_insert(fleet->by_address, vm->address,
+                            GUINT_TO_POINTER(i));
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        fake_fleet_start(fleet, i, 1760000000000 + i);
+    }
+    return fleet;
+}
+
+/* Ends a VM without a word, as SIGKILL does. */
+void
+fake_fleet_kill(struct fake_fleet *fleet, uint32_t index)
+{
+    struct fake_vm *vm = &fleet->vms[index];
+    if (vm->down) {
+        return;
+    }
+    vm->down = true;
+    rp_kernel_free(vm->kernel);
+    rp_gossip_free(vm->gossip);
+    rp_context_free(vm->context);
+}
+
+void
+fake_fleet_free(struct fake_fleet *fleet)
+{
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        fake_fleet_kill(fleet, i);
+    }
+    g_sequence_free(fleet->network);
+    g_hash_table_unref(fleet->by_address);
+    g_bytes_unref(fleet->last_payload);
+    g_rand_free(fleet->random);
+    g_free(fleet->vms);
+    g_free(fleet);
+}
+
+/* Stops a VM for a time, as SIGSTOP and SIGCONT do; messages wait. */
+void
+fake_fleet_pause(struct fake_fleet *fleet, uint32_t index, int64_t duration_ns)
+{
+    fleet->vms[index].paused_until_ns = fleet->now_ns + duration_ns;
+}
+
+static void
+hand_over(struct fake_vm *vm, GBytes *payload)
+{
+    struct rp_wire_received body = {.payload = g_bytes_ref(payload)};
+    if (!rp_task_send_owned(NULL, rp_kernel_find_task(vm->kernel, "gossip"),
+                            RP_MSG_WIRE_RECEIVED, &body, sizeof(body),
+                            rp_wire_received_release))
+    {
+        rp_wire_received_release(&body);
+    }
+}
+
+/* Delivers bytes to a VM as if a peer had sent them. */
+void
+fake_fleet_inject(struct fake_fleet *fleet, uint32_t index, const void *bytes,
+                  size_t byte_count)
+{
+    GBytes *payload = g_bytes_new(bytes, byte_count);
+    hand_over(&fleet->vms[index], payload);
+    g_bytes_unref(payload);
+    fleet->vms[index].due_ns = fleet->now_ns;
+}
+
+static bool
+awake(const struct fake_fleet *fleet, const struct fake_vm *vm)
+{
+    return !vm->down && fleet->now_ns >= vm->paused_until_ns;
+}
+
+static int64_t
+next_event_ns(struct fake_fleet *fleet, int64_t end_ns)
+{
+    int64_t next_ns = end_ns;
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        const struct fake_vm *vm = &fleet->vms[i];
+        if (!vm->down) {
+            next_ns = MIN(next_ns, MAX(vm->due_ns, vm->paused_until_ns));
+        }
+    }
+    GSequenceIter *first = g_sequence_get_begin_iter(fleet->network);
+    if (!g_sequence_iter_is_end(first)) {
+        const struct datagram *datagram = g_sequence_get(first);
+        next_ns = MIN(next_ns, datagram->at_ns);
+    }
+    return MAX(next_ns, fleet->now_ns);
+}
+
+static void
+deliver_due(struct fake_fleet *fleet)
+{
+    while (true) {
+        GSequenceIter *first = g_sequence_get_begin_iter(fleet->network);
+        if (g_sequence_iter_is_end(first)) {
+            return;
+        }
+        struct datagram *datagram = g_sequence_get(first);
+        if (datagram->at_ns > fleet->now_ns) {
+            return;
+        }
+        struct fake_vm *vm = &fleet->vms[datagram->to];
+        if (!vm->down) {
+            hand_over(vm, datagram->payload);
+            vm->due_ns = MIN(vm->due_ns, fleet->now_ns);
+        }
+        g_sequence_remove(first);
+    }
+}
+
+static void
+step(struct fake_fleet *fleet, int64_t end_ns)
+{
+    fleet->now_ns = next_event_ns(fleet, end_ns);
+    deliver_due(fleet);
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        struct fake_vm *vm = &fleet->vms[i];
+        if (awake(fleet, vm) && vm->due_ns <= fleet->now_ns) {
+            vm->due_ns = rp_kernel_run(vm->kernel, fleet->now_ns);
+        }
+    }
+}
+
+/* Lets virtual time pass. */
+void
+fake_fleet_run(struct fake_fleet *fleet, int64_t duration_ns)
+{
+    int64_t end_ns = fleet->now_ns + duration_ns;
+    while (fleet->now_ns < end_ns) {
+        step(fleet, end_ns);
+    }
+}
+
+/* Lets virtual time pass until done says so; returns false at the limit. */
+bool
+fake_fleet_run_until(struct fake_fleet *fleet, int64_t limit_ns,
+                     bool (*done)(struct fake_fleet *fleet, void *data),
+                     void *data)
+{
+    int64_t end_ns = fleet->now_ns + limit_ns;
+    while (!done(fleet, data)) {
+        if (fleet->now_ns >= end_ns) {
+            return false;
+        }
+        step(fleet, end_ns);
+    }
+    return true;
+}
+
+/* Gives one VM a record as the platform would. */
+void
+fake_fleet_publish(struct fake_fleet *fleet, uint32_t index, const char *key,
+                   uint64_t revision, const char *value)
+{
+    struct fake_vm *vm = &fleet->vms[index];
+    struct rp_record_batch *batch = rp_record_batch_new();
+    GBytes *bytes = g_bytes_new(value, strlen(value));
+    rp_record_batch_add(batch, key, revision, bytes);
+    g_bytes_unref(bytes);
+    rp_config_records_send(NULL, rp_kernel_find_task(vm->kernel, "config"),
+                           RP_MSG_PLATFORM_RECORDS, batch, "", 0, true);
+    rp_record_batch_unref(batch);
+    vm->due_ns = fleet->now_ns;
+}
+
+/* Returns what one VM holds another to be; DEAD when it does not know it. */
+enum rp_member_state
+fake_fleet_state(struct fake_fleet *fleet, uint32_t observer, uint32_t subject)
+{
+    char id[RP_ID_BYTES];
+    snprintf(id, sizeof(id), "vm-%02u", subject);
+    const struct rp_member_info *info =
+        rp_member_find(rp_gossip_members(fleet->vms[observer].gossip), id);
+    return info == NULL ? RP_MEMBER_DEAD : info->state;
+}
+
+/* Returns the digest of the records that a VM has in force. */
+uint64_t
+fake_fleet_digest(struct fake_fleet *fleet, uint32_t index)
+{
+    return rp_record_set_digest(rp_config_task_set(fleet->vms[index].config));
+}
+
+/* Returns the sum of a counter over all VMs that run. */
+uint64_t
+fake_fleet_sum(struct fake_fleet *fleet, enum rp_counter counter)
+{
+    uint64_t sum = 0;
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        if (!fleet->vms[i].down) {
+            sum += rp_counter_get(&fleet->vms[i].context->counters, counter);
+        }
+    }
+    return sum;
+}
