Add keygen and the relay stand-in

Cause: fleets need keys, and fault runs need cuts between real processes. Change: rosemarypulley keygen; rp-standin relay with cut, hole, silence, delay and pass over a control port, on loopback only.

--- a/cli/main.c
+++ b/cli/main.c
@@ -25,6 +25,7 @@
     {"serve", cli_serve_main, "serve callers as one entry VM"},
     {"status", cli_status_main, "show what entry VMs are doing"},
     {"timeline", cli_timeline_main, "print one time line of all entry VMs"},
+    {"keygen", cli_keygen_main, "print new keys for a fleet"},
     {"version", version_main, "print the version"},
     {"help", help_main, "print this list"},
 };
--- /dev/null
+++ b/standin/relay.c
@@ -0,0 +1,580 @@
+#include <argp.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <ev.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sysexits.h>
+#include <unistd.h>
+
+#include "standin.h"
+
+#define LINK_LIMIT 64
+#define CHUNK_BYTES 16384
+/* Bytes kept for one direction; beyond that its sender is not read. */
+#define QUEUE_BYTES (256u * 1024u)
+#define COMMAND_BYTES 128
+#define DELAY_MAX_MS 60000
+
+enum relay_mode {
+    MODE_PASS,
+    MODE_CUT,  /* connections are closed and new ones refused */
+    MODE_HOLE, /* connections stay open and nothing passes */
+};
+
+struct relay_link;
+
+struct chunk {
+    ev_tstamp due;
+    size_t bytes;
+    size_t sent;
+    uint8_t data[];
+};
+
+/* One direction of a connection. */
+struct flow {
+    int from;
+    int to;
+    ev_io readable;
+    ev_io writable;
+    ev_timer timer;
+    GQueue chunks;
+    size_t queued_bytes;
+    bool ended; /* from sends no more */
+    struct connection *connection;
+};
+
+struct connection {
+    struct relay_link *link;
+    struct flow flows[2];
+    bool silent; /* for good */
+    bool connecting;
+};
+
+struct relay_link {
+    struct sockaddr_in listen_address;
+    struct sockaddr_in target_address;
+    int listener;
+    ev_io watcher;
+    enum relay_mode mode;
+    uint32_t delay_ms;
+    GPtrArray *connections;
+    struct relay *relay;
+};
+
+struct relay {
+    struct ev_loop *ev;
+    struct relay_link links[LINK_LIMIT];
+    uint32_t link_count;
+    struct sockaddr_in control_address;
+    bool has_control;
+    int control;
+    ev_io control_watcher;
+};
+
+/* A connection to the control port. */
+struct controller {
+    int descriptor;
+    ev_io watcher;
+    struct relay *relay;
+    char line[COMMAND_BYTES];
+    size_t bytes;
+};
+
+static bool
+parse_address(const char *text, struct sockaddr_in *address)
+{
+    char host[64];
+    unsigned port;
+    char extra;
+    memset(address, 0, sizeof(*address));
+    address->sin_family = AF_INET;
+    if (sscanf(text, "%63[0-9.]:%u%c", host, &port, &extra) != 2 ||
+        port == 0 || port > 65535 ||
+        inet_pton(AF_INET, host, &address->sin_addr) != 1)
+    {
+        return false;
+    }
+    address->sin_port = htons((uint16_t)port);
+    /* Tests never leave the machine. */
+    return (ntohl(address->sin_addr.s_addr) >> 24) == 127;
+}
+
+static int
+open_socket(void)
+{
+    int one = 1;
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    if (descriptor >= 0) {
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    }
+    return descriptor;
+}
+
+static int
+listen_at(const struct sockaddr_in *address)
+{
+    int descriptor = open_socket();
+    if (descriptor < 0 ||
+        bind(descriptor, (const struct sockaddr *)address, sizeof(*address)) !=
+            0 ||
+        listen(descriptor, 128) != 0)
+    {
+        perror("rp-standin relay: cannot listen");
+        return -1;
+    }
+    return descriptor;
+}
+
+static void
+close_connection(struct connection *connection)
+{
+    struct ev_loop *ev = connection->link->relay->ev;
+    /* An abrupt end, as when something between loses the connection. */
+    struct linger abort_on_close = {.l_onoff = 1, .l_linger = 0};
+    for (int i = 0; i < 2; i++) {
+        struct flow *flow = &connection->flows[i];
+        ev_io_stop(ev, &flow->readable);
+        ev_io_stop(ev, &flow->writable);
+        ev_timer_stop(ev, &flow->timer);
+        g_queue_clear_full(&flow->chunks, g_free);
+        if (!flow->ended) {
+            setsockopt(flow->from, SOL_SOCKET, SO_LINGER, &abort_on_close,
+                       sizeof(abort_on_close));
+        }
+    }
+    close(connection->flows[0].from);
+    close(connection->flows[1].from);
+    g_ptr_array_remove_fast(connection->link->connections, connection);
+    g_free(connection);
+}
+
+static bool
+passes(const struct connection *connection)
+{
+    return !connection->silent && connection->link->mode == MODE_PASS;
+}
+
+static void
+update_watchers(struct flow *flow)
+{
+    struct connection *connection = flow->connection;
+    struct ev_loop *ev = connection->link->relay->ev;
+    const struct chunk *first = g_queue_peek_head(&flow->chunks);
+    bool pass = passes(connection) && !connection->connecting;
+    ev_io_stop(ev, &flow->readable);
+    ev_io_stop(ev, &flow->writable);
+    ev_timer_stop(ev, &flow->timer);
+    if (!pass) {
+        return;
+    }
+    if (!flow->ended && flow->queued_bytes < QUEUE_BYTES) {
+        ev_io_start(ev, &flow->readable);
+    }
+    if (first != NULL && first->due <= ev_now(ev)) {
+        ev_io_start(ev, &flow->writable);
+    }
+    else if (first != NULL) {
+        ev_timer_set(&flow->timer, first->due - ev_now(ev), 0.0);
+        ev_timer_start(ev, &flow->timer);
+    }
+}
+
+/* Ends the direction towards its receiver; returns true when both directions
+ * have ended and the connection is gone. */
+static bool
+finish_flow(struct flow *flow)
+{
+    struct connection *connection = flow->connection;
+    const struct flow *other =
+        &connection->flows[flow == &connection->flows[0]];
+    shutdown(flow->to, SHUT_WR);
+    if (other->ended && g_queue_is_empty((GQueue *)&other->chunks)) {
+        close_connection(connection);
+        return true;
+    }
+    return false;
+}
+
+static void
+on_readable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    struct flow *flow = watcher->data;
+    struct chunk *chunk = g_malloc(sizeof(*chunk) + CHUNK_BYTES);
+    ssize_t bytes = recv(flow->from, chunk->data, CHUNK_BYTES, 0);
+    (void)events;
+    if (bytes <= 0) {
+        bool again = bytes < 0 && (errno == EAGAIN || errno == EINTR);
+        g_free(chunk);
+        if (again) {
+            return;
+        }
+        if (bytes < 0) {
+            close_connection(flow->connection);
+            return;
+        }
+        flow->ended = true;
+        if (g_queue_is_empty(&flow->chunks) && finish_flow(flow)) {
+            return;
+        }
+        update_watchers(flow);
+        return;
+    }
+    chunk->bytes = (size_t)bytes;
+    chunk->sent = 0;
+    chunk->due = ev_now(ev) + flow->connection->link->delay_ms / 1000.0;
+    g_queue_push_tail(&flow->chunks, chunk);
+    flow->queued_bytes += chunk->bytes;
+    update_watchers(flow);
+}
+
+static void
+on_writable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    struct flow *flow = watcher->data;
+    struct chunk *chunk = g_queue_peek_head(&flow->chunks);
+    (void)ev;
+    (void)events;
+    ssize_t bytes = send(flow->to, chunk->data + chunk->sent,
+                         chunk->bytes - chunk->sent, MSG_NOSIGNAL);
+    if (bytes < 0) {
+        if (errno != EAGAIN && errno != EINTR) {
+            close_connection(flow->connection);
+        }
+        return;
+    }
+    chunk->sent += (size_t)bytes;
+    flow->queued_bytes -= (size_t)bytes;
+    if (chunk->sent == chunk->bytes) {
+        g_free(g_queue_pop_head(&flow->chunks));
+    }
+    if (flow->ended && g_queue_is_empty(&flow->chunks) && finish_flow(flow)) {
+        return;
+    }
+    update_watchers(flow);
+}
+
+static void
+on_due(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    update_watchers(watcher->data);
+}
+
+static void
+on_connected(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    struct flow *flow = watcher->data;
+    struct connection *connection = flow->connection;
+    int error = 0;
+    socklen_t bytes = sizeof(error);
+    (void)events;
+    ev_io_stop(ev, watcher);
+    getsockopt(flow->to, SOL_SOCKET, SO_ERROR, &error, &bytes);
+    if (error != 0) {
+        close_connection(connection);
+        return;
+    }
+    connection->connecting = false;
+    ev_set_cb(&flow->writable, on_writable);
+    update_watchers(&connection->flows[0]);
+    update_watchers(&connection->flows[1]);
+}
+
+static void
+start_flow(struct connection *connection, struct flow *flow, int from, int to)
+{
+    flow->connection = connection;
+    flow->from = from;
+    flow->to = to;
+    g_queue_init(&flow->chunks);
+    ev_io_init(&flow->readable, on_readable, from, EV_READ);
+    ev_io_init(&flow->writable, on_writable, to, EV_WRITE);
+    ev_timer_init(&flow->timer, on_due, 0.0, 0.0);
+    flow->readable.data = flow;
+    flow->writable.data = flow;
+    flow->timer.data = flow;
+}
+
+static void
+on_accept(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    struct relay_link *link = watcher->data;
+    int caller = accept4(link->listener, NULL, NULL, SOCK_NONBLOCK);
+    (void)events;
+    if (caller < 0) {
+        return;
+    }
+    int target = link->mode == MODE_CUT ? -1 : open_socket();
+    if (target < 0 ||
+        (connect(target, (const struct sockaddr *)&link->target_address,
+                 sizeof(link->target_address)) != 0 &&
+         errno != EINPROGRESS))
+    {
+        close(caller);
+        if (target >= 0) {
+            close(target);
+        }
+        return;
+    }
+    struct connection *connection = g_new0(struct connection, 1);
+    connection->link = link;
+    connection->connecting = true;
+    start_flow(connection, &connection->flows[0], caller, target);
+    start_flow(connection, &connection->flows[1], target, caller);
+    ev_set_cb(&connection->flows[0].writable, on_connected);
+    ev_io_start(ev, &connection->flows[0].writable);
+    g_ptr_array_add(link->connections, connection);
+}
+
+static void
+update_link(struct relay_link *link)
+{
+    for (guint i = link->connections->len; i > 0; i--) {
+        struct connection *connection =
+            g_ptr_array_index(link->connections, i - 1);
+        if (link->mode == MODE_CUT) {
+            close_connection(connection);
+        }
+        else if (!connection->connecting) {
+            update_watchers(&connection->flows[0]);
+            update_watchers(&connection->flows[1]);
+        }
+    }
+}
+
+static bool
+command_link(struct relay_link *link, const char *verb, uint32_t value)
+{
+    if (strcmp(verb, "pass") == 0) {
+        link->mode = MODE_PASS;
+        link->delay_ms = 0;
+    }
+    else if (strcmp(verb, "cut") == 0) {
+        link->mode = MODE_CUT;
+    }
+    else if (strcmp(verb, "hole") == 0) {
+        link->mode = MODE_HOLE;
+    }
+    else if (strcmp(verb, "delay") == 0 && value <= DELAY_MAX_MS) {
+        link->delay_ms = value;
+    }
+    else if (strcmp(verb, "silence") == 0) {
+        for (guint i = 0; i < link->connections->len; i++) {
+            struct connection *connection =
+                g_ptr_array_index(link->connections, i);
+            connection->silent = true;
+        }
+    }
+    else {
+        return false;
+    }
+    update_link(link);
+    return true;
+}
+
+/* Runs a command on one link or on all. The forms are "VERB", "VERB LINK" and
+ * "delay MS [LINK]"; links are numbered from 0. */
+static bool
+run_command(struct relay *relay, const char *line)
+{
+    char verb[16];
+    unsigned numbers[2] = {0, 0};
+    int fields =
+        sscanf(line, "%15s %u %u", verb, &numbers[0], &numbers[1]) - 1;
+    bool takes_value = fields >= 0 && strcmp(verb, "delay") == 0;
+    if (fields < 0 || (takes_value && fields == 0)) {
+        return false;
+    }
+    uint32_t value = takes_value ? numbers[0] : 0;
+    bool one = fields > (takes_value ? 1 : 0);
+    unsigned chosen = takes_value ? numbers[1] : numbers[0];
+    if (one && chosen >= relay->link_count) {
+        return false;
+    }
+    bool valid = true;
+    for (uint32_t i = 0; i < relay->link_count; i++) {
+        if (!one || i == chosen) {
+            valid = command_link(&relay->links[i], verb, value) && valid;
+        }
+    }
+    return valid;
+}
+
+static void
+close_controller(struct controller *controller)
+{
+    ev_io_stop(controller->relay->ev, &controller->watcher);
+    close(controller->descriptor);
+    g_free(controller);
+}
+
+static void
+on_controller(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    struct controller *controller = watcher->data;
+    size_t room = sizeof(controller->line) - 1 - controller->bytes;
+    ssize_t bytes = recv(controller->descriptor,
+                         controller->line + controller->bytes, room, 0);
+    (void)ev;
+    (void)events;
+    if (bytes < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (bytes <= 0) {
+        close_controller(controller);
+        return;
+    }
+    controller->bytes += (size_t)bytes;
+    controller->line[controller->bytes] = '\0';
+    char *end;
+    while ((end = strchr(controller->line, '\n')) != NULL) {
+        *end = '\0';
+        const char *reply = run_command(controller->relay, controller->line)
+                                ? "ok\n"
+                                : "unknown command\n";
+        if (send(controller->descriptor, reply, strlen(reply), MSG_NOSIGNAL) <
+            0) {
+            close_controller(controller);
+            return;
+        }
+        controller->bytes -= (size_t)(end + 1 - controller->line);
+        memmove(controller->line, end + 1, controller->bytes + 1);
+    }
+    if (controller->bytes == sizeof(controller->line) - 1) {
+        close_controller(controller);
+    }
+}
+
+static void
+on_control(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    struct relay *relay = watcher->data;
+    int descriptor = accept4(relay->control, NULL, NULL, SOCK_NONBLOCK);
+    (void)events;
+    if (descriptor < 0) {
+        return;
+    }
+    struct controller *controller = g_new0(struct controller, 1);
+    controller->descriptor = descriptor;
+    controller->relay = relay;
+    ev_io_init(&controller->watcher, on_controller, descriptor, EV_READ);
+    controller->watcher.data = controller;
+    ev_io_start(ev, &controller->watcher);
+}
+
+static const struct argp_option options[] = {
+    {"link", 'l', "LISTEN=TARGET", 0,
+     "forward connections to LISTEN (ip:port) to TARGET; may be repeated", 0},
+    {"control", 'c', "IP:PORT", 0, "take commands there, one a line", 0},
+    {0},
+};
+
+static error_t
+parse_link(struct relay *relay, const char *value, struct argp_state *state)
+{
+    char **parts = g_strsplit(value, "=", 2);
+    struct relay_link *link = &relay->links[relay->link_count];
+    bool valid = relay->link_count < LINK_LIMIT && parts[1] != NULL &&
+                 parse_address(parts[0], &link->listen_address) &&
+                 parse_address(parts[1], &link->target_address);
+    g_strfreev(parts);
+    if (!valid) {
+        argp_error(state,
+                   "'%s' must be 127.x.x.x:PORT=127.x.x.x:PORT, and at most "
+                   "%d links",
+                   value, LINK_LIMIT);
+        return EINVAL;
+    }
+    relay->link_count++;
+    return 0;
+}
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+    struct relay *relay = state->input;
+    switch (key) {
+    case 'l':
+        return parse_link(relay, value, state);
+    case 'c':
+        relay->has_control = parse_address(value, &relay->control_address);
+        if (!relay->has_control) {
+            argp_error(state, "'%s' must be 127.x.x.x:PORT", value);
+        }
+        return 0;
+    case ARGP_KEY_END:
+        if (relay->link_count == 0) {
+            argp_error(state, "give at least one --link");
+        }
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static bool
+open_ports(struct relay *relay)
+{
+    for (uint32_t i = 0; i < relay->link_count; i++) {
+        struct relay_link *link = &relay->links[i];
+        link->relay = relay;
+        link->connections = g_ptr_array_new();
+        link->listener = listen_at(&link->listen_address);
+        if (link->listener < 0) {
+            return false;
+        }
+        ev_io_init(&link->watcher, on_accept, link->listener, EV_READ);
+        link->watcher.data = link;
+        ev_io_start(relay->ev, &link->watcher);
+    }
+    if (!relay->has_control) {
+        return true;
+    }
+    relay->control = listen_at(&relay->control_address);
+    if (relay->control < 0) {
+        return false;
+    }
+    ev_io_init(&relay->control_watcher, on_control, relay->control, EV_READ);
+    relay->control_watcher.data = relay;
+    ev_io_start(relay->ev, &relay->control_watcher);
+    return true;
+}
+
+/* Forwards TCP connections until it is ended, and breaks them on command:
+ * "cut" closes connections and refuses new ones, "hole" keeps all open and
+ * passes nothing, "silence" does so for good to those open now while new ones
+ * work, "delay MS" delays each piece, "pass" ends cut, hole and delay. */
+int
+standin_relay_main(int argc, char **argv)
+{
+    struct argp argp = {
+        options,
+        parse_option,
+        NULL,
+        "Forward TCP connections on this machine and break them on command: "
+        "cut, hole, silence, delay MS, pass; each may be followed by the "
+        "number of one link.",
+        NULL,
+        NULL,
+        NULL,
+    };
+    struct relay *relay = g_new0(struct relay, 1);
+    relay->ev = ev_default_loop(EVFLAG_AUTO);
+    if (argp_parse(&argp, argc, argv, 0, NULL, relay) != 0) {
+        return EX_USAGE;
+    }
+    if (!open_ports(relay)) {
+        return EX_UNAVAILABLE;
+    }
+    ev_run(relay->ev, 0);
+    return 0;
+}
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -5,6 +5,7 @@
  * the exit status of the program. */
 int standin_target_main(int argc, char **argv);
 int standin_caller_main(int argc, char **argv);
+int standin_relay_main(int argc, char **argv);
 int standin_load_main(int argc, char **argv);
 
 #endif
