Add the decision modules and the bench

Cause: the balancer was only least requests by local count, without a queue, limits, outlier ejection or use of load reports. Change: route, limit, outlier, admission, retry, hedge, length, subset and estate_share as pure modules, composed by balancer.c. The verdict gains flags, so that a call found to be long is reported as such. rp-bench runs them in virtual time beside simple policies and an all-knowing one.

--- /dev/null
+++ b/bench/regime.c
@@ -0,0 +1,36 @@
+#include "regime.h"
+
+#define MS 1000000
+
+const struct bench_deployment bench_deployments[] = {
+    {"bantay-lookups", 12, 4},
+    {"cubetas-coverage", 10, 3},
+    {"bantay-maps", 8, 4},
+    {"cubetas-routes", 6, 3},
+};
+const uint32_t bench_deployment_count =
+    sizeof(bench_deployments) / sizeof(bench_deployments[0]);
+
+const struct bench_regime bench_regimes[] = {
+    {.name = "steady-50", .load = 0.5, .equal = true},
+    {.name = "steady-80", .load = 0.8, .equal = true},
+    {.name = "steady-95", .load = 0.95, .equal = true},
+    {.name = "straggler", .load = 0.8, .straggler = 3},
+    {.name = "deciders-100", .load = 0.8, .deciders = 100},
+    {.name = "deciders-100-95", .load = 0.95, .deciders = 100},
+    {.name = "heavy-tail", .load = 0.8, .sigma = 1.2},
+    {.name = "noise", .load = 0.6, .noise = 4},
+    {.name = "maps", .load = 0.7, .long_share = 0.02},
+    {.name = "short-alone", .load = 0.7, .long_share = -0.02},
+    {.name = "rain", .load = 0.3, .crest = 10},
+    {.name = "fast-failer", .load = 0.7, .fast_failer = true},
+    {.name = "cold-half", .load = 0.5, .cold = 4},
+    {.name = "estates", .load = 0.5, .estates = true},
+    {.name = "lag-5ms", .load = 0.8, .lag_ns = 5 * MS},
+    {.name = "lag-50ms", .load = 0.8, .lag_ns = 50 * MS},
+    {.name = "lag-500ms", .load = 0.8, .lag_ns = 500 * MS},
+    {.name = "lag-2s", .load = 0.8, .lag_ns = 2000 * (int64_t)MS},
+    {.name = "pause", .load = 0.7, .pause_ns = 300 * MS},
+};
+const uint32_t bench_regime_count =
+    sizeof(bench_regimes) / sizeof(bench_regimes[0]);
--- /dev/null
+++ b/src/admission.c
@@ -0,0 +1,197 @@
+#include "admission.h"
+
+#include <glib.h>
+
+#define TURN_WEIGHT (1.0 / 32)
+
+/* A queue that takes longer than this to pass only adds delay: it neither
+ * fills slots better nor outlasts a rush (CoDel, Nichols and Jacobson 2012,
+ * on standing queues). Long calls bear a longer wait. */
+static const int64_t most_wait_ns[RP_ADMISSION_CLASSES] = {
+    [RP_ADMISSION_SHORT] = 300000000,
+    [RP_ADMISSION_LONG] = 5000000000,
+};
+
+struct waiting_call {
+    struct rp_balancer_call call;
+    int64_t latest_ns; /* time of the last useful start */
+};
+
+struct class_queue {
+    GQueue calls;        /* of struct waiting_call, owned */
+    double turn_ns;      /* time between two calls leaving the queue */
+    int64_t last_pop_ns; /* INT64_MIN when the queue was empty since */
+};
+
+struct rp_admission {
+    struct class_queue queues[RP_ADMISSION_CLASSES];
+    uint32_t limit;
+    int64_t due_ns; /* no call's latest_ns is before this */
+};
+
+/* Creates empty queues that hold up to limit calls each. Free them with
+ * rp_admission_free. */
+struct rp_admission *
+rp_admission_new(uint32_t limit)
+{
+    struct rp_admission *admission = g_new0(struct rp_admission, 1);
+    admission->limit = limit;
+    admission->due_ns = INT64_MAX;
+    for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
+        g_queue_init(&admission->queues[i].calls);
+        admission->queues[i].last_pop_ns = INT64_MIN;
+    }
+    return admission;
+}
+
+/* Frees the queues with the calls in them; NULL is allowed. */
+void
+rp_admission_free(struct rp_admission *admission)
+{
+    if (admission == NULL) {
+        return;
+    }
+    for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
+        g_queue_clear_full(&admission->queues[i].calls, g_free);
+    }
+    g_free(admission);
+}
+
+/* Queues a call, or returns why it is refused: there is no room, or its turn
+ * would come too late for an answer before the deadline. turn_ns is the
+ * expected time between two calls leaving the queue, used until it has been
+ * measured; service_ns is the usual response time. */
+enum rp_refusal
+rp_admission_offer(struct rp_admission *admission,
+                   const struct rp_balancer_call *call,
+                   enum rp_admission_class class_, double turn_ns,
+                   double service_ns, int64_t now_ns)
+{
+    struct class_queue *queue = &admission->queues[class_];
+    if (queue->calls.length >= admission->limit) {
+        return RP_REFUSAL_QUEUE_FULL;
+    }
+    if (queue->calls.length == 0) {
+        queue->turn_ns = turn_ns;
+        queue->last_pop_ns = INT64_MIN;
+    }
+    int64_t latest_ns = call->deadline_ns - (int64_t)service_ns;
+    double expected_ns = queue->turn_ns * (queue->calls.length + 1);
+    if (expected_ns > (double)most_wait_ns[class_]) {
+        return RP_REFUSAL_QUEUE_FULL;
+    }
+    if ((double)now_ns + expected_ns > (double)latest_ns) {
+        return RP_REFUSAL_DEADLINE;
+    }
+    struct waiting_call *waiting = g_new(struct waiting_call, 1);
+    waiting->call = *call;
+    waiting->latest_ns = MIN(latest_ns, now_ns + 2 * most_wait_ns[class_]);
+    g_queue_push_tail(&queue->calls, waiting);
+    admission->due_ns = MIN(admission->due_ns, waiting->latest_ns);
+    return RP_REFUSAL_NONE;
+}
+
+/* Returns the call whose turn is next in a class, or NULL. It belongs to the
+ * queue. */
+const struct rp_balancer_call *
+rp_admission_peek(const struct rp_admission *admission,
+                  enum rp_admission_class class_)
+{
+    const struct waiting_call *waiting =
+        admission->queues[class_].calls.head != NULL
+            ? admission->queues[class_].calls.head->data
+            : NULL;
+    return waiting != NULL ? &waiting->call : NULL;
+}
+
+/* Removes the call whose turn is next because it has been sent. */
+void
+rp_admission_pop(struct rp_admission *admission,
+                 enum rp_admission_class class_, int64_t now_ns)
+{
+    struct class_queue *queue = &admission->queues[class_];
+    if (queue->last_pop_ns != INT64_MIN) {
+        double turn = (double)(now_ns - queue->last_pop_ns);
+        queue->turn_ns += TURN_WEIGHT * (turn - queue->turn_ns);
+    }
+    queue->last_pop_ns = now_ns;
+    g_free(g_queue_pop_head(&queue->calls));
+}
+
+static bool
+expire_in(struct class_queue *queue, int64_t now_ns, int64_t *due_ns,
+          struct rp_balancer_call *call)
+{
+    for (GList *link = queue->calls.head; link != NULL; link = link->next) {
+        struct waiting_call *waiting = link->data;
+        if (waiting->latest_ns <= now_ns) {
+            *call = waiting->call;
+            g_free(waiting);
+            g_queue_delete_link(&queue->calls, link);
+            return true;
+        }
+        *due_ns = MIN(*due_ns, waiting->latest_ns);
+    }
+    return false;
+}
+
+/* Removes one call that can no longer be answered before its deadline and
+ * copies it to *call; returns false when there is none. */
+bool
+rp_admission_expire(struct rp_admission *admission, int64_t now_ns,
+                    struct rp_balancer_call *call)
+{
+    if (now_ns < admission->due_ns) {
+        return false;
+    }
+    int64_t due_ns = INT64_MAX;
+    for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
+        if (expire_in(&admission->queues[i], now_ns, &due_ns, call)) {
+            return true;
+        }
+    }
+    admission->due_ns = due_ns;
+    return false;
+}
+
+/* Removes a call; returns false when it does not wait here. */
+bool
+rp_admission_withdraw(struct rp_admission *admission, uint64_t call_id)
+{
+    for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
+        GQueue *calls = &admission->queues[i].calls;
+        for (GList *link = calls->head; link != NULL; link = link->next) {
+            struct waiting_call *waiting = link->data;
+            if (waiting->call.call_id == call_id) {
+                g_free(waiting);
+                g_queue_delete_link(calls, link);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* Returns when rp_admission_expire has to be called, or INT64_MAX. */
+int64_t
+rp_admission_due_ns(const struct rp_admission *admission)
+{
+    return admission->due_ns;
+}
+
+/* Returns how long the calls of a class now waiting will take to leave. */
+int64_t
+rp_admission_wait_ns(const struct rp_admission *admission,
+                     enum rp_admission_class class_)
+{
+    const struct class_queue *queue = &admission->queues[class_];
+    return (int64_t)(queue->turn_ns * queue->calls.length);
+}
+
+/* Returns how many calls of a class wait. */
+uint32_t
+rp_admission_count(const struct rp_admission *admission,
+                   enum rp_admission_class class_)
+{
+    return admission->queues[class_].calls.length;
+}
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -1,22 +1,17 @@
 #include "balancer.h"
 
+#include <math.h>
 #include <string.h>
 
-/* Least requests in flight by local count, without a queue. */
-struct balancer_target {
-    char *address;
-    char *name;
-    char *estate;
-    uint32_t in_flight;
-    uint64_t sent;
-    bool present;
-    bool draining;
-};
-
-struct rp_balancer {
-    GArray *targets; /* of struct balancer_target; indices are stable */
-    uint32_t next;
-};
+#include "balancer_private.h"
+
+#define FAILURE_WEIGHT (1.0 / 64)
+#define LONG_WEIGHT (1.0 / 16)
+/* Used until an answer has been measured. */
+#define UNKNOWN_RESPONSE_NS 5000000.0
+#define NO_TARGET_RETRY_NS 1000000000
+#define LEAST_RETRY_NS 100000000
+#define MOST_RETRY_NS 5000000000
 
 static void
 clear_target(gpointer data)
@@ -24,18 +19,26 @@
     struct balancer_target *target = data;
     g_free(target->address);
     g_free(target->name);
-    g_free(target->estate);
+    g_free(target->estate_name);
 }
 
 /* Creates a balancer without targets. Free it with rp_balancer_free. */
 struct rp_balancer *
 rp_balancer_new(const struct rp_balancer_config *config)
 {
-    (void)config;
     struct rp_balancer *balancer = g_new0(struct rp_balancer, 1);
+    balancer->config = *config;
+    balancer->config.domain = g_strdup(config->domain);
     balancer->targets =
         g_array_new(FALSE, TRUE, sizeof(struct balancer_target));
     g_array_set_clear_func(balancer->targets, clear_target);
+    balancer->random = g_rand_new_with_seed((guint32)config->seed);
+    balancer->pool.deciders = MAX(
+        config->deciders > 0 ? config->deciders : config->fleet_size, 1);
+    balancer->admission = rp_admission_new(config->queue_limit);
+    rp_length_init(&balancer->length);
+    rp_retry_init(&balancer->retries);
+    rp_hedge_init(&balancer->hedge);
     return balancer;
 }
 
@@ -47,20 +50,17 @@
         return;
     }
     g_array_unref(balancer->targets);
+    rp_admission_free(balancer->admission);
+    g_rand_free(balancer->random);
+    g_free((char *)balancer->config.domain);
     g_free(balancer);
 }
 
-static struct balancer_target *
-get_target(const struct rp_balancer *balancer, uint32_t index)
-{
-    return &g_array_index(balancer->targets, struct balancer_target, index);
-}
-
 static struct balancer_target *
 find_target(struct rp_balancer *balancer, const char *address)
 {
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
-        struct balancer_target *target = get_target(balancer, i);
+        struct balancer_target *target = balancer_get(balancer, i);
         if (strcmp(target->address, address) == 0) {
             return target;
         }
@@ -68,6 +68,19 @@
     return NULL;
 }
 
+static struct balancer_target *
+add_target(struct rp_balancer *balancer, const struct rp_target *source)
+{
+    struct balancer_target fresh = {.address = g_strdup(source->address)};
+    bool local = g_strcmp0(source->domain, balancer->config.domain) == 0;
+    rp_route_init(&fresh.route, source->slots, local);
+    /* What joins a service in use has just started, as far as is known. */
+    rp_limit_init(&fresh.limit, source->slots, balancer->configured);
+    rp_outlier_init(&fresh.outlier);
+    g_array_append_val(balancer->targets, fresh);
+    return balancer_get(balancer, balancer->targets->len - 1);
+}
+
 /* Takes over the targets of a service; those known by address keep their
  * number and state. */
 void
@@ -76,24 +89,30 @@
 {
     (void)now_ns;
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
-        get_target(balancer, i)->present = false;
+        balancer_get(balancer, i)->present = false;
     }
     for (uint32_t i = 0; i < service->target_count; i++) {
         const struct rp_target *source = &service->targets[i];
         struct balancer_target *target =
             find_target(balancer, source->address);
         if (target == NULL) {
-            struct balancer_target fresh = {
-                .address = g_strdup(source->address),
-                .name = g_strdup(source->name),
-                .estate = g_strdup(service->estates[source->estate].name),
-            };
-            g_array_append_val(balancer->targets, fresh);
-            target = get_target(balancer, balancer->targets->len - 1);
+            target = add_target(balancer, source);
         }
+        g_free(target->name);
+        g_free(target->estate_name);
+        target->name = g_strdup(source->name);
+        target->estate_name =
+            g_strdup(service->estates[source->estate].name);
+        target->estate = source->estate;
         target->present = true;
         target->draining = source->draining;
+        balancer->slots_total += target->route.slots;
+        balancer->limit_total += target->limit.limit;
     }
+    rp_estate_share_set(&balancer->shares, service->estates,
+                        service->estate_count);
+    balancer->length_class = service->length_class;
+    balancer->configured = true;
 }
 
 /* Sets how many entry VMs share the service at present. */
@@ -101,68 +120,187 @@
 rp_balancer_set_deciders(struct rp_balancer *balancer, uint32_t deciders,
                          int64_t now_ns)
 {
-    (void)balancer;
-    (void)deciders;
     (void)now_ns;
+    balancer->pool.deciders = MAX(deciders, 1);
 }
 
+/* In a service whose calls are all long there is no short work to protect. */
 static bool
-is_avoided(const struct rp_balancer_call *call, uint32_t target)
+is_long_call(const struct rp_balancer *balancer, uint64_t kind, uint32_t flags)
+{
+    if (balancer->length_class != RP_LENGTH_MEASURED) {
+        return false;
+    }
+    return (flags & RP_CALL_LONG) != 0 ||
+           rp_length_is_long(&balancer->length, kind);
+}
+
+static double
+usual_response_ns(const struct rp_balancer *balancer, bool is_long)
+{
+    double known = is_long ? balancer->long_ns : balancer->pool.response_ns;
+    return known > 0 ? known : UNKNOWN_RESPONSE_NS;
+}
+
+/* Expected time between two calls of a class leaving this entry VM's queue:
+ * its share of the slots turns over once in a response time. */
+static double
+expected_turn_ns(const struct rp_balancer *balancer, bool is_long)
+{
+    double slots = fmax(balancer->slots_total, 1) / balancer->pool.deciders;
+    return usual_response_ns(balancer, is_long) / (is_long ? slots / 2 : slots);
+}
+
+static double
+used_share(const struct rp_balancer *balancer)
+{
+    return balancer->slots_total > 0
+               ? balancer->load_total / balancer->slots_total
+               : 1;
+}
+
+/* Time for a caller to come back: when what waits now will have left, spread
+ * so that the refused do not return together. */
+static int64_t
+retry_after_ns(struct rp_balancer *balancer, enum rp_refusal refusal,
+               bool is_long)
 {
-    for (uint32_t i = 0; i < call->avoid_count; i++) {
-        if (call->avoid[i] == target) {
+    int64_t base_ns =
+        refusal == RP_REFUSAL_NO_TARGET
+            ? NO_TARGET_RETRY_NS
+            : rp_admission_wait_ns(balancer->admission,
+                                   is_long ? RP_ADMISSION_LONG
+                                           : RP_ADMISSION_SHORT);
+    base_ns = CLAMP(base_ns, LEAST_RETRY_NS, MOST_RETRY_NS);
+    return base_ns +
+           (int64_t)(g_rand_double(balancer->random) * (double)base_ns);
+}
+
+static void
+refuse(struct rp_balancer *balancer, enum rp_refusal refusal, bool is_long,
+       struct rp_balancer_verdict *verdict)
+{
+    verdict->action = RP_BALANCER_REFUSE;
+    verdict->refusal = refusal;
+    verdict->target = RP_BALANCER_NO_TARGET;
+    verdict->retry_after_ns = retry_after_ns(balancer, refusal, is_long);
+}
+
+static void
+start_verdict(const struct rp_balancer_call *call, bool is_long,
+              struct rp_balancer_verdict *verdict)
+{
+    memset(verdict, 0, sizeof(*verdict));
+    verdict->call_id = call->call_id;
+    verdict->target = RP_BALANCER_NO_TARGET;
+    verdict->flags = call->flags | (is_long ? RP_CALL_LONG : 0);
+}
+
+static void
+send_to(struct rp_balancer *balancer, uint32_t index, bool is_long,
+        int64_t now_ns, struct rp_balancer_verdict *verdict)
+{
+    struct balancer_target *target = balancer_get(balancer, index);
+    rp_route_sent(&target->route, is_long, now_ns);
+    rp_estate_share_sent(&balancer->shares, target->estate);
+    target->sent++;
+    balancer->own_total++;
+    balancer->own_long_total += is_long;
+    balancer->next = index + 1;
+    verdict->action = RP_BALANCER_SEND;
+    verdict->target = index;
+}
+
+static bool
+any_usable(const struct rp_balancer *balancer)
+{
+    for (uint32_t i = 0; i < balancer->targets->len; i++) {
+        if (rp_balancer_target_usable(balancer, i)) {
             return true;
         }
     }
     return false;
 }
 
-/* Decides a call at once: the usable target with the fewest requests in
- * flight, or a refusal. */
+static bool
+within_budget(struct rp_balancer *balancer, uint32_t flags)
+{
+    if ((flags & RP_CALL_HEDGE) != 0) {
+        return rp_hedge_take(&balancer->hedge, used_share(balancer));
+    }
+    if ((flags & RP_CALL_RETRY) != 0) {
+        return rp_retry_take(&balancer->retries);
+    }
+    rp_retry_note_fresh(&balancer->retries);
+    rp_hedge_note_fresh(&balancer->hedge);
+    return true;
+}
+
+/* Decides a call: sent to a target, queued, or refused. A hedge is never
+ * queued, as it would only wait where the first request waits. */
 void
 rp_balancer_offer(struct rp_balancer *balancer,
                   const struct rp_balancer_call *call, int64_t now_ns,
                   struct rp_balancer_verdict *verdict)
 {
-    (void)now_ns;
-    uint32_t best = RP_BALANCER_NO_TARGET;
-    uint32_t count = balancer->targets->len;
-    for (uint32_t i = 0; i < count; i++) {
-        uint32_t index = (balancer->next + i) % count;
-        if (!rp_balancer_target_usable(balancer, index) ||
-            is_avoided(call, index)) {
-            continue;
+    bool is_long = is_long_call(balancer, call->kind, call->flags);
+    enum rp_admission_class class_ =
+        is_long ? RP_ADMISSION_LONG : RP_ADMISSION_SHORT;
+    start_verdict(call, is_long, verdict);
+    if (!within_budget(balancer, call->flags)) {
+        refuse(balancer, RP_REFUSAL_BUDGET, is_long, verdict);
+        return;
+    }
+    bool hedge = (call->flags & RP_CALL_HEDGE) != 0;
+    if (hedge || rp_admission_count(balancer->admission, class_) == 0) {
+        uint32_t target = rp_balancer_choose(balancer, call, is_long, now_ns);
+        if (target != RP_BALANCER_NO_TARGET) {
+            send_to(balancer, target, is_long, now_ns, verdict);
+            return;
         }
-        if (best == RP_BALANCER_NO_TARGET ||
-            get_target(balancer, index)->in_flight <
-                get_target(balancer, best)->in_flight)
-        {
-            best = index;
+        if (hedge || !any_usable(balancer)) {
+            refuse(balancer, hedge ? RP_REFUSAL_BUDGET : RP_REFUSAL_NO_TARGET,
+                   is_long, verdict);
+            return;
         }
     }
-    memset(verdict, 0, sizeof(*verdict));
-    verdict->call_id = call->call_id;
-    verdict->target = best;
-    if (best == RP_BALANCER_NO_TARGET) {
-        verdict->action = RP_BALANCER_REFUSE;
-        verdict->refusal = RP_REFUSAL_NO_TARGET;
-        verdict->retry_after_ns = 1000000000;
-        return;
+    enum rp_refusal refusal = rp_admission_offer(
+        balancer->admission, call, class_, expected_turn_ns(balancer, is_long),
+        usual_response_ns(balancer, is_long), now_ns);
+    verdict->action = RP_BALANCER_WAIT;
+    if (refusal != RP_REFUSAL_NONE) {
+        refuse(balancer, refusal, is_long, verdict);
     }
-    balancer->next = best + 1;
-    verdict->action = RP_BALANCER_SEND;
-    get_target(balancer, best)->in_flight++;
-    get_target(balancer, best)->sent++;
 }
 
-/* Takes the next verdict on a queued call; false when there is none. */
+/* Takes the next verdict on a queued call; false when there is none. Short
+ * calls go before long ones, which have a share of their own. */
 bool
 rp_balancer_next(struct rp_balancer *balancer, int64_t now_ns,
                  struct rp_balancer_verdict *verdict)
 {
-    (void)balancer;
-    (void)now_ns;
-    (void)verdict;
+    struct rp_balancer_call expired;
+    if (rp_admission_expire(balancer->admission, now_ns, &expired)) {
+        bool is_long = is_long_call(balancer, expired.kind, expired.flags);
+        start_verdict(&expired, is_long, verdict);
+        refuse(balancer, RP_REFUSAL_DEADLINE, is_long, verdict);
+        return true;
+    }
+    for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
+        const struct rp_balancer_call *call =
+            rp_admission_peek(balancer->admission, i);
+        if (call == NULL) {
+            continue;
+        }
+        bool is_long = i == RP_ADMISSION_LONG;
+        uint32_t target = rp_balancer_choose(balancer, call, is_long, now_ns);
+        if (target != RP_BALANCER_NO_TARGET) {
+            start_verdict(call, is_long, verdict);
+            send_to(balancer, target, is_long, now_ns, verdict);
+            rp_admission_pop(balancer->admission, i, now_ns);
+            return true;
+        }
+    }
     return false;
 }
 
@@ -171,17 +309,15 @@
 rp_balancer_withdraw(struct rp_balancer *balancer, uint64_t call_id,
                      int64_t now_ns)
 {
-    (void)balancer;
-    (void)call_id;
     (void)now_ns;
+    rp_admission_withdraw(balancer->admission, call_id);
 }
 
 /* Returns when rp_balancer_next must be called even if nothing happens. */
 int64_t
 rp_balancer_due_ns(const struct rp_balancer *balancer)
 {
-    (void)balancer;
-    return INT64_MAX;
+    return rp_admission_due_ns(balancer->admission);
 }
 
 /* Returns after which time without an answer a hedge is worth while, or
@@ -190,9 +326,111 @@
 rp_balancer_hedge_delay_ns(const struct rp_balancer *balancer,
                            const struct rp_balancer_call *call)
 {
-    (void)balancer;
-    (void)call;
-    return INT64_MAX;
+    if ((call->flags & RP_CALL_REPEATABLE) == 0 ||
+        balancer->length_class == RP_LENGTH_LONG ||
+        is_long_call(balancer, call->kind, call->flags))
+    {
+        return INT64_MAX;
+    }
+    return rp_hedge_delay_ns(&balancer->hedge, used_share(balancer));
+}
+
+static void
+note_answer(struct rp_balancer *balancer, struct balancer_target *target,
+            const struct rp_attempt_report *report, bool is_long,
+            int64_t now_ns)
+{
+    int64_t end_ns = report->first_byte_ns > 0 ? report->first_byte_ns : now_ns;
+    int64_t response_ns = end_ns - report->sent_ns;
+    rp_length_note(&balancer->length, report->kind, now_ns - report->sent_ns);
+    if (is_long) {
+        if (balancer->long_ns <= 0) {
+            balancer->long_ns = (double)response_ns;
+        }
+        balancer->long_ns +=
+            LONG_WEIGHT * ((double)response_ns - balancer->long_ns);
+        return;
+    }
+    rp_hedge_note_response(&balancer->hedge, response_ns);
+    rp_route_answered(&target->route, &balancer->pool, response_ns, now_ns);
+    double used = target->route.in_flight +
+                  rp_route_others(&target->route, &balancer->pool, now_ns);
+    rp_limit_answered(&target->limit, (double)response_ns, used);
+}
+
+static uint32_t
+count_out(const struct rp_balancer *balancer, int64_t now_ns,
+          uint32_t *present)
+{
+    uint32_t out = 0;
+    *present = 0;
+    for (uint32_t i = 0; i < balancer->targets->len; i++) {
+        const struct balancer_target *target = balancer_get(balancer, i);
+        if (target->present) {
+            (*present)++;
+            out += rp_outlier_is_out(&target->outlier, now_ns);
+        }
+    }
+    return out;
+}
+
+static void
+note_failure(struct rp_balancer *balancer, struct balancer_target *target,
+             int64_t now_ns)
+{
+    if (!rp_outlier_failed(&target->outlier, balancer->failure_rate) ||
+        rp_outlier_is_out(&target->outlier, now_ns))
+    {
+        return;
+    }
+    uint32_t present;
+    uint32_t out = count_out(balancer, now_ns, &present);
+    if (out < rp_outlier_most_out(present)) {
+        rp_outlier_eject(&target->outlier, g_rand_double(balancer->random),
+                         now_ns);
+    }
+}
+
+static void
+note_outcome(struct rp_balancer *balancer, struct balancer_target *target,
+             const struct rp_attempt_report *report, bool is_long,
+             int64_t now_ns)
+{
+    int64_t elapsed_ns = now_ns - report->sent_ns;
+    bool failed = true;
+    switch (report->outcome) {
+    case RP_ATTEMPT_OK:
+        rp_outlier_succeeded(&target->outlier);
+        note_answer(balancer, target, report, is_long, now_ns);
+        failed = false;
+        break;
+    case RP_ATTEMPT_CANCELLED:
+    case RP_ATTEMPT_SILENT:
+        /* The answer would have taken at least this long. Without it, hedges
+         * would hide a straggler. */
+        if (report->outcome == RP_ATTEMPT_CANCELLED && !is_long &&
+            (double)elapsed_ns > target->route.response_ns)
+        {
+            rp_route_answered(&target->route, &balancer->pool, elapsed_ns,
+                              now_ns);
+        }
+        return;
+    case RP_ATTEMPT_NOT_RUN:
+        if (report->has_load &&
+            report->load.state == RP_TARGET_DRAINING) {
+            return; /* leaving is no failure */
+        }
+        rp_limit_refused(&target->limit);
+        note_failure(balancer, target, now_ns);
+        break;
+    case RP_ATTEMPT_ERROR:
+    case RP_ATTEMPT_BROKEN:
+    case RP_ATTEMPT_TIMEOUT:
+        note_failure(balancer, target, now_ns);
+        break;
+    }
+    balancer->failure_rate +=
+        FAILURE_WEIGHT * ((failed ? 1 : 0) - balancer->failure_rate);
 }
 
 /* Takes note of the end of an attempt. */
@@ -200,11 +438,20 @@
 rp_balancer_finish(struct rp_balancer *balancer,
                    const struct rp_attempt_report *report, int64_t now_ns)
 {
-    (void)now_ns;
-    struct balancer_target *target = get_target(balancer, report->target);
-    if (target->in_flight > 0) {
-        target->in_flight--;
+    struct balancer_target *target = balancer_get(balancer, report->target);
+    bool is_long = is_long_call(balancer, report->kind, report->flags);
+    uint32_t long_before = target->route.long_in_flight;
+    if (target->route.in_flight > 0) {
+        balancer->own_total--;
+    }
+    rp_route_ended(&target->route, is_long, now_ns);
+    balancer->own_long_total -= long_before - target->route.long_in_flight;
+    if (report->has_load) {
+        target->reported_draining =
+            report->load.state == RP_TARGET_DRAINING;
+        rp_route_reported(&target->route, &report->load, 0, now_ns);
     }
+    note_outcome(balancer, target, report, is_long, now_ns);
 }
 
 /* Takes note of a load report that a probe or a peer brought. */
@@ -213,11 +460,13 @@
                     const struct rp_load_report *load, int64_t age_ns,
                     int64_t now_ns)
 {
-    (void)balancer;
-    (void)address;
-    (void)load;
-    (void)age_ns;
-    (void)now_ns;
+    struct balancer_target *target = find_target(balancer, address);
+    if (target == NULL || (target->route.reported &&
+                           now_ns - age_ns < target->route.report_ns)) {
+        return;
+    }
+    target->reported_draining = load->state == RP_TARGET_DRAINING;
+    rp_route_reported(&target->route, load, age_ns, now_ns);
 }
 
 /* Takes note that the process was paused and its view is old. */
@@ -225,9 +474,10 @@
 rp_balancer_notice_pause(struct rp_balancer *balancer, int64_t gap_ns,
                          int64_t now_ns)
 {
-    (void)balancer;
     (void)gap_ns;
-    (void)now_ns;
+    for (uint32_t i = 0; i < balancer->targets->len; i++) {
+        rp_route_forget(&balancer_get(balancer, i)->route, now_ns);
+    }
 }
 
 /* Returns how many targets have a number, present or gone. */
@@ -241,15 +491,35 @@
 const char *
 rp_balancer_target_address(const struct rp_balancer *balancer, uint32_t target)
 {
-    return get_target(balancer, target)->address;
+    return balancer_get(balancer, target)->address;
 }
 
 /* Returns whether a target may get new work at present. */
 bool
 rp_balancer_target_usable(const struct rp_balancer *balancer, uint32_t target)
 {
-    const struct balancer_target *entry = get_target(balancer, target);
-    return entry->present && !entry->draining;
+    const struct balancer_target *entry = balancer_get(balancer, target);
+    return entry->present && !entry->draining && !entry->reported_draining;
+}
+
+static const char *
+state_name(const struct rp_balancer *balancer,
+           const struct balancer_target *target, int64_t now_ns)
+{
+    if (!target->present) {
+        return "gone";
+    }
+    if (target->draining || target->reported_draining) {
+        return "draining";
+    }
+    if (rp_outlier_is_out(&target->outlier, now_ns)) {
+        return "ejected";
+    }
+    if (target->outlier.trial ||
+        rp_route_is_straggler(&target->route, &balancer->pool)) {
+        return "suspect";
+    }
+    return target->limit.limit < target->route.slots ? "cold" : "serving";
 }
 
 /* Fills in what status shows of a target. The strings belong to the
@@ -258,17 +528,15 @@
 rp_balancer_view(const struct rp_balancer *balancer, uint32_t target,
                  int64_t now_ns, struct rp_balancer_target_view *view)
 {
-    (void)now_ns;
-    const struct balancer_target *entry = get_target(balancer, target);
+    const struct balancer_target *entry = balancer_get(balancer, target);
     view->name = entry->name;
     view->address = entry->address;
-    view->estate = entry->estate;
-    view->state = !entry->present   ? "gone"
-                  : entry->draining ? "draining"
-                                    : "serving";
-    view->in_flight = entry->in_flight;
-    view->limit = 0;
-    view->report_age_ns = -1;
+    view->estate = entry->estate_name;
+    view->state = state_name(balancer, entry, now_ns);
+    view->in_flight = entry->route.in_flight;
+    view->limit = (uint32_t)entry->limit.limit;
+    view->report_age_ns =
+        entry->route.reported ? now_ns - entry->route.report_ns : -1;
     view->sent = entry->sent;
 }
 
@@ -276,6 +544,6 @@
 uint32_t
 rp_balancer_queued(const struct rp_balancer *balancer)
 {
-    (void)balancer;
-    return 0;
+    return rp_admission_count(balancer->admission, RP_ADMISSION_SHORT) +
+           rp_admission_count(balancer->admission, RP_ADMISSION_LONG);
 }
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -57,6 +57,8 @@
     enum rp_refusal refusal;
     uint32_t target;        /* stable number of the target, see below */
     int64_t retry_after_ns; /* with REFUSE: when to come back */
+    uint32_t flags; /* of the call, with RP_CALL_LONG when it was found to be
+                     * long; to be handed back in rp_attempt_report */
 };
 
 enum rp_attempt_outcome {
--- /dev/null
+++ b/src/balancer_private.h
@@ -0,0 +1,64 @@
+#ifndef RP_BALANCER_PRIVATE_H
+#define RP_BALANCER_PRIVATE_H
+
+/* Shared by balancer.c and balancer_choose.c only. */
+#include <glib.h>
+
+#include "admission.h"
+#include "balancer.h"
+#include "estate_share.h"
+#include "hedge.h"
+#include "length.h"
+#include "limit.h"
+#include "outlier.h"
+#include "retry.h"
+#include "route.h"
+
+struct balancer_target {
+    struct rp_route_target route;
+    struct rp_limit limit;
+    struct rp_outlier outlier;
+    uint32_t estate; /* index in the shares in force */
+    bool present;
+    bool draining;          /* by record */
+    bool reported_draining; /* by its own word */
+    uint64_t sent;
+    char *address;
+    char *name;
+    char *estate_name;
+};
+
+struct rp_balancer {
+    struct rp_balancer_config config; /* domain is owned */
+    GArray *targets; /* of struct balancer_target; indices are stable */
+    uint32_t next;   /* where the search among equal targets begins */
+    bool configured;
+    enum rp_length_class length_class;
+    GRand *random;
+    struct rp_route_pool pool;
+    struct rp_estate_share shares;
+    struct rp_length length;
+    struct rp_retry_budget retries;
+    struct rp_hedge hedge;
+    struct rp_admission *admission;
+    double failure_rate; /* of all targets, smoothed */
+    double long_ns;      /* usual response time of long calls */
+    /* Sums over the usable targets, as of the latest choice. */
+    double slots_total;
+    double limit_total;
+    double load_total;
+    uint32_t own_total; /* own requests in flight, all targets */
+    uint32_t own_long_total;
+};
+
+static inline struct balancer_target *
+balancer_get(const struct rp_balancer *balancer, uint32_t index)
+{
+    return &g_array_index(balancer->targets, struct balancer_target, index);
+}
+
+uint32_t rp_balancer_choose(struct rp_balancer *balancer,
+                            const struct rp_balancer_call *call, bool is_long,
+                            int64_t now_ns);
+
+#endif
--- /dev/null
+++ b/src/outlier.h
@@ -0,0 +1,32 @@
+#ifndef RP_OUTLIER_H
+#define RP_OUTLIER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Whether a target fails more than others. */
+struct rp_outlier {
+    double failure_rate; /* smoothed, 0 to 1 */
+    uint32_t failures;   /* in a row */
+    uint32_t times_out;  /* in a row */
+    int64_t out_until_ns;
+    bool trial; /* was out; one request at a time until one succeeds */
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+void rp_outlier_init(struct rp_outlier *outlier);
+bool rp_outlier_is_out(const struct rp_outlier *outlier, int64_t now_ns);
+uint32_t rp_outlier_most_out(uint32_t targets);
+void rp_outlier_succeeded(struct rp_outlier *outlier);
+bool rp_outlier_failed(struct rp_outlier *outlier, double pool_failure_rate);
+void rp_outlier_eject(struct rp_outlier *outlier, double random,
+                      int64_t now_ns);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
