--- a/src/admission.c
+++ b/src/admission.c
@@ -17,14 +17,14 @@
     int64_t latest_ns; /* time of the last useful start */
 };
 
-struct class_queue {
+struct queue_classqueue {
     GQueue calls;        /* of struct waiting_call, owned */
     double turn_ns;      /* time between two calls leaving the queue */
     int64_t last_pop_ns; /* INT64_MIN when the queue was empty since */
 };
 
 struct rp_admission {
-    struct class_queue queues[RP_ADMISSION_CLASSES];
+    struct queue_classqueue queues[RP_ADMISSION_CLASSES];
     uint32_t limit;
     int64_t due_ns; /* no call's latest_ns is before this */
 };
@@ -64,10 +64,10 @@
 enum rp_refusal
 rp_admission_offer(struct rp_admission *admission,
                    const struct rp_balancer_call *call,
-                   enum rp_admission_class class_, double turn_ns,
+                   enum rp_admission_class queue_class, double turn_ns,
                    double service_ns, int64_t now_ns)
 {
-    struct class_queue *queue = &admission->queues[class_];
+    struct queue_classqueue *queue = &admission->queues[queue_class];
     if (queue->calls.length >= admission->limit) {
         return RP_REFUSAL_QUEUE_FULL;
     }
@@ -77,7 +77,7 @@
     }
     int64_t latest_ns = call->deadline_ns - (int64_t)service_ns;
     double expected_ns = queue->turn_ns * (queue->calls.length + 1);
-    if (expected_ns > (double)most_wait_ns[class_]) {
+    if (expected_ns > (double)most_wait_ns[queue_class]) {
         return RP_REFUSAL_QUEUE_FULL;
     }
     if ((double)now_ns + expected_ns > (double)latest_ns) {
@@ -85,7 +85,8 @@
     }
     struct waiting_call *waiting = g_new(struct waiting_call, 1);
     waiting->call = *call;
-    waiting->latest_ns = MIN(latest_ns, now_ns + 2 * most_wait_ns[class_]);
+    waiting->latest_ns =
+        MIN(latest_ns, now_ns + 2 * most_wait_ns[queue_class]);
     g_queue_push_tail(&queue->calls, waiting);
     admission->due_ns = MIN(admission->due_ns, waiting->latest_ns);
     return RP_REFUSAL_NONE;
@@ -95,11 +96,11 @@
  * queue. */
 const struct rp_balancer_call *
 rp_admission_peek(const struct rp_admission *admission,
-                  enum rp_admission_class class_)
+                  enum rp_admission_class queue_class)
 {
     const struct waiting_call *waiting =
-        admission->queues[class_].calls.head != NULL
-            ? admission->queues[class_].calls.head->data
+        admission->queues[queue_class].calls.head != NULL
+            ? admission->queues[queue_class].calls.head->data
             : NULL;
     return waiting != NULL ? &waiting->call : NULL;
 }
@@ -107,9 +108,9 @@
 /* Removes the call whose turn is next because it has been sent. */
 void
 rp_admission_pop(struct rp_admission *admission,
-                 enum rp_admission_class class_, int64_t now_ns)
+                 enum rp_admission_class queue_class, int64_t now_ns)
 {
-    struct class_queue *queue = &admission->queues[class_];
+    struct queue_classqueue *queue = &admission->queues[queue_class];
     if (queue->last_pop_ns != INT64_MIN) {
         double turn = (double)(now_ns - queue->last_pop_ns);
         queue->turn_ns += TURN_WEIGHT * (turn - queue->turn_ns);
@@ -119,7 +120,7 @@
 }
 
 static bool
-expire_in(struct class_queue *queue, int64_t now_ns, int64_t *due_ns,
+expire_in(struct queue_classqueue *queue, int64_t now_ns, int64_t *due_ns,
           struct rp_balancer_call *call)
 {
     for (GList *link = queue->calls.head; link != NULL; link = link->next) {
@@ -192,16 +193,16 @@
 /* Returns how long the calls of a class now waiting will take to leave. */
 int64_t
 rp_admission_wait_ns(const struct rp_admission *admission,
-                     enum rp_admission_class class_)
+                     enum rp_admission_class queue_class)
 {
-    const struct class_queue *queue = &admission->queues[class_];
+    const struct queue_classqueue *queue = &admission->queues[queue_class];
     return (int64_t)(queue->turn_ns * queue->calls.length);
 }
 
 /* Returns how many calls of a class wait. */
 uint32_t
 rp_admission_count(const struct rp_admission *admission,
-                   enum rp_admission_class class_)
+                   enum rp_admission_class queue_class)
 {
-    return admission->queues[class_].calls.length;
+    return admission->queues[queue_class].calls.length;
 }
--- a/src/admission.h
+++ b/src/admission.h
@@ -23,23 +23,23 @@
 void rp_admission_free(struct rp_admission *admission);
 enum rp_refusal rp_admission_offer(struct rp_admission *admission,
                                    const struct rp_balancer_call *call,
-                                   enum rp_admission_class class_,
+                                   enum rp_admission_class queue_class,
                                    double turn_ns, double service_ns,
                                    int64_t now_ns);
 const struct rp_balancer_call *
 rp_admission_peek(const struct rp_admission *admission,
-                  enum rp_admission_class class_);
+                  enum rp_admission_class queue_class);
 void rp_admission_pop(struct rp_admission *admission,
-                      enum rp_admission_class class_, int64_t now_ns);
+                      enum rp_admission_class queue_class, int64_t now_ns);
 bool rp_admission_expire(struct rp_admission *admission, int64_t now_ns,
                          struct rp_balancer_call *call);
 bool rp_admission_withdraw(struct rp_admission *admission, uint64_t call_id);
 void rp_admission_notice_pause(struct rp_admission *admission);
 int64_t rp_admission_due_ns(const struct rp_admission *admission);
 int64_t rp_admission_wait_ns(const struct rp_admission *admission,
-                             enum rp_admission_class class_);
+                             enum rp_admission_class queue_class);
 uint32_t rp_admission_count(const struct rp_admission *admission,
-                            enum rp_admission_class class_);
+                            enum rp_admission_class queue_class);
 
 #ifdef __cplusplus
 }
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -244,7 +244,7 @@
                   struct rp_balancer_verdict *verdict)
 {
     bool is_long = is_long_call(balancer, call->kind, call->flags);
-    enum rp_admission_class class_ =
+    enum rp_admission_class queue_class =
         is_long ? RP_ADMISSION_LONG : RP_ADMISSION_SHORT;
     start_verdict(call, is_long, verdict);
     if (!within_budget(balancer, call->flags)) {
@@ -252,7 +252,7 @@
         return;
     }
     bool hedge = (call->flags & RP_CALL_HEDGE) != 0;
-    if (hedge || rp_admission_count(balancer->admission, class_) == 0) {
+    if (hedge || rp_admission_count(balancer->admission, queue_class) == 0) {
         uint32_t target = rp_balancer_choose(balancer, call, is_long, now_ns);
         if (target != RP_BALANCER_NO_TARGET) {
             send_to(balancer, target, is_long, now_ns, verdict);
@@ -264,9 +264,10 @@
             return;
         }
     }
-    enum rp_refusal refusal = rp_admission_offer(
-        balancer->admission, call, class_, expected_turn_ns(balancer, is_long),
-        usual_response_ns(balancer, is_long), now_ns);
+    enum rp_refusal refusal =
+        rp_admission_offer(balancer->admission, call, queue_class,
+                           expected_turn_ns(balancer, is_long),
+                           usual_response_ns(balancer, is_long), now_ns);
     verdict->action = RP_BALANCER_WAIT;
     if (refusal != RP_REFUSAL_NONE) {
         refuse(balancer, refusal, is_long, verdict);
--- a/src/outlier.c
+++ b/src/outlier.c
@@ -60,7 +60,8 @@
 rp_outlier_eject(struct rp_outlier *outlier, double random, int64_t now_ns)
 {
     int64_t out_ns = (int64_t)FIRST_OUT_NS << outlier->times_out;
-    outlier->out_until_ns = now_ns + out_ns + (int64_t)(random * out_ns / 2);
+    outlier->out_until_ns =
+        now_ns + out_ns + (int64_t)(random * (double)out_ns / 2);
     outlier->trial = true;
     if (outlier->times_out < MOST_DOUBLINGS) {
         outlier->times_out++;
