--- a/src/admin.c
+++ b/src/admin.c
@@ -9,6 +9,7 @@
 #include "error.h"
 #include "event_json.h"
 #include "mhd_loop.h"
+#include "snapshot.h"
 #include "status.h"
 
 #define CONNECTION_LIMIT 32
@@ -208,7 +209,8 @@
 {
     struct rp_admin *admin = data;
     if (message->kind == RP_MSG_SNAPSHOT) {
-        admin->ready = true;
+        const struct rp_snapshot_message *body = message->body;
+        admin->ready = body->ready;
         return;
     }
     if (message->kind != RP_MSG_STATUS_PART) {
