--- a/tests/fake_fleet.c
+++ b/tests/fake_fleet.c
@@ -133,7 +133,8 @@
     for (uint32_t i = 0; i < MIN(SEEDS, fleet->count); i++) {
         seeds[settings.seed_count++] = fleet->vms[i].address;
     }
-    vm->config = rp_config_task_add(vm->kernel, fleet->now_ns, NULL);
+    vm->config = rp_config_task_add(vm->kernel, INT64_C(30000000000),
+                                    fleet->now_ns, NULL);
     vm->gossip = rp_gossip_new(vm->kernel, &settings, fleet->now_ns, NULL);
     vm->due_ns = fleet->now_ns;
     vm->down = false;
