Satisfy the linter in the relay and the peer messages

Cause: clang-tidy refused sscanf for numbers and a switch with equal branches. Change: GLib's checked conversion; a table of field counts.

--- a/src/member.c
+++ b/src/member.c
@@ -61,8 +61,13 @@
     entry->hash = rp_neighbor_hash(info->id);
     entry->patience = 1;
     entry->expect_ns = now_ns;
-    g_ptr_array_add(table->entries, entry);
-    g_ptr_array_sort(table->entries, compare_entries);
+    guint place = 0;
+    while (place < table->entries->len &&
+           compare_entries(&table->entries->pdata[place], &entry) < 0)
+    {
+        place++;
+    }
+    g_ptr_array_insert(table->entries, (gint)place, entry);
     g_hash_table_insert(table->by_id, entry->member.info.id, entry);
     rebuild_ring(table);
     return entry;
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -181,19 +181,12 @@
 static uint32_t
 body_fields(uint32_t kind)
 {
-    switch (kind) {
-    case RP_PEER_HEARTBEAT:
-        return 6;
-    case RP_PEER_CONFIG_WANT:
-        return 1;
-    case RP_PEER_CONFIG_RECORDS:
-        return 4;
-    case RP_PEER_SUSPECT_PROBE:
-    case RP_PEER_SUSPECT_ACK:
-        return 4;
-    default:
-        return 0;
-    }
+    static const uint32_t fields[] = {
+        [RP_PEER_HEARTBEAT] = 6,      [RP_PEER_CONFIG_WANT] = 1,
+        [RP_PEER_CONFIG_RECORDS] = 4, [RP_PEER_SUSPECT_PROBE] = 4,
+        [RP_PEER_SUSPECT_ACK] = 4,
+    };
+    return kind < G_N_ELEMENTS(fields) ? fields[kind] : 0;
 }
 
 static void
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -19,7 +19,7 @@
 #define LINK_LIMIT 64
 #define CHUNK_BYTES 16384
 /* Bytes kept for one direction; beyond that its sender is not read. */
-#define QUEUE_BYTES (256u * 1024u)
+#define QUEUE_BYTES 262144
 #define COMMAND_BYTES 128
 #define DELAY_MAX_MS 60000
 
@@ -91,20 +91,18 @@
 static bool
 parse_address(const char *text, struct sockaddr_in *address)
 {
-    char host[64];
-    unsigned port;
-    char extra;
+    char **parts = g_strsplit(text, ":", 2);
+    guint64 port = 0;
     memset(address, 0, sizeof(*address));
     address->sin_family = AF_INET;
-    if (sscanf(text, "%63[0-9.]:%u%c", host, &port, &extra) != 2 ||
-        port == 0 || port > 65535 ||
-        inet_pton(AF_INET, host, &address->sin_addr) != 1)
-    {
-        return false;
-    }
+    bool valid =
+        parts[0] != NULL && parts[1] != NULL &&
+        inet_pton(AF_INET, parts[0], &address->sin_addr) == 1 &&
+        g_ascii_string_to_unsigned(parts[1], 10, 1, 65535, &port, NULL);
+    g_strfreev(parts);
     address->sin_port = htons((uint16_t)port);
     /* Tests never leave the machine. */
-    return (ntohl(address->sin_addr.s_addr) >> 24) == 127;
+    return valid && (ntohl(address->sin_addr.s_addr) >> 24) == 127;
 }
 
 static int
@@ -364,7 +362,7 @@
     else if (strcmp(verb, "hole") == 0) {
         link->mode = MODE_HOLE;
     }
-    else if (strcmp(verb, "delay") == 0 && value <= DELAY_MAX_MS) {
+    else if (strcmp(verb, "delay") == 0) {
         link->delay_ms = value;
     }
     else if (strcmp(verb, "silence") == 0) {
@@ -386,26 +384,27 @@
 static bool
 run_command(struct relay *relay, const char *line)
 {
-    char verb[16];
-    unsigned numbers[2] = {0, 0};
-    int fields =
-        sscanf(line, "%15s %u %u", verb, &numbers[0], &numbers[1]) - 1;
-    bool takes_value = fields >= 0 && strcmp(verb, "delay") == 0;
-    if (fields < 0 || (takes_value && fields == 0)) {
-        return false;
-    }
-    uint32_t value = takes_value ? numbers[0] : 0;
-    bool one = fields > (takes_value ? 1 : 0);
-    unsigned chosen = takes_value ? numbers[1] : numbers[0];
-    if (one && chosen >= relay->link_count) {
-        return false;
-    }
-    bool valid = true;
-    for (uint32_t i = 0; i < relay->link_count; i++) {
+    char **words = g_strsplit(line, " ", 4);
+    guint count = g_strv_length(words);
+    bool takes_value = count > 0 && strcmp(words[0], "delay") == 0;
+    guint link_word = takes_value ? 2 : 1;
+    guint64 value = 0;
+    guint64 chosen = 0;
+    bool one = count > link_word;
+    bool valid =
+        count > 0 && count <= link_word + 1 &&
+        (!takes_value ||
+         (count > 1 && g_ascii_string_to_unsigned(
+                           words[1], 10, 0, DELAY_MAX_MS, &value, NULL))) &&
+        (!one ||
+         g_ascii_string_to_unsigned(words[link_word], 10, 0,
+                                    relay->link_count - 1, &chosen, NULL));
+    for (uint32_t i = 0; valid && i < relay->link_count; i++) {
         if (!one || i == chosen) {
-            valid = command_link(&relay->links[i], verb, value) && valid;
+            valid = command_link(&relay->links[i], words[0], (uint32_t)value);
         }
     }
+    g_strfreev(words);
     return valid;
 }
 
