Learn the usual response time from many answers before limiting

Without trusted reports, others' requests were taken for more than they are. Change: the usual response time is a plain mean at first; slow answers take a limit down to 1.5 times the slots; others are taken to have 0.3 of the own requests each.

--- a/src/limit.c
+++ b/src/limit.c
@@ -3,7 +3,7 @@
 #include <math.h>
 
 #define RECENT_WEIGHT 0.1
-#define USUAL_WEIGHT 0.005
+#define USUAL_SAMPLES 200
 /* Recent answers may take this multiple of the usual time before the limit
  * falls; the average of 10 exponential times seldom exceeds it. */
 #define TOLERANCE 1.6
@@ -14,6 +14,11 @@
  * targets were free: 31.7 ms instead of 25.9 at 99 in 100 at 95% load. */
 #define MOST_PER_SLOT 3.0
 #define COLD_START 2.0
+/* Slow answers alone take the limit no further down than this. With a limit
+ * of the slots themselves, slots were idle while answers travelled, and an
+ * entry VM that had been misled by its first answers had a queue of 300 calls
+ * beside others that had none. */
+#define LEAST_PER_SLOT 1.5
 
 /* Starts a limit. A cold target begins with a small one that grows with each
  * answer. */
@@ -26,6 +31,7 @@
     limit->limit = cold ? fmin(COLD_START, count) : limit->most;
     limit->recent_ns = 0;
     limit->usual_ns = 0;
+    limit->samples = 0;
 }
 
 /* Adapts the limit to an answer: it falls while recent answers are much
@@ -36,18 +42,19 @@
 void
 rp_limit_answered(struct rp_limit *limit, double response_ns, double used)
 {
-    if (limit->usual_ns <= 0) {
-        limit->recent_ns = response_ns;
-        limit->usual_ns = response_ns;
+    /* The first answers have equal weights, or the first one alone would
+     * stand for what is usual. */
+    if (limit->samples < USUAL_SAMPLES) {
+        limit->samples++;
     }
-    limit->recent_ns += RECENT_WEIGHT * (response_ns - limit->recent_ns);
-    limit->usual_ns += USUAL_WEIGHT * (response_ns - limit->usual_ns);
-    double slots = limit->most / MOST_PER_SLOT;
+    double count = limit->samples;
+    limit->recent_ns +=
+        fmax(RECENT_WEIGHT, 1 / count) * (response_ns - limit->recent_ns);
+    limit->usual_ns += (response_ns - limit->usual_ns) / count;
     if (limit->recent_ns > TOLERANCE * limit->usual_ns) {
-        /* Slow answers alone never take away a slot: an idle slot helps
-         * nobody. Refusals do. */
-        if (limit->limit > slots) {
-            limit->limit = fmax(limit->limit * FALL, slots);
+        double least = limit->most / MOST_PER_SLOT * LEAST_PER_SLOT;
+        if (limit->limit > least) {
+            limit->limit = fmax(limit->limit * FALL, least);
         }
         return;
     }
--- a/src/limit.h
+++ b/src/limit.h
@@ -11,6 +11,7 @@
     double most;
     double recent_ns; /* response time over about 10 answers */
     double usual_ns;  /* response time over about 200 answers */
+    uint32_t samples; /* answers so far, up to 200 */
 };
 
 /* Returns whether one more request may be sent. An entry VM may always use
--- a/src/route.h
+++ b/src/route.h
@@ -10,6 +10,10 @@
 
 /* Extra round trip to a target of another failure domain. */
 #define RP_ROUTE_DOMAIN_NS 1500000
+/* Without trusted reports, each other entry VM is taken to have this share of
+ * the requests that this one has at a target: less than the same, as each
+ * prefers the targets of its own failure domain. */
+#define RP_ROUTE_ALIKE 0.3
 /* A target below this multiple of the usual response time counts as usual:
  * smaller differences are mostly noise, and following noise moves load
  * without need. Above it, it is a straggler. */
@@ -70,7 +74,7 @@
     if (pool->deciders <= 1) {
         return 0;
     }
-    double alike = (double)target->in_flight * (pool->deciders - 1);
+    double alike = RP_ROUTE_ALIKE * target->in_flight * (pool->deciders - 1);
     if (!target->reported) {
         return alike;
     }
