--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -16,13 +16,34 @@
 serve_pids=()
 failures=0
 cases=0
+records=
+work=$(mktemp -d)
 
 cleanup() {
     kill -KILL "${pids[@]}" 2>/dev/null
     wait 2>/dev/null
+    rm -rf "$work"
 }
 trap cleanup EXIT
 
+# Writes the records of a service and adds their names to $records.
+publish() { # SERVICE MAX_BODY_BYTES ADDRESS...
+    local service=$1 body=$2 targets="" address
+    shift 2
+    for address in "$@"; do
+        targets+="${targets:+,}{\"name\":\"t${address##*:}\",
+            \"address\":\"$address\",\"domain\":\"Bilbo\"}"
+    done
+    echo "{\"schema\":2,\"kind\":\"service\",\"name\":\"$service\",
+        \"version\":1,\"timeout_ms\":1500,\"max_body_bytes\":$body,
+        \"match\":{\"path_prefix\":\"/$service\"}}" \
+        > "$work/$service.json"
+    echo "{\"schema\":2,\"kind\":\"targets\",\"service\":\"$service\",
+        \"estate\":\"new\",\"version\":1,\"targets\":[$targets]}" \
+        > "$work/$service-targets.json"
+    records+="${records:+,}$work/$service.json,$work/$service-targets.json"
+}
+
 serve() { # ADDRESS PEER_PORT [OPTION...]
     local address=$1 peer=$2
     shift 2
@@ -30,10 +51,7 @@
         --caller-address "$address" --peer-address "127.0.0.1:$peer" \
         --admin-address "127.0.0.1:$((peer + 1))" --log-level warning \
         --fleet-size 1 --address-ttl-ms 500 --first-byte-ms 250 --progress-ms 600 \
-        --trial-service "two,timeout=1500,body=100000@$target_a,$target_b" \
-        --trial-service "one,timeout=1500@$target_a" \
-        --trial-service "half,timeout=1500@$closed,$target_a" \
-        --trial-service "none,timeout=1500@$closed" "$@" &
+        --boot-wait-ms 0 --records "$records" "$@" &
     pids+=($!)
     serve_pids+=($!)
 }
@@ -42,8 +60,13 @@
     "$build/rp-standin" target --address "$address" --life-s 120 --queue 4 &
     pids+=($!)
 done
+publish two 100000 "$target_a" "$target_b"
+publish one 1048576 "$target_a"
+publish half 1048576 "$closed" "$target_a"
+publish none 1048576 "$closed"
+"$build/rosemarypulley" validate --quiet ${records//,/ } || exit 1
 serve "$entry" $((base + 10))
-serve "$reuse" $((base + 12)) --trial-reuse
+serve "$reuse" $((base + 12)) --once-connections reuse
 
 for address in "$entry" "$reuse" "$target_a" "$target_b"; do
     for _ in $(seq 100); do
@@ -82,6 +105,11 @@
     [[ $2 =~ own=0 ]] && fail "$1" "somebody else's answer: $2"
 }
 
+# Good calls before each case: retries are held to a tenth of fresh work.
+replenish() { # ENTRY SERVICE
+    curl -s -o /dev/null "http://$1/$2?bytes=10&call=[1-20]"
+}
+
 whole='code=0 status=200 outcome=- bytes='
 unknown='code=0 status=50[24] outcome=unknown'
 not_run='code=0 status=503 outcome=not-run'
@@ -91,6 +119,7 @@
 while IFS='|' read -r name method path expected least most options; do
     [[ -z $name || $name = \#* ]] && continue
     id="case-$name"
+    replenish "$entry" two
     # shellcheck disable=SC2086  # options are split into words on purpose
     got=$("$build/rp-standin" caller --entry "$entry" --service two \
         --method "$method" --id "$id" --path "$path" $options 2>&1)
@@ -152,7 +181,7 @@
 trailer|GET|/two?bytes=4000&fault=trailer|broken|1|1|
 silent-body|GET|/two?bytes=200000&fault=silent-body|broken|1|1|
 # Late and silent answers.
-late|GET|/two?sleep_ms=400&bytes=10|whole|1|2|
+late|GET|/two?sleep_ms=400&bytes=10|whole|1|3|
 late-post|POST|/two?sleep_ms=400&bytes=10|whole|1|1|--upload 10
 past-deadline|GET|/two?sleep_ms=900|unknown|1|2|--timeout-ms 300
 past-deadline-post|POST|/two?sleep_ms=900|unknown|1|1|--timeout-ms 300 --upload 10
@@ -169,7 +198,7 @@
 no-service|GET|/other|code=0 status=404 outcome=not-run|0|0|
 no-method|TRACE|/two|code=0 status=501 outcome=not-run|0|0|
 bad-timeout|GET|/two|code=0 status=400 outcome=not-run|0|0|--header RP-Timeout-Ms:soon
-slow-reader|GET|/two?bytes=400000|code=0 status=200 outcome=- bytes=400000|1|1|--rate 600000
+slow-reader|GET|/two?bytes=400000|code=0 status=200 outcome=- bytes=400000|1|2|--rate 600000
 slow-answer|GET|/two?bytes=20000&rate=40000|code=0 status=200 outcome=- bytes=20000|1|1|
 TABLE
 
@@ -178,7 +207,7 @@
 reused_case() { # NAME ENTRY METHOD FAULT EXPECTED LEAST MOST [OPTION...]
     local name=$1 at=$2 method=$3 fault=$4 expected=$5 least=$6 most=$7 got
     shift 7
-    curl -s -o /dev/null "http://$at/one?bytes=10"
+    replenish "$at" one
     got=$("$build/rp-standin" caller --entry "$at" --service one \
         --method "$method" --id "case-$name" \
         --path "/one?bytes=10&fault=$fault" "$@" 2>&1)
--- a/src/node.c
+++ b/src/node.c
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 #include <signal.h>
+#include <string.h>
 #include <sys/random.h>
 #include <sys/resource.h>
 
@@ -240,6 +241,9 @@
         .connections_per_target = MAX(share, LEAST_CONNECTIONS),
         .progress_timeout_ms =
             (uint32_t)rp_settings_number(settings, RP_SETTING_PROGRESS_MS),
+        .reuse_for_once =
+            strcmp(rp_settings_text(settings, RP_SETTING_ONCE_CONNECTIONS),
+                   "reuse") == 0,
     };
     node->entry = rp_entry_new(node->loop, &entry, error);
     return node->entry != NULL &&
