Keep slots for short calls in a rush of long ones

Long calls also took all slots before the first of them had ended. One answer of a heavy tail made its target a straggler. Change: answers that waited teach nothing; new kinds count as long while most kinds are known; a fifth of the service's slots stays with short calls, for the service and not for each target; an answer counts for at most 5 times the usual response time.

--- a/bench/check.c
+++ b/bench/check.c
@@ -124,6 +124,7 @@
 {
     for (uint32_t i = 0; i < count; i++) {
         if (cells[i].deployment == mixed->deployment &&
+            cells[i].regime->load == mixed->regime->load &&
             cells[i].regime->long_share == -mixed->regime->long_share)
         {
             compare(
@@ -151,7 +152,7 @@
         if (cells[i].regime->crest > 0) {
             check_crest(&check, &cells[i]);
         }
-        else {
+        else if (!cells[i].regime->overload) {
             check_latency(&check, &cells[i]);
         }
         if (cells[i].regime->long_share > 0) {
--- a/bench/regime.c
+++ b/bench/regime.c
@@ -22,6 +22,8 @@
     {.name = "noise", .load = 0.6, .noise = 4},
     {.name = "maps", .load = 0.7, .long_share = 0.02},
     {.name = "short-alone", .load = 0.7, .long_share = -0.02},
+    {.name = "maps-rush", .load = 1.5, .long_share = 0.1, .overload = true},
+    {.name = "rush-alone", .load = 1.5, .long_share = -0.1},
     {.name = "rain", .load = 0.3, .crest = 10},
     {.name = "fast-failer", .load = 0.7, .fast_failer = true},
     {.name = "cold-half", .load = 0.5, .cold = 4},
--- a/bench/regime.h
+++ b/bench/regime.h
@@ -27,7 +27,7 @@
     bool fast_failer;  /* one target fails at once from 1/4 on */
     bool estates;      /* shares go from 9:1 to 1:9 at 1/4 */
     bool equal;        /* targets are equal: bound of 1.03 or 1.05 */
-    uint32_t calls;    /* mean number of calls in a run */
+    bool overload;     /* long calls alone exceed what slots can do */
 };
 
 extern const struct bench_deployment bench_deployments[];
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -124,7 +124,8 @@
     balancer->pool.deciders = MAX(deciders, 1);
 }
 
-/* In a service whose calls are all long there is no short work to protect. */
+/* Returns whether a call counts as long for slots and queues. In a service
+ * whose calls are all long there is no short work to protect. */
 static bool
 is_long_call(const struct rp_balancer *balancer, uint64_t kind, uint32_t flags)
 {
@@ -132,7 +133,7 @@
         return false;
     }
     return (flags & RP_CALL_LONG) != 0 ||
-           rp_length_is_long(&balancer->length, kind);
+           rp_length_may_be_long(&balancer->length, kind);
 }
 
 static double
@@ -206,6 +207,7 @@
     target->sent++;
     balancer->own_total++;
     balancer->own_long_total += is_long;
+    balancer->load_total += 1;
     balancer->next = index + 1;
     verdict->action = RP_BALANCER_SEND;
     verdict->target = index;
@@ -344,8 +346,10 @@
     int64_t end_ns =
         report->first_byte_ns > 0 ? report->first_byte_ns : now_ns;
     int64_t response_ns = end_ns - report->sent_ns;
-    rp_length_note(&balancer->length, report->kind, now_ns - report->sent_ns);
-    if (is_long) {
+    bool waited = report->has_load && report->load.queued > 0;
+    rp_length_note(&balancer->length, report->kind, now_ns - report->sent_ns,
+                   waited);
+    if (is_long && rp_length_is_long(&balancer->length, report->kind)) {
         if (balancer->long_ns <= 0) {
             balancer->long_ns = (double)response_ns;
         }
--- a/src/balancer_choose.c
+++ b/src/balancer_choose.c
@@ -2,8 +2,10 @@
 
 #include <math.h>
 
-/* Long calls leave this share of each target's slots to short ones. */
-#define SHORT_SHARE (1.0 / 3)
+/* Long calls leave this share of the service's slots to short ones. Kept for
+ * the service as a whole, as short calls go wherever a slot is free; kept for
+ * each target, long calls waited without need at 70% load. */
+#define SHORT_SHARE (1.0 / 5)
 /* A target costs this many response times more for each failure expected. */
 #define FAILURE_COST 30.0
 
@@ -30,6 +32,7 @@
     double deciders_inverse;
     bool within_share;      /* own requests are below the static share */
     bool within_long_share; /* own long ones are */
+    bool long_room;         /* enough free slots for a long one */
     enum rank estate_rank[RP_SNAPSHOT_ESTATES];
 };
 
@@ -54,20 +57,18 @@
                                               : RANK_NO_SHARE;
 }
 
-/* Long calls go where short ones keep free slots by the load reports. Half of
- * the static share is theirs in any case, or they would starve beside steady
- * short work. */
+/* Long calls take free slots while short ones keep their share. Half of the
+ * static share is theirs in any case, or they would starve beside steady short
+ * work. */
 static bool
 allows_long(const struct balancer_target *target, double others,
             const struct bounds *bounds)
 {
     const struct rp_route_target *route = &target->route;
-    double room =
-        route->slots > 1 ? ceil(route->slots * (1 - SHORT_SHARE)) : 1;
-    if (route->in_flight + others + 1 <= room) {
+    if (bounds->long_room && route->in_flight + others + 1 <= route->slots) {
         return true;
     }
-    double share = fmax(room * bounds->deciders_inverse, 1);
+    double share = fmax(route->slots * bounds->deciders_inverse, 1);
     return bounds->within_long_share && route->long_in_flight + 1 <= share;
 }
 
@@ -150,9 +151,11 @@
     bounds.within_share =
         balancer->own_total <
         fmax(balancer->limit_total * bounds.deciders_inverse, 1);
+    double own_slots = balancer->slots_total * bounds.deciders_inverse;
     bounds.within_long_share =
-        balancer->own_long_total <
-        fmax(balancer->slots_total * bounds.deciders_inverse / 2, 1);
+        balancer->own_long_total < fmax(own_slots / 2, 1);
+    bounds.long_room =
+        balancer->load_total + 1 <= balancer->slots_total * (1 - SHORT_SHARE);
     for (uint32_t i = 0; i < balancer->shares.count; i++) {
         bounds.estate_rank[i] = rank_of_estate(balancer, i);
     }
--- a/src/length.h
+++ b/src/length.h
@@ -12,8 +12,10 @@
         uint64_t kind;
         double mean_ns;
         uint32_t samples;
+        bool is_long;
     } kinds[RP_LENGTH_KINDS];
     double median_ns; /* of all answers */
+    double known;     /* share of answers whose kind was known before */
 };
 
 #ifdef __cplusplus
@@ -22,9 +24,9 @@
 
 void rp_length_init(struct rp_length *length);
 void rp_length_note(struct rp_length *length, uint64_t kind,
-                    int64_t duration_ns);
+                    int64_t duration_ns, bool waited);
+bool rp_length_may_be_long(const struct rp_length *length, uint64_t kind);
 bool rp_length_is_long(const struct rp_length *length, uint64_t kind);
-double rp_length_mean_ns(const struct rp_length *length, uint64_t kind);
 
 #ifdef __cplusplus
 }
--- a/src/route.c
+++ b/src/route.c
@@ -6,6 +6,9 @@
 /* Weight of one answer in the response time of its target. The spread of the
  * average of exponential times is then about 13%. */
 #define RESPONSE_WEIGHT (1.0 / 32)
+/* One answer counts for at most this multiple of the usual response time, or
+ * a single one of a heavy tail would make its target a straggler. */
+#define MOST_SAMPLE 5.0
 #define POOL_WEIGHT (1.0 / 256)
 #define OTHERS_WEIGHT (1.0 / 8)
 /* The means only cover about 8 reports: slow changes of the demand move own
@@ -75,6 +78,7 @@
     if (pool->response_ns <= 0) {
         pool->response_ns = sample;
     }
+    sample = fmin(sample, MOST_SAMPLE * pool->response_ns);
     if (!target->sampled) {
         target->response_ns = pool->response_ns;
         target->sampled = true;
