--- a/cli/fetch.c
+++ b/cli/fetch.c
@@ -3,7 +3,7 @@
 #include <curl/curl.h>
 #include <string.h>
 
-#define ANSWER_LIMIT_BYTES (16 * 1024 * 1024)
+#define ANSWER_LIMIT_BYTES (16ul * 1024 * 1024)
 #define DEFAULT_ADDRESS "127.0.0.1:9901"
 #define ADDRESSES_VARIABLE "ROSEMARYPULLEY_ADMIN_ADDRESSES"
 
--- a/src/loop.c
+++ b/src/loop.c
@@ -28,15 +28,21 @@
     return read_clock_ns(CLOCK_MONOTONIC);
 }
 
+static void
+set_wall_offset(struct rp_kernel *kernel, int64_t now_ns)
+{
+    int64_t wall_ms = read_clock_ns(CLOCK_REALTIME) / 1000000;
+    rp_event_ring_set_wall_offset(rp_kernel_context(kernel)->events,
+                                  wall_ms - now_ns / 1000000);
+}
+
 static void
 on_prepare(struct ev_loop *ev, ev_prepare *watcher, int events)
 {
     (void)events;
     struct rp_loop *loop = watcher->data;
     int64_t now_ns = rp_loop_now_ns();
-    int64_t wall_ms = read_clock_ns(CLOCK_REALTIME) / 1000000;
-    struct rp_context *context = rp_kernel_context(loop->kernel);
-    rp_event_ring_set_wall_offset(context->events, wall_ms - now_ns / 1000000);
+    set_wall_offset(loop->kernel, now_ns);
     int64_t due_ns = rp_kernel_run(loop->kernel, now_ns);
     double wait_s = due_ns <= now_ns ? 0.0 : (double)(due_ns - now_ns) / 1e9;
     ev_timer_stop(ev, &loop->timer);
@@ -62,6 +68,7 @@
     struct rp_loop *loop = g_new0(struct rp_loop, 1);
     loop->ev = ev_loop_new(EVFLAG_AUTO | EVFLAG_NOENV);
     loop->kernel = kernel;
+    set_wall_offset(kernel, rp_loop_now_ns());
     ev_prepare_init(&loop->prepare, on_prepare);
     /* Last of all prepare watchers, so that what tasks queue is delivered. */
     ev_set_priority(&loop->prepare, EV_MINPRI);
