Try a connection that closed while idle once more, and tried targets again

Cause: libcurl opens a connection before it sends again, so the first one looked new; and a retry whose only targets had been tried waited in the balancer's queue until its deadline. Change: whether a connection is reused is taken at the first send; a retry avoids tried targets only while an untried one is usable; connects have a limit of 1.5 s by default. Conclusion: idle connections that targets close cost one more connection.

--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -304,20 +304,34 @@
     settle(call);
 }
 
+static bool
+has_untried(const struct rp_balancer *balancer,
+            const struct rp_balancer_call *offer)
+{
+    uint32_t count = rp_balancer_target_count(balancer);
+    for (uint32_t target = 0; target < count; target++) {
+        bool tried = false;
+        for (uint32_t i = 0; i < offer->avoid_count; i++) {
+            tried |= offer->avoid[i] == target;
+        }
+        if (!tried && rp_balancer_target_usable(balancer, target)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 offer_retry(struct dispatch_call *call, int64_t now_ns)
 {
     struct rp_balancer_call offer;
     struct rp_balancer_verdict verdict;
     fill_offer(call, RP_CALL_RETRY, &offer);
-    rp_balancer_offer(call->service->balancer, &offer, now_ns, &verdict);
-    if (verdict.action == RP_BALANCER_REFUSE &&
-        verdict.refusal == RP_REFUSAL_NO_TARGET && offer.avoid_count > 0)
-    {
+    if (!has_untried(call->service->balancer, &offer)) {
         /* Every target was tried; one of them is better than none. */
         offer.avoid_count = 0;
-        rp_balancer_offer(call->service->balancer, &offer, now_ns, &verdict);
     }
+    rp_balancer_offer(call->service->balancer, &offer, now_ns, &verdict);
     if (verdict.action != RP_BALANCER_REFUSE) {
         call->attempts_left--;
         call->retries++;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -17,6 +17,8 @@
 /* Idle connections kept over all targets. */
 #define MAX_CONNECTIONS 2048L
 #define SWEEP_S 0.25
+/* A connection takes about 1 ms; a lost SYN is sent again after 1 s. */
+#define DEFAULT_CONNECT_MS 1500
 
 struct rp_upstream {
     struct rp_task *task;
@@ -103,7 +105,7 @@
         .call_id = attempt->call->id,
         .generation = attempt->generation,
         .end = end,
-        .reused = rp_upstream_attempt_reused(attempt),
+        .reused = attempt->reused,
         .first_byte_ns = attempt->first_byte_ns,
         .body_bytes = rp_stream_written(attempt->body),
     };
@@ -124,7 +126,7 @@
     struct rp_attempt_head head = {
         .call_id = attempt->call->id,
         .generation = attempt->generation,
-        .reused = rp_upstream_attempt_reused(attempt),
+        .reused = attempt->reused,
         .answer = rp_answer_ref(attempt->answer),
     };
     struct rp_task *dispatch =
@@ -378,6 +380,9 @@
     }
     upstream->ev = rp_loop_ev(loop);
     upstream->config = *config;
+    if (upstream->config.connect_timeout_ms == 0) {
+        upstream->config.connect_timeout_ms = DEFAULT_CONNECT_MS;
+    }
     upstream->attempts = g_hash_table_new_full(NULL, NULL, NULL, free_attempt);
     upstream->silent =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/upstream_attempt.c
+++ b/src/upstream_attempt.c
@@ -39,6 +39,10 @@
         return CURL_PREREQFUNC_ABORT;
     }
     attempt->sends++;
+    /* Taken here, since libcurl opens a connection before it sends again. */
+    long connects = 0;
+    curl_easy_getinfo(attempt->easy, CURLINFO_NUM_CONNECTS, &connects);
+    attempt->reused = connects == 0;
     return CURL_PREREQFUNC_OK;
 }
 
@@ -399,16 +403,6 @@
     curl_easy_pause(attempt->easy, CURLPAUSE_CONT);
 }
 
-/* Returns whether the request went over a connection that had served
- * another one. */
-bool
-rp_upstream_attempt_reused(const struct rp_upstream_attempt *attempt)
-{
-    long connects = 0;
-    curl_easy_getinfo(attempt->easy, CURLINFO_NUM_CONNECTS, &connects);
-    return attempt->sends > 0 && connects == 0;
-}
-
 /* Returns whether the answer's body should have gone on by now. */
 bool
 rp_upstream_attempt_stalled(const struct rp_upstream_attempt *attempt,
--- a/src/upstream_attempt.h
+++ b/src/upstream_attempt.h
@@ -23,6 +23,7 @@
     int paused;     /* CURLPAUSE_... bits */
     uint32_t status;
     bool reads_request;
+    bool reused; /* the connection had served another request */
     bool resumable;
     bool head_done;
     bool malformed;
@@ -38,7 +39,6 @@
                               int64_t greatest_age_s, int64_t now_ns);
 void rp_upstream_attempt_clear(struct rp_upstream_attempt *attempt);
 void rp_upstream_attempt_resume(struct rp_upstream_attempt *attempt);
-bool rp_upstream_attempt_reused(const struct rp_upstream_attempt *attempt);
 bool rp_upstream_attempt_stalled(const struct rp_upstream_attempt *attempt,
                                  int64_t limit_ns, int64_t now_ns);
 enum rp_attempt_end
