Let a retry go back to a tried target when no other is left

Cause: a retry of a service with one target waited in the queue until its deadline could not be met: the balancer saw targets, all of them tried, and dispatch takes the tried ones only on a refusal.

--- a/src/balancer_choose.c
+++ b/src/balancer_choose.c
@@ -47,6 +47,26 @@
     return false;
 }
 
+static bool
+is_usable(const struct balancer_target *target)
+{
+    return target->present && !target->draining && !target->reported_draining;
+}
+
+/* Whether a call has a target left that it has not tried. When it has none,
+ * it may go to one again: the fault may lie with a connection. */
+static bool
+has_untried(const struct rp_balancer *balancer,
+            const struct rp_balancer_call *call)
+{
+    for (uint32_t i = 0; i < balancer->targets->len; i++) {
+        if (is_usable(balancer_get(balancer, i)) && !is_avoided(call, i)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static enum rank
 rank_of_estate(const struct rp_balancer *balancer, uint32_t estate)
 {
@@ -160,12 +180,11 @@
         bounds.estate_rank[i] = rank_of_estate(balancer, i);
     }
     uint32_t count = balancer->targets->len;
+    bool avoid = call->avoid_count > 0 && has_untried(balancer, call);
     uint32_t index = balancer->next < count ? balancer->next : 0;
     for (uint32_t i = 0; i < count; i++) {
         const struct balancer_target *target = balancer_get(balancer, index);
-        if (target->present && !target->draining &&
-            !target->reported_draining && !is_avoided(call, index))
-        {
+        if (is_usable(target) && !(avoid && is_avoided(call, index))) {
             consider(balancer, index, is_long, &bounds, now_ns, &choice);
         }
         index = index + 1 < count ? index + 1 : 0;
--- a/tests/test_balancer.cc
+++ b/tests/test_balancer.cc
@@ -200,4 +200,26 @@
     }
 }
 
+// Guards against a retry that waits for a target other than the only ones.
+TEST_F(balancer_test, retry_goes_back_when_nothing_else_is_left)
+{
+    struct {
+        std::vector<std::string> names;
+        std::vector<uint32_t> tried;
+    } cases[] = {{{"a"}, {0}}, {{"a", "b"}, {0, 1}}};
+    for (const auto &entry : cases) {
+        publish(entry.names, {});
+        struct rp_balancer_call call = {};
+        call.call_id = ++calls;
+        call.deadline_ns = now_ns + 1000 * MS;
+        call.flags = RP_CALL_RETRY | RP_CALL_REPEATABLE;
+        for (uint32_t target : entry.tried) {
+            call.avoid[call.avoid_count++] = target;
+        }
+        struct rp_balancer_verdict verdict;
+        rp_balancer_offer(balancer, &call, now_ns, &verdict);
+        EXPECT_EQ(verdict.action, RP_BALANCER_SEND) << entry.names.size();
+    }
+}
+
 } // namespace
