--- a/src/config_task.c
+++ b/src/config_task.c
@@ -157,18 +157,21 @@
 }
 
 /* I7: what a key had in force before is never greater than what it has now,
- * and no key is forgotten. */
+ * and no key is forgotten. Compares on its own, so that a fault in the set's
+ * comparison shows. */
 static void
 check_monotonic(struct rp_config_task *config, const char *key,
                 const struct rp_record_offer_result *result,
                 uint32_t keys_before, int64_t now_ns)
 {
-    struct rp_record_order now_in_force = {0};
-    bool known = rp_record_set_find(config->set, key, &now_in_force, NULL);
-    bool holds =
-        (result->before.version == 0 || known) &&
-        rp_record_order_compare(&now_in_force, &result->before) >= 0 &&
-        rp_record_set_count(config->set) >= keys_before;
+    const struct rp_record_order *before = &result->before;
+    struct rp_record_order now = {0};
+    bool known = rp_record_set_find(config->set, key, &now, NULL);
+    bool same_version =
+        now.version == before->version && now.revision >= before->revision;
+    bool holds = (before->version == 0 || known) &&
+                 (now.version > before->version || same_version) &&
+                 rp_record_set_count(config->set) >= keys_before;
     rp_invariant_check(config->context, RP_INVARIANT_CONFIG_MONOTONIC, holds,
                        now_ns, key);
 }
--- a/tests/test_config_task.cc
+++ b/tests/test_config_task.cc
@@ -193,7 +193,11 @@
 
     uint32_t timeout(vm *of)
     {
-        return rp_snapshot_find_service(of->snapshot, "a")->timeout_ms;
+        const struct rp_service *service =
+            of->snapshot == nullptr
+                ? nullptr
+                : rp_snapshot_find_service(of->snapshot, "a");
+        return service == nullptr ? 0 : service->timeout_ms;
     }
 
     std::vector<std::unique_ptr<vm>> fleet;
@@ -330,4 +334,68 @@
     EXPECT_EQ(digest(a), digest(b));
 }
 
+// Guards against a starting VM that takes a part of a peer's state for the
+// whole, and one that pushes what it reads to everyone.
+TEST_F(config_task, lost_part_is_not_a_whole_answer)
+{
+    vm *b = start("b");
+    list(b, {"a", "b"});
+    struct rp_task *config = rp_kernel_find_task(b->kernel, "config");
+    struct rp_record_batch *none = rp_record_batch_new();
+    struct rp_config_peer peer = {"a", RP_CONFIG_IN_FORCE, 7};
+    struct {
+        const char *what;
+        std::vector<uint32_t> parts; // the highest is the last
+        bool ready;
+    } cases[] = {
+        {"first lost", {1, 2}, false},
+        {"middle lost", {0, 2}, false},
+        {"whole", {0, 1, 2}, true},
+    };
+    for (const auto &entry : cases) {
+        now_ns += 3000 * MS; // past the time-out of the last comparison
+        rp_task_send(nullptr, config, RP_MSG_CONFIG_PEER, &peer, sizeof(peer));
+        rp_kernel_run(b->kernel, now_ns);
+        for (uint32_t part : entry.parts) {
+            rp_config_records_send(nullptr, config, RP_MSG_CONFIG_RECORDS,
+                                   none, "a", part, part == 2);
+        }
+        rp_kernel_run(b->kernel, now_ns);
+        EXPECT_EQ(b->ready, entry.ready) << entry.what;
+    }
+    rp_record_batch_unref(none);
+}
+
+// Guards against a rush of pushed records when VMs start.
+TEST_F(config_task, a_starting_vm_does_not_push)
+{
+    vm *b = start("b");
+    start("a");
+    answer(b, {{service(1, 100), 1}});
+    run(500);
+    EXPECT_FALSE(b->ready);
+    EXPECT_EQ(b->spread, 0u);
+}
+
+// Guards against a task that keeps an old configuration because its mailbox
+// was full for a moment.
+TEST_F(config_task, full_mailbox_gets_the_snapshot_later)
+{
+    vm *a = start("a");
+    list(a, {"a"});
+    answer(a, {{service(1, 100), 1}});
+    struct rp_config_want unused = {};
+    while (rp_task_send(nullptr, a->gossip, RP_MSG_PAUSE_NOTICED, &unused, 1))
+    {
+    }
+    // The config task comes first in the queue, while the mailbox is full.
+    rp_kernel_run(a->kernel, now_ns);
+    EXPECT_EQ(a->snapshot, nullptr);
+    now_ns += 200 * MS;
+    rp_kernel_run(a->kernel, now_ns);
+    rp_kernel_run(a->kernel, now_ns);
+    ASSERT_NE(a->snapshot, nullptr);
+    EXPECT_EQ(timeout(a), 100u);
+}
+
 } // namespace
