Set no timer for a VM without any data

Cause: after the boot wait, a VM with neither platform nor peers had a timer that was due again at once, without end. Change: the start rule is due only when something is held that the end of the boot wait can put in force.

--- a/src/readiness.c
+++ b/src/readiness.c
@@ -134,12 +134,12 @@
     return readiness->phase;
 }
 
-/* Returns when the phase may change without news: the end of the boot
- * wait. */
+/* Returns when the phase may change without news: the end of the boot wait,
+ * or never while there is nothing to put in force. */
 int64_t
 rp_readiness_due_ns(const struct rp_readiness *readiness)
 {
-    if (readiness->phase != RP_CONFIG_STARTING) {
+    if (readiness->phase != RP_CONFIG_STARTING || !readiness->holds) {
         return INT64_MAX;
     }
     return readiness->boot_wait_end_ns;
--- a/tests/test_readiness.cc
+++ b/tests/test_readiness.cc
@@ -149,6 +149,21 @@
     }
 }
 
+// Guards against a timer that is due again and again after the boot wait of a
+// VM without any data, which took a whole core.
+TEST(readiness, no_timer_without_data)
+{
+    struct rp_readiness *readiness = rp_readiness_new("a", 30 * SECOND, 0);
+    EXPECT_EQ(rp_readiness_phase(readiness, 40 * SECOND), RP_CONFIG_STARTING);
+    EXPECT_EQ(rp_readiness_due_ns(readiness), INT64_MAX);
+    rp_readiness_hold(readiness);
+    EXPECT_EQ(rp_readiness_due_ns(readiness), 30 * SECOND);
+    EXPECT_EQ(rp_readiness_phase(readiness, 40 * SECOND),
+              RP_CONFIG_PROVISIONAL);
+    EXPECT_EQ(rp_readiness_due_ns(readiness), INT64_MAX);
+    rp_readiness_free(readiness);
+}
+
 // Guards against a ready VM that refuses calls again.
 TEST(readiness, phase_only_rises)
 {
