--- a/src/wire.c
+++ b/src/wire.c
@@ -22,9 +22,11 @@
 #define TURN_LIMIT 64
 
 /* A connection that has gone silent while new ones work is noticed by ZMTP
- * pings and replaced. */
-#define PING_MS 1000
+ * pings of its sender and replaced. The receiver gives it up without pings
+ * of its own, which would cost each process as much again. */
+#define PING_MS 2000
 #define PING_TIMEOUT_MS 2000
+#define PING_EXPIRY_MS 10000
 #define HANDSHAKE_MS 2000
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 1000
@@ -72,8 +74,6 @@
            set_int(socket, ZMQ_SNDHWM, HIGH_WATER_MARK) &&
            set_int(socket, ZMQ_RCVHWM, HIGH_WATER_MARK) &&
            set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS) &&
-           set_int(socket, ZMQ_HEARTBEAT_IVL, PING_MS) &&
-           set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS) &&
            set_int(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MS) &&
            zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &most_bytes,
                           sizeof(most_bytes)) == 0;
@@ -83,6 +83,9 @@
 set_client(struct rp_wire *wire, void *socket)
 {
     if (!set_common(socket) ||
+        !set_int(socket, ZMQ_HEARTBEAT_IVL, PING_MS) ||
+        !set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS) ||
+        !set_int(socket, ZMQ_HEARTBEAT_TTL, PING_EXPIRY_MS) ||
         !set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS) ||
         !set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS))
     {
