--- a/src/admin.c
+++ b/src/admin.c
@@ -9,6 +9,7 @@
 #include "error.h"
 #include "event_json.h"
 #include "mhd_loop.h"
+#include "snapshot.h"
 #include "status.h"
 
 #define CONNECTION_LIMIT 32
@@ -208,7 +209,8 @@
 {
     struct rp_admin *admin = data;
     if (message->kind == RP_MSG_SNAPSHOT) {
-        admin->ready = true;
+        const struct rp_snapshot_message *body = message->body;
+        admin->ready = body->ready;
         return;
     }
     if (message->kind != RP_MSG_STATUS_PART) {
@@ -239,6 +241,7 @@
         }
         request->complete = true;
         MHD_resume_connection(request->connection);
+        rp_mhd_loop_kick(&admin->watch);
     }
     rp_task_set_timer(task, 0, next_ns);
 }
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -8,5 +8,6 @@
 int standin_relay_main(int argc, char **argv);
 int standin_peer_main(int argc, char **argv);
 int standin_load_main(int argc, char **argv);
+int standin_platform_main(int argc, char **argv);
 
 #endif
