--- a/standin/peer.c
+++ b/standin/peer.c
@@ -276,7 +276,7 @@
         fprintf(stderr, "rp-standin peer: %s\n", error->message);
         return EX_UNAVAILABLE;
     }
-    rp_config_task_add(peer->kernel, now_ns, NULL);
+    rp_config_task_add(peer->kernel, INT64_C(30000000000), now_ns, NULL);
     struct rp_gossip_settings gossip_settings = {
         (const char *const *)peer->peers, g_strv_length(peer->peers)};
     struct rp_gossip *gossip =
