--- /dev/null
+++ b/tests/fake_platform.c
@@ -0,0 +1,205 @@
+#include "fake_platform.h"
+
+#include "config_task.h"
+#include "platform.h"
+
+#define MS INT64_C(1000000)
+#define WATCH_NS (200 * MS)
+#define READ_NS (3000 * MS)
+#define TIMER_READ 0
+
+struct published {
+    char *key;
+    char *value;
+};
+
+struct fake_platform {
+    struct fake_clock *clock;
+    GPtrArray *history; /* of struct published; the revision is the place */
+    struct rp_vm_list *list;
+    uint64_t stale_revision; /* 0 when it answers with the present state */
+    bool dead;
+};
+
+static void
+free_published(gpointer data)
+{
+    struct published *published = data;
+    g_free(published->key);
+    g_free(published->value);
+    g_free(published);
+}
+
+/* Creates a platform that holds nothing. */
+struct fake_platform *
+fake_platform_new(struct fake_clock *clock)
+{
+    struct fake_platform *platform = g_new0(struct fake_platform, 1);
+    platform->clock = clock;
+    platform->history = g_ptr_array_new_with_free_func(free_published);
+    return platform;
+}
+
+/* Frees the platform. */
+void
+fake_platform_free(struct fake_platform *platform)
+{
+    g_ptr_array_unref(platform->history);
+    rp_vm_list_unref(platform->list);
+    g_free(platform);
+}
+
+/* Publishes a value and returns its revision. */
+uint64_t
+fake_platform_publish(struct fake_platform *platform, const char *key,
+                      const char *value)
+{
+    struct published *published = g_new0(struct published, 1);
+    published->key = g_strdup(key);
+    published->value = g_strdup(value);
+    g_ptr_array_add(platform->history, published);
+    return platform->history->len;
+}
+
+/* Stops or starts all answers. */
+void
+fake_platform_set_dead(struct fake_platform *platform, bool dead)
+{
+    platform->dead = dead;
+}
+
+/* Freezes the state that is answered with, or lets it catch up. */
+void
+fake_platform_set_stale(struct fake_platform *platform, bool stale)
+{
+    platform->stale_revision = stale ? platform->history->len : 0;
+}
+
+/* Takes over the list of VMs. */
+void
+fake_platform_set_list(struct fake_platform *platform, struct rp_vm_list *list)
+{
+    rp_vm_list_unref(platform->list);
+    platform->list = list;
+}
+
+/* Returns the latest revision. */
+uint64_t
+fake_platform_revision(const struct fake_platform *platform)
+{
+    return platform->history->len;
+}
+
+struct platform_task {
+    struct fake_platform *platform;
+    uint64_t after;
+    bool watches;
+    bool has_read;
+};
+
+/* The value of a key at a revision is the last one published up to it. */
+static bool
+is_latest(const struct fake_platform *platform, uint64_t revision,
+          uint64_t newest)
+{
+    const struct published *published =
+        g_ptr_array_index(platform->history, revision - 1);
+    for (uint64_t later = revision + 1; later <= newest; later++) {
+        const struct published *other =
+            g_ptr_array_index(platform->history, later - 1);
+        if (g_str_equal(other->key, published->key)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+send_records(struct platform_task *reader, struct rp_task *task,
+             uint64_t newest)
+{
+    const struct fake_platform *platform = reader->platform;
+    struct rp_record_batch *batch = rp_record_batch_new();
+    for (uint64_t revision = reader->after + 1; revision <= newest; revision++)
+    {
+        const struct published *published =
+            g_ptr_array_index(platform->history, revision - 1);
+        if (is_latest(platform, revision, newest)) {
+            GBytes *value =
+                g_bytes_new(published->value, strlen(published->value));
+            rp_record_batch_add(batch, published->key, revision, value);
+            g_bytes_unref(value);
+        }
+    }
+    rp_config_records_send(task,
+                           rp_kernel_find_task(rp_task_kernel(task), "config"),
+                           RP_MSG_PLATFORM_RECORDS, batch, "", 0, true);
+    rp_record_batch_unref(batch);
+    reader->after = MAX(reader->after, newest);
+}
+
+static void
+retain_list(const void *body)
+{
+    rp_vm_list_ref(((const struct rp_vm_list_message *)body)->list);
+}
+
+static void
+read_platform(struct platform_task *reader, struct rp_task *task,
+              int64_t now_ns)
+{
+    struct fake_platform *platform = reader->platform;
+    uint64_t newest = platform->stale_revision > 0 ? platform->stale_revision
+                                                   : platform->history->len;
+    if (platform->list != NULL) {
+        struct rp_vm_list_message list = {platform->list};
+        rp_task_broadcast_owned(task, RP_MSG_PLATFORM_VMS, &list, sizeof(list),
+                                retain_list, rp_vm_list_message_release);
+    }
+    if (!reader->has_read || newest > reader->after) {
+        send_records(reader, task, newest);
+    }
+    reader->has_read = true;
+    struct rp_platform_freshness freshness = {now_ns, newest};
+    rp_task_send(task, rp_kernel_find_task(rp_task_kernel(task), "gossip"),
+                 RP_MSG_PLATFORM_FRESHNESS, &freshness, sizeof(freshness));
+}
+
+static void
+on_timer(struct rp_task *task, uint32_t timer, int64_t now_ns, void *data)
+{
+    (void)timer;
+    struct platform_task *reader = data;
+    if (!reader->platform->dead) {
+        read_platform(reader, task, now_ns);
+    }
+    bool often = reader->watches || !reader->has_read;
+    rp_task_set_timer(task, TIMER_READ, now_ns + (often ? WATCH_NS : READ_NS));
+}
+
+static void
+on_remove(struct rp_task *task, void *data)
+{
+    (void)task;
+    g_free(data);
+}
+
+static const struct rp_task_ops platform_ops = {
+    .on_timer = on_timer,
+    .on_remove = on_remove,
+};
+
+/* Adds the task "platform" to a process. One that does not watch reads
+ * rarely, as a node whose peers are silent would. */
+void
+fake_platform_attach(struct fake_platform *platform,
+                     struct fake_process *process, bool watches)
+{
+    struct platform_task *reader = g_new0(struct platform_task, 1);
+    reader->platform = platform;
+    reader->watches = watches;
+    struct rp_task *task = rp_kernel_add_task(process->kernel, "platform",
+                                              &platform_ops, reader, NULL);
+    rp_task_set_timer(task, TIMER_READ,
+                      fake_clock_now_ns(platform->clock) + 20 * MS);
+}
--- /dev/null
+++ b/tests/soak_main.c
@@ -0,0 +1,107 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "soak_world.h"
+
+struct options {
+    uint64_t seed;
+    uint64_t seeds;
+    bool print;
+};
+
+/* The run in progress, for the handler of SIGABRT. */
+static struct soak *running;
+
+static void
+on_abort(int number)
+{
+    (void)number;
+    if (running != NULL) {
+        soak_print_lines(running);
+        printf("seed %llu aborted\n", (unsigned long long)running->seed);
+        fflush(stdout);
+    }
+}
+
+static error_t
+parse_option(int key, char *argument, struct argp_state *state)
+{
+    struct options *options = state->input;
+    switch (key) {
+    case 's':
+        options->seed = strtoull(argument, NULL, 10);
+        return 0;
+    case 'n':
+        options->seeds = strtoull(argument, NULL, 10);
+        return 0;
+    case 'p':
+        options->print = true;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp_option option_list[] = {
+    {"seed", 's', "N", 0, "First seed", 0},
+    {"seeds", 'n', "K", 0, "Number of seeds, one after the other", 0},
+    {"print", 'p', NULL, 0, "Print the whole time line", 0},
+    {0},
+};
+
+static const struct argp parser = {
+    option_list,
+    parse_option,
+    NULL,
+    "Runs entry processes in virtual time under random faults. The same seed "
+    "gives the same run.",
+    NULL,
+    NULL,
+    NULL};
+
+/* Runs one seed; returns whether all checks held. */
+static bool
+run_seed(uint64_t seed, const struct options *options)
+{
+    struct soak *soak = soak_new(seed, options->print);
+    running = soak;
+    uint64_t digest = soak_run(soak);
+    running = NULL;
+    bool good = soak->failures == 0;
+    const struct fake_caller_totals *totals =
+        fake_callers_totals(soak->callers);
+    if (!good && !options->print) {
+        soak_print_lines(soak);
+    }
+    printf(
+        "seed %llu %s digest %016llx lines %llu faults %llu requests %llu "
+        "sent %llu whole %llu not-run %llu unknown %llu runs %llu repeats "
+        "%llu probes %llu\n",
+        (unsigned long long)seed, good ? "ok" : "FAILED",
+        (unsigned long long)digest, (unsigned long long)soak->line_count,
+        (unsigned long long)soak->faults, (unsigned long long)totals->requests,
+        (unsigned long long)totals->sent, (unsigned long long)totals->whole,
+        (unsigned long long)totals->not_run,
+        (unsigned long long)totals->unknown, (unsigned long long)totals->runs,
+        (unsigned long long)totals->repeats, (unsigned long long)soak->probes);
+    fflush(stdout);
+    soak_free(soak);
+    return good;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct options options = {.seed = 1, .seeds = 1};
+    argp_parse(&parser, argc, argv, 0, NULL, &options);
+    signal(SIGABRT, on_abort);
+    uint64_t failed = 0;
+    for (uint64_t i = 0; i < options.seeds; i++) {
+        failed += !run_seed(options.seed + i, &options);
+    }
+    printf("%llu seeds, %llu failed\n", (unsigned long long)options.seeds,
+           (unsigned long long)failed);
+    return failed == 0 ? 0 : 1;
+}
