--- a/src/node.c
+++ b/src/node.c
@@ -3,16 +3,37 @@
 #include <ev.h>
 #include <signal.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 
 #include "admin.h"
+#include "call.h"
+#include "config_task.h"
+#include "dispatch.h"
+#include "entry.h"
+#include "gossip.h"
 #include "loop.h"
+#include "platform.h"
+#include "prober.h"
+#include "record_file.h"
+#include "upstream.h"
+#include "wire.h"
+
+#define IDLE_TIMEOUT_S 75
+/* Every worker takes about 200 connections from the whole fleet. */
+#define CONNECTIONS_PER_WORKER 200
+#define LEAST_CONNECTIONS 4
+#define STOP_CHECK_S 0.1
 
 struct rp_node {
     struct rp_context *context;
     struct rp_kernel *kernel;
     struct rp_loop *loop;
+    struct rp_entry *entry;
     ev_signal terminate;
     ev_signal interrupt;
+    ev_timer stop_check;
+    int64_t stop_timeout_ns;
+    int64_t stop_at_ns;
 };
 
 /* Incarnations rise from start to start of a VM even if its clock is set
@@ -49,11 +70,29 @@
     return rp_context_new(&identity, (uint32_t)identity.incarnation);
 }
 
+/* Ends the loop when nothing is in flight any more, or when the time for it
+ * is over. */
+static void
+on_stop_check(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    struct rp_node *node = watcher->data;
+    if (rp_entry_finished(node->entry)) {
+        g_message("all requests are finished: the shutdown is complete");
+        rp_loop_end(node->loop);
+    }
+    else if (rp_loop_now_ns() >= node->stop_at_ns) {
+        g_warning("the stop timeout is over: requests in flight are cut; "
+                  "raise --stop-timeout-ms if they need longer");
+        rp_loop_end(node->loop);
+    }
+}
+
 /* The first signal asks for a graceful shutdown, the second ends at once. */
 static void
 on_stop_signal(struct ev_loop *ev, ev_signal *watcher, int events)
 {
-    (void)ev;
     (void)events;
     struct rp_node *node = watcher->data;
     if (rp_kernel_stopping(node->kernel)) {
@@ -61,26 +100,164 @@
         rp_loop_end(node->loop);
         return;
     }
-    g_message("signal received: no new work is taken; a second signal ends "
-              "the process at once");
+    g_message("signal received: no new callers are sent here; a second "
+              "signal ends the process at once");
+    int64_t now_ns = rp_loop_now_ns();
+    rp_event_add(node->context->events, RP_EVENT_STOPPING, now_ns,
+                 node->context->identity.id);
+    node->stop_at_ns = now_ns + node->stop_timeout_ns;
     rp_kernel_request_stop(node->kernel);
+    ev_timer_start(ev, &node->stop_check);
+}
+
+static void
+watch_signals(struct rp_node *node)
+{
+    struct ev_loop *ev = rp_loop_ev(node->loop);
+    signal(SIGPIPE, SIG_IGN);
+    ev_signal_init(&node->terminate, on_stop_signal, SIGTERM);
+    ev_signal_init(&node->interrupt, on_stop_signal, SIGINT);
+    ev_timer_init(&node->stop_check, on_stop_check, STOP_CHECK_S,
+                  STOP_CHECK_S);
+    node->terminate.data = node;
+    node->interrupt.data = node;
+    node->stop_check.data = node;
+    ev_signal_start(ev, &node->terminate);
+    ev_signal_start(ev, &node->interrupt);
 }
 
+/* Each connection needs a descriptor; the usual soft limit of 1024 is too low
+ * for the settings' default. */
 static void
-watch_signal(struct rp_node *node, ev_signal *watcher, int signal_number)
+raise_descriptor_limit(void)
 {
-    ev_signal_init(watcher, on_stop_signal, signal_number);
-    watcher->data = node;
-    ev_signal_start(rp_loop_ev(node->loop), watcher);
-    ev_unref(rp_loop_ev(node->loop));
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+static char **
+split_list(const struct rp_settings *settings, enum rp_setting setting)
+{
+    char **items = g_strsplit(rp_settings_text(settings, setting), ",", -1);
+    for (char **item = items; *item != NULL; item++) {
+        g_strstrip(*item);
+    }
+    return items;
+}
+
+/* A key as the wire task takes it: NULL when none is set. */
+static const char *
+get_key(const struct rp_settings *settings, enum rp_setting setting)
+{
+    const char *key = rp_settings_text(settings, setting);
+    return key[0] == '\0' ? NULL : key;
 }
 
+static bool
+start_peers(struct rp_node *node, const struct rp_settings *settings,
+            GError **error)
+{
+    char **allowed = split_list(settings, RP_SETTING_PEER_ALLOWED_KEYS);
+    char **seeds = split_list(settings, RP_SETTING_PEERS);
+    struct rp_wire_settings wire = {
+        .bind_address = node->context->identity.peer_address,
+        .public_key = get_key(settings, RP_SETTING_PEER_PUBLIC_KEY),
+        .secret_key = get_key(settings, RP_SETTING_PEER_SECRET_KEY),
+        .allowed_keys = (const char *const *)allowed,
+        .allowed_key_count = g_strv_length(allowed),
+    };
+    struct rp_gossip_settings gossip = {
+        .seeds = (const char *const *)seeds,
+        .seed_count = g_strv_length(seeds),
+    };
+    bool started =
+        rp_wire_new(node->loop, &wire, error) != NULL &&
+        rp_gossip_new(node->kernel, &gossip, rp_loop_now_ns(), error) != NULL;
+    g_strfreev(allowed);
+    g_strfreev(seeds);
+    return started;
+}
+
+/* Hands the records of files to the config task as if the platform had
+ * published them before all others. */
+static bool
+offer_record_files(struct rp_node *node, const char *files, GError **error)
+{
+    struct rp_record_batch *batch = rp_record_file_read_list(files, error);
+    if (batch == NULL) {
+        return false;
+    }
+    struct rp_task *config = rp_kernel_find_task(node->kernel, "config");
+    rp_config_records_send(NULL, config, RP_MSG_PLATFORM_RECORDS, batch, "", 0,
+                           true);
+    rp_record_batch_unref(batch);
+    return true;
+}
+
+static bool
+start_config(struct rp_node *node, const struct rp_settings *settings,
+             GError **error)
+{
+    int64_t boot_wait_ns =
+        rp_settings_number(settings, RP_SETTING_BOOT_WAIT_MS) * 1000000;
+    int64_t now_ns = rp_loop_now_ns();
+    if (rp_config_task_add(node->kernel, boot_wait_ns, now_ns, error) == NULL)
+    {
+        return false;
+    }
+    const char *files = rp_settings_text(settings, RP_SETTING_RECORDS);
+    if (files[0] != '\0' && !offer_record_files(node, files, error)) {
+        return false;
+    }
+    struct rp_platform_settings platform = {
+        .url = rp_settings_text(settings, RP_SETTING_PLATFORM),
+    };
+    return platform.url[0] == '\0' ||
+           rp_platform_add(node->loop, &platform, now_ns, error) != NULL;
+}
+
+static bool
+start_path(struct rp_node *node, const struct rp_settings *settings,
+           GError **error)
+{
+    struct rp_entry_config entry = {
+        .connection_limit =
+            (uint32_t)rp_settings_number(settings, RP_SETTING_MAX_CONNECTIONS),
+        .idle_timeout_s = IDLE_TIMEOUT_S,
+        .answer_ttl_ms =
+            (uint32_t)rp_settings_number(settings, RP_SETTING_ADDRESS_TTL_MS),
+    };
+    struct rp_dispatch_config dispatch = {
+        .first_byte_ms =
+            (uint32_t)rp_settings_number(settings, RP_SETTING_FIRST_BYTE_MS),
+    };
+    uint32_t share =
+        CONNECTIONS_PER_WORKER / node->context->identity.fleet_size;
+    struct rp_upstream_config upstream = {
+        .connections_per_target = MAX(share, LEAST_CONNECTIONS),
+        .progress_timeout_ms =
+            (uint32_t)rp_settings_number(settings, RP_SETTING_PROGRESS_MS),
+    };
+    node->entry = rp_entry_new(node->loop, &entry, error);
+    return node->entry != NULL &&
+           rp_dispatch_new(node->kernel, &dispatch, error) != NULL &&
+           rp_upstream_new(node->loop, &upstream, error) != NULL &&
+           rp_prober_new_http(node->loop, error) != NULL;
+}
+
+/* The config task is last, so that its first snapshot finds the others. */
 static bool
 start_tasks(struct rp_node *node, const struct rp_settings *settings,
             GError **error)
 {
     const char *admin = rp_settings_text(settings, RP_SETTING_ADMIN_ADDRESS);
-    return rp_admin_start(node->loop, admin, error) != NULL;
+    return rp_admin_start(node->loop, admin, error) != NULL &&
+           start_path(node, settings, error) &&
+           start_peers(node, settings, error) &&
+           start_config(node, settings, error);
 }
 
 /* Creates an entry process from checked settings and opens its ports. Returns
@@ -89,17 +266,18 @@
 struct rp_node *
 rp_node_start(const struct rp_settings *settings, GError **error)
 {
+    raise_descriptor_limit();
     struct rp_node *node = g_new0(struct rp_node, 1);
     node->context = create_context(settings);
     node->kernel = rp_kernel_new(node->context);
     node->loop = rp_loop_new(node->kernel);
+    node->stop_timeout_ns =
+        rp_settings_number(settings, RP_SETTING_STOP_TIMEOUT_MS) * 1000000;
+    watch_signals(node);
     if (!start_tasks(node, settings, error)) {
         rp_node_free(node);
         return NULL;
     }
-    signal(SIGPIPE, SIG_IGN);
-    watch_signal(node, &node->terminate, SIGTERM);
-    watch_signal(node, &node->interrupt, SIGINT);
     rp_event_add(node->context->events, RP_EVENT_STARTED, rp_loop_now_ns(),
                  node->context->identity.id);
     return node;
@@ -115,21 +293,14 @@
     rp_loop_run(node->loop);
 }
 
-static void
-unwatch_signal(struct rp_node *node, ev_signal *watcher)
-{
-    if (ev_is_active(watcher)) {
-        ev_ref(rp_loop_ev(node->loop));
-        ev_signal_stop(rp_loop_ev(node->loop), watcher);
-    }
-}
-
 /* Closes all ports and frees an entry process. */
 void
 rp_node_free(struct rp_node *node)
 {
-    unwatch_signal(node, &node->terminate);
-    unwatch_signal(node, &node->interrupt);
+    struct ev_loop *ev = rp_loop_ev(node->loop);
+    ev_signal_stop(ev, &node->terminate);
+    ev_signal_stop(ev, &node->interrupt);
+    ev_timer_stop(ev, &node->stop_check);
     rp_kernel_free(node->kernel);
     rp_loop_free(node->loop);
     rp_context_free(node->context);
--- a/src/setting.c
+++ b/src/setting.c
@@ -91,6 +91,21 @@
                "write IPv4 addresses with ports, separated by commas", fault);
 }
 
+static bool
+is_file(const char *value)
+{
+    return g_file_test(value, G_FILE_TEST_IS_REGULAR);
+}
+
+static void
+check_file_list(const char *value, const struct setting_kind *kind,
+                GString *fault)
+{
+    (void)kind;
+    check_list(value, is_file,
+               "name files that can be read, separated by commas", fault);
+}
+
 static void
 check_url(const char *value, const struct setting_kind *kind, GString *fault)
 {
@@ -179,6 +194,7 @@
 #define NAME {.check = check_name}
 #define ADDRESS {.check = check_address}
 #define ADDRESS_LIST {.check = check_address_list}
+#define FILE_LIST {.check = check_file_list}
 #define URL {.check = check_url}
 #define HEX_KEY {.check = check_hex_key}
 #define CURVE_KEY {.check = check_curve_key}
--- a/src/setting_list.h
+++ b/src/setting_list.h
@@ -21,3 +21,6 @@
 RP_SETTING(MAX_CONNECTIONS, "max-connections", NUMBER(16, 1000000), "20000", 0, "connections of callers at once")
 RP_SETTING(LOG_FORMAT, "log-format", CHOICE("text|json"), "text", 0, "text or json")
 RP_SETTING(LOG_LEVEL, "log-level", CHOICE("debug|info|message|warning|critical"), "info", 0, "least level that is logged")
+RP_SETTING(RECORDS, "records", FILE_LIST, "", 0, "files of one record each, in force from the start beside the platform's")
+RP_SETTING(FIRST_BYTE_MS, "first-byte-ms", NUMBER(10, 600000), "2000", 0, "greatest wait for the first byte of an answer, in ms")
+RP_SETTING(PROGRESS_MS, "progress-ms", NUMBER(10, 600000), "10000", 0, "greatest time without a byte within an answer, in ms")
