--- a/bench/regime.h
+++ b/bench/regime.h
@@ -18,12 +18,12 @@
     double crest;      /* demand is multiplied by this from 1/4 to 1/2 */
     double long_share; /* of calls */
     double sigma;      /* lognormal service times; 0: exponential */
-    uint32_t deciders; /* entry VMs */
     double straggler;  /* one target is this much slower from 1/4 on */
     double noise;      /* episodes: factor of service times */
     double cold;       /* half the targets are replaced at 1/4 */
     int64_t lag_ns;    /* age of load reports */
     int64_t pause_ns;  /* one entry VM pauses at 1/2 */
+    uint32_t deciders; /* entry VMs */
     bool fast_failer;  /* one target fails at once from 1/4 on */
     bool estates;      /* shares go from 9:1 to 1:9 at 1/4 */
     bool equal;        /* targets are equal: bound of 1.03 or 1.05 */
--- a/src/length.c
+++ b/src/length.c
@@ -4,7 +4,11 @@
 #include <string.h>
 
 #define MEAN_WEIGHT (1.0 / 16)
-#define MEDIAN_STEP 0.02
+/* The median moves by large steps at first, so that it does not stay near a
+ * first answer that was short by chance. */
+#define FIRST_STEP 0.5
+#define STEP_FALL 0.9
+#define LEAST_STEP 0.02
 /* A kind is long when its mean is this multiple of the median of all calls.
  * The mean of exponential times is 1.4 times their median, that of lognormal
  * ones with a sigma of 1.2 twice. */
@@ -24,6 +28,7 @@
 {
     memset(length, 0, sizeof(*length));
     length->known = 1;
+    length->step = FIRST_STEP;
 }
 
 static void
@@ -55,7 +60,8 @@
         length->median_ns = duration;
     }
     length->median_ns *=
-        duration > length->median_ns ? 1 + MEDIAN_STEP : 1 - MEDIAN_STEP;
+        duration > length->median_ns ? 1 + length->step : 1 - length->step;
+    length->step = fmax(length->step * STEP_FALL, LEAST_STEP);
     if (!known) {
         length->kinds[slot].kind = kind;
         length->kinds[slot].mean_ns = 0;
--- a/src/length.h
+++ b/src/length.h
@@ -15,6 +15,7 @@
         bool is_long;
     } kinds[RP_LENGTH_KINDS];
     double median_ns; /* of all answers */
+    double step;      /* by which the median moves for an answer */
     double known;     /* share of answers whose kind was known before */
 };
 
--- a/src/route.c
+++ b/src/route.c
@@ -9,7 +9,9 @@
 /* One answer counts for at most this multiple of the usual response time, or
  * a single one of a heavy tail would make its target a straggler. */
 #define MOST_SAMPLE 5.0
-#define POOL_WEIGHT (1.0 / 256)
+/* The usual response time is a plain mean of the answers at first. */
+#define POOL_SAMPLES 256
+#define LEAST_POOL_SAMPLES 32
 #define OTHERS_WEIGHT (1.0 / 8)
 /* The means only cover about 8 reports: slow changes of the demand move own
  * requests and totals alike even when reports are old. */
@@ -75,10 +77,13 @@
                   int64_t response_ns, int64_t now_ns)
 {
     double sample = fmax((double)response_ns - target->domain_ns, 1);
-    if (pool->response_ns <= 0) {
-        pool->response_ns = sample;
+    if (pool->samples >= LEAST_POOL_SAMPLES) {
+        sample = fmin(sample, MOST_SAMPLE * pool->response_ns);
     }
-    sample = fmin(sample, MOST_SAMPLE * pool->response_ns);
+    if (pool->samples < POOL_SAMPLES) {
+        pool->samples++;
+    }
+    pool->response_ns += (sample - pool->response_ns) / pool->samples;
     if (!target->sampled) {
         target->response_ns = pool->response_ns;
         target->sampled = true;
@@ -90,7 +95,6 @@
     double weight = trial ? RETRY_WEIGHT : RESPONSE_WEIGHT;
     target->response_ns += weight * (sample - target->response_ns);
     target->sample_ns = now_ns;
-    pool->response_ns += POOL_WEIGHT * (sample - pool->response_ns);
 }
 
 /* Learns whether reports are fresh. A fresh report contains the requests of
--- a/src/route.h
+++ b/src/route.h
@@ -32,6 +32,7 @@
 /* What all targets of a service have in common, as one entry VM sees it. */
 struct rp_route_pool {
     double response_ns; /* usual response time without the domain's distance */
+    uint32_t samples;   /* answers so far, up to a bound */
     uint32_t deciders;  /* entry VMs that send to the targets */
     /* How own requests and reported totals vary together. */
     double covariance;
--- a/tests/test_route.cc
+++ b/tests/test_route.cc
@@ -15,6 +15,7 @@
     struct rp_route_pool pool;
     rp_route_pool_init(&pool, deciders);
     pool.response_ns = RESPONSE_NS;
+    pool.samples = 256;
     pool.trust = trust;
     return pool;
 }
