Add regimes without steering to the bench

Cause: the regimes with 100 entry VMs were steered to one in each failure domain, which hides how the modules do with many deciders.

--- a/bench/regime.h
+++ b/bench/regime.h
@@ -24,6 +24,7 @@
     int64_t lag_ns;    /* age of load reports */
     int64_t pause_ns;  /* one entry VM pauses at 1/2 */
     uint32_t deciders; /* entry VMs */
+    bool unsteered;    /* callers use all entry VMs */
     bool fast_failer;  /* one target fails at once from 1/4 on */
     bool estates;      /* shares go from 9:1 to 1:9 at 1/4 */
     bool equal;        /* targets are equal: bound of 1.03 or 1.05 */
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -289,7 +289,8 @@
         sim->deciders[i].next = i;
         sim->deciders[i].due_ns = INT64_MAX;
     }
-    bool steered = sim->policy == SIM_BALANCER && width > 0;
+    bool steered =
+        sim->policy == SIM_BALANCER && width > 0 && !sim->regime->unsteered;
     choose_serving(sim, steered ? width : sim->decider_count);
     if (sim->policy != SIM_BALANCER) {
         return;
