Drain targets by the list of VMs

Cause: the platform's list of leaving VMs reached no decision, and VMs that do not watch read it once in 60 s. Change: the config task marks targets that the list shows as leaving as draining, unless none of the service would serve, and sends hints of them to peers; VMs that do not watch read the list every 4 s, or less often in a large fleet, 4 reads a second in all.

--- a/cli/validate.c
+++ b/cli/validate.c
@@ -131,7 +131,7 @@
         }
     }
     GPtrArray *warnings = g_ptr_array_new_with_free_func(g_free);
-    rp_snapshot_unref(rp_record_set_build(set, warnings));
+    rp_snapshot_unref(rp_record_set_build(set, NULL, warnings));
     for (guint i = 0; i < warnings->len && !chosen.quiet; i++) {
         printf("warning: %s\n", (const char *)g_ptr_array_index(warnings, i));
     }
--- a/src/config_task.c
+++ b/src/config_task.c
@@ -8,6 +8,7 @@
 #include "readiness.h"
 #include "snapshot.h"
 #include "status.h"
+#include "target_hint.h"
 #include "vm_list.h"
 
 /* Values above this are not pushed; heartbeat digests spread them on demand,
@@ -23,6 +24,8 @@
 #define SETTLE_NS INT64_C(1000000000)
 #define WANT_TIMEOUT_NS INT64_C(2000000000)
 #define RESEND_NS INT64_C(100000000)
+/* Hints sent for one list of VMs; a heartbeat holds 16. */
+#define LEAVING_HINTS 64u
 
 enum config_timer { TIMER_PHASE, TIMER_RESEND };
 
@@ -35,6 +38,7 @@
     enum rp_config_phase phase;
     GHashTable *reported; /* digests of refusals and conflicts */
     struct rp_config_refusals *refusals;
+    GHashTable *leaving;         /* addresses of targets, by the list of VMs */
     GPtrArray *warnings;         /* about the snapshot in force; may be NULL */
     int64_t changed_ns;          /* last time that the records changed */
     char want_peer[RP_ID_BYTES]; /* of the comparison that is under way */
@@ -281,7 +285,8 @@
 build_snapshot(struct rp_config_task *config, int64_t now_ns)
 {
     GPtrArray *warnings = g_ptr_array_new_with_free_func(g_free);
-    struct rp_snapshot *snapshot = rp_record_set_build(config->set, warnings);
+    struct rp_snapshot *snapshot =
+        rp_record_set_build(config->set, config->leaving, warnings);
     rp_invariant_check(config->context, RP_INVARIANT_CONFIG_MONOTONIC,
                        config->snapshot == NULL ||
                            rp_snapshot_revision(snapshot) >=
@@ -436,6 +441,75 @@
     g_ptr_array_unref(batches);
 }
 
+/* Tells the peers, whose list may be older, of targets that leave. */
+static void
+send_leaving_hints(struct rp_config_task *config, int64_t now_ns)
+{
+    struct rp_task *gossip =
+        rp_kernel_find_task(rp_task_kernel(config->task), "gossip");
+    uint32_t left = LEAVING_HINTS;
+    for (uint32_t i = 0; i < rp_snapshot_service_count(config->snapshot); i++)
+    {
+        const struct rp_service *service =
+            rp_snapshot_get_service(config->snapshot, i);
+        for (uint32_t j = 0; j < service->target_count && left > 0; j++) {
+            const struct rp_target *target = &service->targets[j];
+            if (!target->draining ||
+                !g_hash_table_contains(config->leaving, target->address))
+            {
+                continue;
+            }
+            struct rp_target_hint hint = {.source = RP_HINT_LIST,
+                                          .kind = RP_HINT_DRAINING,
+                                          .seen_ns = now_ns};
+            g_strlcpy(hint.service, service->name, sizeof(hint.service));
+            g_strlcpy(hint.address, target->address, sizeof(hint.address));
+            rp_task_send(config->task, gossip, RP_MSG_TARGET_HINT, &hint,
+                         sizeof(hint));
+            left--;
+        }
+    }
+}
+
+/* Replaces the addresses of leaving targets and returns whether they have
+ * changed. */
+static bool
+replace_leaving(struct rp_config_task *config, const struct rp_vm_list *list)
+{
+    GHashTable *leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    bool changed = false;
+    for (uint32_t i = 0; i < rp_vm_list_count(list); i++) {
+        const struct rp_vm *vm = rp_vm_list_get(list, i);
+        if (!vm->entry && vm->leaving) {
+            changed = !g_hash_table_contains(config->leaving, vm->address) ||
+                      changed;
+            g_hash_table_add(leaving, g_strdup(vm->address));
+        }
+    }
+    changed = changed ||
+              g_hash_table_size(leaving) != g_hash_table_size(config->leaving);
+    g_hash_table_unref(config->leaving);
+    config->leaving = leaving;
+    return changed;
+}
+
+static void
+take_vms(struct rp_config_task *config, struct rp_vm_list *list,
+         int64_t now_ns)
+{
+    bool changed = replace_leaving(config, list);
+    rp_readiness_set_vms(config->readiness, list);
+    if (changed && config->snapshot != NULL) {
+        build_snapshot(config, now_ns);
+        send_snapshot(config, now_ns);
+    }
+    publish(config, false, false, now_ns);
+    if (config->snapshot != NULL) {
+        send_leaving_hints(config, now_ns);
+    }
+}
+
 static void
 answer_status(struct rp_config_task *config, const struct rp_message *want)
 {
@@ -470,8 +544,7 @@
         break;
     case RP_MSG_PLATFORM_VMS: {
         const struct rp_vm_list_message *vms = message->body;
-        rp_readiness_set_vms(config->readiness, vms->list);
-        publish(config, false, false, now_ns);
+        take_vms(config, vms->list, now_ns);
         break;
     }
     default:
@@ -499,6 +572,7 @@
     rp_readiness_free(config->readiness);
     g_hash_table_unref(config->reported);
     rp_config_refusals_free(config->refusals);
+    g_hash_table_unref(config->leaving);
     g_clear_pointer(&config->warnings, g_ptr_array_unref);
     g_free(config);
 }
@@ -525,6 +599,8 @@
     config->readiness =
         rp_readiness_new(config->context->identity.id, boot_wait_ns, now_ns);
     config->refusals = rp_config_refusals_new();
+    config->leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     config->reported =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     rp_task_set_timer(task, TIMER_PHASE,
--- a/src/record_build.c
+++ b/src/record_build.c
@@ -257,8 +257,46 @@
     }
 }
 
+static uint32_t
+count_serving(const struct rp_service *service, GHashTable *leaving)
+{
+    uint32_t serving = 0;
+    for (uint32_t i = 0; i < service->target_count; i++) {
+        const struct rp_target *target = &service->targets[i];
+        bool leaves =
+            leaving != NULL && g_hash_table_contains(leaving, target->address);
+        serving += target->draining || leaves ? 0 : 1;
+    }
+    return serving;
+}
+
+/* The list of VMs lags and is not ordered against the records. It drains
+ * targets, but never the last one that serves. */
+static void
+apply_leaving(struct rp_service *service, GHashTable *leaving,
+              GPtrArray *warnings)
+{
+    if (leaving == NULL || count_serving(service, NULL) == 0) {
+        return;
+    }
+    if (count_serving(service, leaving) == 0) {
+        warn(warnings,
+             "service '%s': the list of VMs says that all serving targets "
+             "leave, which is not followed; publish targets that stay",
+             service->name);
+        return;
+    }
+    for (uint32_t i = 0; i < service->target_count; i++) {
+        struct rp_target *target = &service->targets[i];
+        if (g_hash_table_contains(leaving, target->address)) {
+            target->draining = true;
+        }
+    }
+}
+
 struct build_state {
     struct rp_snapshot *snapshot;
+    GHashTable *leaving;
     GPtrArray *warnings;
 };
 
@@ -289,6 +327,7 @@
              "service '%s' has no targets; publish a targets record",
              service->name);
     }
+    apply_leaving(service, state->leaving, state->warnings);
     set_shares(service, parts->share, state->warnings);
     return FALSE;
 }
@@ -303,15 +342,17 @@
  * for each service the union of both schemas, in which schema 2 overrides
  * schema 1 field by field and targets are united by address. Services are in
  * order of name, targets in order of address, so that equal sets give equal
- * snapshots. warnings, when not NULL, receives allocated strings about
- * records that do not fit together. Returns a snapshot with one
- * reference. */
+ * snapshots. leaving, when not NULL, is a set of addresses that the list of
+ * VMs says are leaving; they drain. warnings, when not NULL, receives
+ * allocated strings about records that do not fit together. Returns a snapshot
+ * with one reference. */
 struct rp_snapshot *
-rp_record_set_build(const struct rp_record_set *set, GPtrArray *warnings)
+rp_record_set_build(const struct rp_record_set *set, GHashTable *leaving,
+                    GPtrArray *warnings)
 {
     GTree *services = g_tree_new_full(compare_names, NULL, NULL, free_parts);
     g_tree_foreach(set->entries, collect_entry, services);
-    struct build_state state = {rp_snapshot_new(), warnings};
+    struct build_state state = {rp_snapshot_new(), leaving, warnings};
     g_tree_foreach(services, build_service, &state);
     g_tree_unref(services);
     rp_snapshot_set_version(state.snapshot, set->digest, set->revision);
--- a/src/target_hint.h
+++ b/src/target_hint.h
@@ -14,13 +14,14 @@
 enum rp_hint_source {
     RP_HINT_PROBE,  /* this entry VM's prober */
     RP_HINT_ANSWER, /* an answer to a call of this entry VM */
+    RP_HINT_LIST,   /* the platform's list of VMs */
     RP_HINT_PEER,
 };
 
 /* What was seen of the target. */
 enum rp_hint_kind {
     RP_HINT_LOAD,     /* it answered; has_load tells whether with a report */
-    RP_HINT_DRAINING, /* by its own word */
+    RP_HINT_DRAINING, /* by its own word or by the list of VMs */
     RP_HINT_FAILING,  /* no answer, or an error without a report */
     RP_HINT_KIND_COUNT
 };
--- a/src/watch.c
+++ b/src/watch.c
@@ -28,8 +28,9 @@
     enum rp_watch_read reading;
     uint32_t slot; /* place in the cycle */
     uint32_t failures;
-    int64_t next_ns;      /* no read starts before */
-    int64_t idle_ns;      /* next read while idle */
+    int64_t next_ns; /* no read starts before */
+    int64_t idle_ns; /* next read while idle */
+    int64_t idle_interval_ns;
     int64_t fresh_ns;     /* best known */
     int64_t own_fresh_ns; /* by own reads */
     int64_t others_ns;    /* last time that others were fresher */
@@ -118,6 +119,7 @@
     watch->hash = (double)(hash >> 11) / (double)(UINT64_C(1) << 53);
     watch->slot = (uint32_t)(hash % CYCLE);
     watch->next_ns = now_ns;
+    watch->idle_interval_ns = RP_WATCH_IDLE_NS;
     watch->fresh_ns = now_ns;
     watch->own_fresh_ns = now_ns;
     watch->others_ns = now_ns;
@@ -148,6 +150,12 @@
         }
     }
     watch->has_vms = true;
+    uint32_t entry_vms = 0;
+    for (uint32_t i = 0; i < rp_vm_list_count(list); i++) {
+        entry_vms += rp_vm_list_get(list, i)->entry ? 1 : 0;
+    }
+    watch->idle_interval_ns =
+        MAX(RP_WATCH_IDLE_NS, entry_vms * RP_WATCH_IDLE_SHARE_NS);
 }
 
 /* Takes note of the freshness that a peer knows of, in own monotonic time. */
@@ -202,7 +210,7 @@
         now_ns - watch->others_ns < RP_WATCH_STALE_NS)
     {
         watch->role = RP_WATCH_IDLE;
-        watch->idle_ns = now_ns + RP_WATCH_IDLE_NS;
+        watch->idle_ns = now_ns + watch->idle_interval_ns;
     }
 }
 
@@ -248,7 +256,7 @@
     watch->reading = choose_read(watch, now_ns, wait_ms);
     if (watch->reading != RP_WATCH_READ_NONE) {
         watch->next_ns = now_ns + RP_WATCH_READ_INTERVAL_NS;
-        watch->idle_ns = now_ns + RP_WATCH_IDLE_NS;
+        watch->idle_ns = now_ns + watch->idle_interval_ns;
     }
     return watch->reading;
 }
--- a/src/watch.h
+++ b/src/watch.h
@@ -16,8 +16,10 @@
  * most RP_WATCH_DELAY_NS that differs between VMs. */
 #define RP_WATCH_STALE_NS INT64_C(2000000000)
 #define RP_WATCH_DELAY_NS INT64_C(3000000000)
-/* A VM that does not watch reads the list of VMs this often. */
-#define RP_WATCH_IDLE_NS INT64_C(60000000000)
+/* A VM that does not watch reads the list of VMs every 4 s, or less often in
+ * a large fleet, so that all of them together make 4 reads a second. */
+#define RP_WATCH_IDLE_NS INT64_C(4000000000)
+#define RP_WATCH_IDLE_SHARE_NS INT64_C(250000000)
 /* Greatest delay after failed reads. */
 #define RP_WATCH_BACKOFF_NS INT64_C(4000000000)
 
