Free the wire and gossip tasks with their kernel

Cause: all other tasks free themselves when the kernel removes them, and the entry process counted on it: sockets and watchers outlived the kernel. Change: on_remove in both; the free functions are gone. Figures: gossip and wire tests pass, also under ASan with leak checks; scripts/peers.sh build-asan 3 5 reports no leak. Conclusion: one rule for all tasks.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -603,16 +603,32 @@
     rp_task_set_timer(task, TIMER_TICK, now_ns + RP_MEMBER_HEARTBEAT_NS);
 }
 
+static void
+free_gossip(struct rp_gossip *gossip)
+{
+    rp_member_table_free(gossip->members);
+    rp_hint_pool_free(gossip->hints);
+    g_hash_table_unref(gossip->peers);
+    g_free(gossip);
+}
+
+static void
+on_remove(struct rp_task *task, void *data)
+{
+    (void)task;
+    free_gossip(data);
+}
+
 static const struct rp_task_ops gossip_ops = {
     .on_message = on_message,
     .on_timer = on_timer,
+    .on_remove = on_remove,
 };
 
 /* Registers the task named gossip, which owns the membership. It sends and
  * receives through the task named wire, which must be there already; the
  * settings are copied. Returns NULL with error set when there are too many
- * seeds or the task cannot be added. Free it with rp_gossip_free after the
- * kernel. */
+ * seeds or the task cannot be added. It is freed with the kernel. */
 struct rp_gossip *
 rp_gossip_new(struct rp_kernel *kernel,
               const struct rp_gossip_settings *settings, int64_t now_ns,
@@ -644,7 +660,7 @@
     gossip->task =
         rp_kernel_add_task(kernel, "gossip", &gossip_ops, gossip, error);
     if (gossip->task == NULL) {
-        rp_gossip_free(gossip);
+        free_gossip(gossip);
         return NULL;
     }
     for (uint32_t i = 0; i < settings->seed_count; i++) {
@@ -657,19 +673,6 @@
     return gossip;
 }
 
-/* Frees the task's state; NULL is allowed. The kernel must be gone. */
-void
-rp_gossip_free(struct rp_gossip *gossip)
-{
-    if (gossip == NULL) {
-        return;
-    }
-    rp_member_table_free(gossip->members);
-    rp_hint_pool_free(gossip->hints);
-    g_hash_table_unref(gossip->peers);
-    g_free(gossip);
-}
-
 /* Returns the membership for reading. */
 const struct rp_member_table *
 rp_gossip_members(const struct rp_gossip *gossip)
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -46,7 +46,6 @@
 struct rp_gossip *rp_gossip_new(struct rp_kernel *kernel,
                                 const struct rp_gossip_settings *settings,
                                 int64_t now_ns, GError **error);
-void rp_gossip_free(struct rp_gossip *gossip);
 const struct rp_member_table *
 rp_gossip_members(const struct rp_gossip *gossip);
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -82,8 +82,7 @@
 static bool
 set_client(struct rp_wire *wire, void *socket)
 {
-    if (!set_common(socket) ||
-        !set_int(socket, ZMQ_HEARTBEAT_IVL, PING_MS) ||
+    if (!set_common(socket) || !set_int(socket, ZMQ_HEARTBEAT_IVL, PING_MS) ||
         !set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS) ||
         !set_int(socket, ZMQ_HEARTBEAT_TTL, PING_EXPIRY_MS) ||
         !set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS) ||
@@ -281,6 +280,32 @@
     ev_feed_event(ev, watcher, EV_READ);
 }
 
+static void
+close_socket(struct rp_wire *wire, void *socket, ev_io *watcher)
+{
+    if (ev_is_active(watcher)) {
+        ev_io_stop(rp_loop_ev(wire->loop), watcher);
+    }
+    if (socket != NULL) {
+        zmq_close(socket);
+    }
+}
+
+/* Closes all sockets without waiting for what was not sent. */
+static void
+free_wire(struct rp_wire *wire)
+{
+    g_hash_table_unref(wire->links);
+    if (wire->router != NULL) {
+        zmq_socket_monitor(wire->router, NULL, 0);
+    }
+    close_socket(wire, wire->router, &wire->router_watcher);
+    close_socket(wire, wire->monitor, &wire->monitor_watcher);
+    rp_wire_zap_free(wire->zap);
+    zmq_ctx_term(wire->zmq);
+    g_free(wire);
+}
+
 static gboolean
 link_is_idle(gpointer key, gpointer value, gpointer data)
 {
@@ -308,9 +333,17 @@
     rp_task_set_timer(task, timer, now_ns + SWEEP_NS);
 }
 
+static void
+on_remove(struct rp_task *task, void *data)
+{
+    (void)task;
+    free_wire(data);
+}
+
 static const struct rp_task_ops wire_ops = {
     .on_message = on_message,
     .on_timer = on_timer,
+    .on_remove = on_remove,
 };
 
 static bool
@@ -418,7 +451,7 @@
 /* Binds the peer port and registers the task named wire with the loop's
  * kernel, before the task named gossip. Settings are copied. Returns NULL
  * with RP_ERROR_SETTING or RP_ERROR_SYSTEM set when a key is malformed or the
- * port cannot be bound. Free it with rp_wire_free after the kernel. */
+ * port cannot be bound. It is freed with the kernel, before the loop. */
 struct rp_wire *
 rp_wire_new(struct rp_loop *loop, const struct rp_wire_settings *settings,
             GError **error)
@@ -431,7 +464,7 @@
     wire->links =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_link);
     if (!set_keys(wire, settings, error)) {
-        rp_wire_free(wire);
+        free_wire(wire);
         return NULL;
     }
     if (!open_router(wire, settings->bind_address)) {
@@ -439,44 +472,14 @@
                     "cannot bind the peer port %s: %s; choose a free port in "
                     "--peer-address",
                     settings->bind_address, zmq_strerror(errno));
-        rp_wire_free(wire);
+        free_wire(wire);
         return NULL;
     }
     wire->task = rp_kernel_add_task(kernel, "wire", &wire_ops, wire, error);
     if (wire->task == NULL) {
-        rp_wire_free(wire);
+        free_wire(wire);
         return NULL;
     }
     rp_task_set_timer(wire->task, 0, rp_loop_now_ns() + SWEEP_NS);
     return wire;
 }
-
-static void
-close_socket(struct rp_wire *wire, void *socket, ev_io *watcher)
-{
-    if (ev_is_active(watcher)) {
-        ev_io_stop(rp_loop_ev(wire->loop), watcher);
-    }
-    if (socket != NULL) {
-        zmq_close(socket);
-    }
-}
-
-/* Closes all sockets without waiting for what was not sent; NULL is allowed.
- * The loop must still be there. */
-void
-rp_wire_free(struct rp_wire *wire)
-{
-    if (wire == NULL) {
-        return;
-    }
-    g_hash_table_unref(wire->links);
-    if (wire->router != NULL) {
-        zmq_socket_monitor(wire->router, NULL, 0);
-    }
-    close_socket(wire, wire->router, &wire->router_watcher);
-    close_socket(wire, wire->monitor, &wire->monitor_watcher);
-    rp_wire_zap_free(wire->zap);
-    zmq_ctx_term(wire->zmq);
-    g_free(wire);
-}
--- a/src/wire.h
+++ b/src/wire.h
@@ -47,7 +47,6 @@
 struct rp_wire *rp_wire_new(struct rp_loop *loop,
                             const struct rp_wire_settings *settings,
                             GError **error);
-void rp_wire_free(struct rp_wire *wire);
 void rp_wire_send_release(void *body);
 void rp_wire_received_release(void *body);
 
--- a/standin/peer.c
+++ b/standin/peer.c
@@ -271,24 +271,20 @@
         .public_key = g_getenv("ROSEMARYPULLEY_PEER_PUBLIC_KEY"),
         .secret_key = g_getenv("ROSEMARYPULLEY_PEER_SECRET_KEY"),
     };
-    struct rp_wire *wire = rp_wire_new(peer->loop, &settings, &error);
-    if (wire == NULL) {
+    if (rp_wire_new(peer->loop, &settings, &error) == NULL) {
         fprintf(stderr, "rp-standin peer: %s\n", error->message);
         return EX_UNAVAILABLE;
     }
     rp_config_task_add(peer->kernel, INT64_C(30000000000), now_ns, NULL);
     struct rp_gossip_settings gossip_settings = {
         (const char *const *)peer->peers, g_strv_length(peer->peers)};
-    struct rp_gossip *gossip =
-        rp_gossip_new(peer->kernel, &gossip_settings, now_ns, NULL);
+    rp_gossip_new(peer->kernel, &gossip_settings, now_ns, NULL);
     send_list(peer);
     start_timers(peer, now_ns);
     getrusage(RUSAGE_SELF, &peer->start);
     rp_loop_run(peer->loop);
     report(peer);
     rp_kernel_free(peer->kernel);
-    rp_gossip_free(gossip);
-    rp_wire_free(wire);
     rp_loop_free(peer->loop);
     rp_context_free(context);
     return 0;
--- a/tests/fake_fleet.c
+++ b/tests/fake_fleet.c
@@ -183,7 +183,6 @@
     }
     vm->down = true;
     rp_kernel_free(vm->kernel);
-    rp_gossip_free(vm->gossip);
     rp_context_free(vm->context);
 }
 
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -66,7 +66,6 @@
     ~process()
     {
         rp_kernel_free(kernel);
-        rp_wire_free(wire);
         rp_loop_free(loop);
         rp_context_free(context);
         g_clear_error(&error);
