--- a/src/gossip.c
+++ b/src/gossip.c
@@ -4,9 +4,7 @@
 
 #include "error.h"
 #include "gossip_internal.h"
-#include "msgpack_check.h"
 #include "platform.h"
-#include "record_batch.h"
 #include "status.h"
 #include "vm_list.h"
 #include "wire.h"
@@ -21,14 +19,7 @@
 #define ASK_TICKS 2
 #define ASK_LIMIT 16
 
-/* Answers to one peer are spaced by this, so that a difference that takes
- * time to settle costs little. */
-#define ANSWER_NS RP_MEMBER_HEARTBEAT_NS
-
 #define QUIET_NS (2 * RP_MEMBER_HEARTBEAT_NS)
-#define OFFSET_PERIOD_NS INT64_C(60000000000)
-#define DELAY_MAX_MS 60000
-#define MALFORMED_EVENT_NS INT64_C(10000000000)
 
 static const char *const view_readers[] = {"entry", "dispatch", "config",
                                            "prober", "admin"};
@@ -153,343 +144,11 @@
     set_gauges(gossip);
 }
 
-static struct gossip_peer *
-find_peer(struct rp_gossip *gossip, const char *id)
-{
-    struct gossip_peer *peer = g_hash_table_lookup(gossip->peers, id);
-    if (peer != NULL) {
-        return peer;
-    }
-    if (g_hash_table_size(gossip->peers) >= RP_MEMBER_LIMIT) {
-        return NULL;
-    }
-    peer = g_new0(struct gossip_peer, 1);
-    g_strlcpy(peer->id, id, sizeof(peer->id));
-    peer->answered_ns = INT64_MIN / 2;
-    peer->least_offset_ms = INT64_MAX;
-    peer->next_least_offset_ms = INT64_MAX;
-    g_hash_table_insert(gossip->peers, peer->id, peer);
-    return peer;
-}
-
-/* Notes the order of a peer's messages; returns false for one that is older
- * than another of the same process, or of an earlier process. */
-static bool
-note_order(struct gossip_peer *peer, const struct rp_peer_message *message)
-{
-    if (message->incarnation > peer->incarnation) {
-        peer->incarnation = message->incarnation;
-        peer->seq = 0;
-    }
-    if (message->incarnation < peer->incarnation || message->seq <= peer->seq)
-    {
-        return false;
-    }
-    peer->seq = message->seq;
-    return true;
-}
-
-/* Returns how long a message was under way beyond the quickest one of its
- * sender, in milliseconds. Clocks are not compared: a constant difference
- * between them cancels out. */
-static uint32_t
-note_delay(struct gossip_peer *peer, const struct rp_hlc *hlc, int64_t now_ns)
-{
-    int64_t offset_ms = now_ns / 1000000 - hlc->wall_ms;
-    if (now_ns - peer->offset_period_ns > OFFSET_PERIOD_NS) {
-        peer->least_offset_ms = peer->next_least_offset_ms;
-        peer->next_least_offset_ms = INT64_MAX;
-        peer->offset_period_ns = now_ns;
-    }
-    peer->next_least_offset_ms = MIN(peer->next_least_offset_ms, offset_ms);
-    peer->least_offset_ms = MIN(peer->least_offset_ms, offset_ms);
-    return (uint32_t)CLAMP(offset_ms - peer->least_offset_ms, 0, DELAY_MAX_MS);
-}
-
-static void
-apply_updates(struct rp_gossip *gossip, struct rp_peer_heartbeat *heartbeat,
-              uint32_t delay_ms, int64_t now_ns)
-{
-    for (uint32_t i = 0; i < heartbeat->update_count; i++) {
-        struct rp_member_update *update = &heartbeat->updates[i];
-        update->age_ms += delay_ms;
-        update->ticket_ms -= MIN(delay_ms, update->ticket_ms);
-        uint32_t refutation = rp_member_self(gossip->members)->refutation;
-        rp_member_apply(gossip->members, update, now_ns);
-        if (rp_member_self(gossip->members)->refutation != refutation) {
-            rp_counter_add(&gossip->context->counters, RP_COUNTER_REFUTATIONS,
-                           1);
-            rp_event_add(gossip->context->events, RP_EVENT_MEMBER_REFUTED,
-                         now_ns, rp_member_self(gossip->members)->id);
-            rp_gossip_send_heartbeats(gossip, now_ns);
-        }
-    }
-}
-
-static void
-apply_hints(struct rp_gossip *gossip,
-            const struct rp_peer_heartbeat *heartbeat, uint32_t delay_ms,
-            int64_t now_ns)
-{
-    struct rp_task *dispatch = rp_kernel_find_task(gossip->kernel, "dispatch");
-    struct rp_task *prober = rp_kernel_find_task(gossip->kernel, "prober");
-    for (uint32_t i = 0; i < heartbeat->hint_count; i++) {
-        const struct rp_peer_hint *said = &heartbeat->hints[i];
-        int64_t age_ns = ((int64_t)said->age_ms + delay_ms) * 1000000;
-        struct rp_target_hint hint = {
-            .source = RP_HINT_PEER,
-            .kind = said->kind,
-            .has_load = said->has_load,
-            .load = said->load,
-            .seen_ns = now_ns - age_ns,
-        };
-        g_strlcpy(hint.service, said->service, sizeof(hint.service));
-        g_strlcpy(hint.address, said->address, sizeof(hint.address));
-        if (rp_hint_pool_offer(gossip->hints, &hint, now_ns)) {
-            rp_task_send(gossip->task, dispatch, RP_MSG_TARGET_HINT, &hint,
-                         sizeof(hint));
-            rp_task_send(gossip->task, prober, RP_MSG_TARGET_HINT, &hint,
-                         sizeof(hint));
-        }
-    }
-}
-
-/* Notes a later state of the platform that a peer knows of. */
 static void
-note_platform(struct rp_gossip *gossip, int64_t fresh_ns, uint64_t revision,
-              bool tell)
-{
-    if (gossip->has_platform && fresh_ns <= gossip->platform_fresh_ns) {
-        return;
-    }
-    gossip->has_platform = true;
-    gossip->platform_fresh_ns = fresh_ns;
-    gossip->platform_revision = MAX(gossip->platform_revision, revision);
-    if (tell) {
-        struct rp_platform_freshness freshness = {fresh_ns, revision};
-        rp_task_send(gossip->task,
-                     rp_kernel_find_task(gossip->kernel, "platform"),
-                     RP_MSG_PLATFORM_FRESHNESS, &freshness, sizeof(freshness));
-    }
-}
-
-static void
-tell_config(struct rp_gossip *gossip, const char *id,
-            const struct rp_peer_config *config, uint32_t delay_ms,
+on_received(struct rp_gossip *gossip, const struct rp_wire_received *received,
             int64_t now_ns)
 {
-    struct rp_config_peer peer = {.phase = config->phase,
-                                  .digest = config->digest};
-    g_strlcpy(peer.id, id, sizeof(peer.id));
-    rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
-                 RP_MSG_CONFIG_PEER, &peer, sizeof(peer));
-    if (config->has_platform) {
-        int64_t age_ms = (int64_t)config->platform_age_ms + delay_ms;
-        note_platform(gossip, now_ns - age_ms * 1000000,
-                      config->platform_revision, true);
-    }
-}
-
-static void
-on_heartbeat(struct rp_gossip *gossip, struct gossip_peer *peer,
-             struct rp_peer_message *message, uint32_t delay_ms,
-             int64_t now_ns)
-{
-    struct rp_peer_heartbeat *heartbeat = &message->body.heartbeat;
-    apply_updates(gossip, heartbeat, delay_ms, now_ns);
-    bool tell = rp_member_hear(gossip->members, message->from,
-                               message->incarnation, now_ns);
-    apply_hints(gossip, heartbeat, delay_ms, now_ns);
-    const struct rp_member_info *from =
-        rp_member_find(gossip->members, message->from);
-    if (from == NULL || from->incarnation != message->incarnation) {
-        return; /* its profile comes with a later heartbeat */
-    }
-    tell_config(gossip, from->id, &heartbeat->config, delay_ms, now_ns);
-    bool differs =
-        heartbeat->member_digest != rp_member_digest(gossip->members);
-    if (!heartbeat->is_answer && (tell || differs || heartbeat->asks) &&
-        now_ns - peer->answered_ns >= ANSWER_NS)
-    {
-        peer->answered_ns = now_ns;
-        rp_gossip_send_heartbeat(gossip, from->id, from->peer_address,
-                                 HEARTBEAT_ANSWER | HEARTBEAT_FULL, now_ns);
-    }
-}
-
-/* One event in 10 s, so that a flood of malformed messages does not push the
- * rest of the time line out of its ring. */
-static void
-note_malformed(struct rp_gossip *gossip, const GError *error, int64_t now_ns)
-{
-    rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_MALFORMED, 1);
-    gossip->malformed_unreported++;
-    if (now_ns < gossip->next_malformed_event_ns) {
-        return;
-    }
-    gossip->next_malformed_event_ns = now_ns + MALFORMED_EVENT_NS;
-    struct rp_event *event = rp_event_add(gossip->context->events,
-                                          RP_EVENT_PEER_MALFORMED, now_ns, "");
-    event->value = (int64_t)gossip->malformed_unreported;
-    rp_event_set_detail(event, "%s",
-                        error == NULL ? "batch of records is malformed"
-                                      : error->message);
-    gossip->malformed_unreported = 0;
-}
-
-static void
-on_records(struct rp_gossip *gossip, const struct rp_peer_message *message,
-           int64_t now_ns)
-{
-    const struct rp_peer_batch *records = &message->body.records;
-    struct rp_record_batch *batch = NULL;
-    GError *error = NULL;
-    if (rp_msgpack_check(records->bytes, records->byte_count)) {
-        batch = rp_record_batch_decode(records->bytes, records->byte_count,
-                                       &error);
-    }
-    if (batch == NULL) {
-        note_malformed(gossip, error, now_ns);
-        g_clear_error(&error);
-        return;
-    }
-    /* Pushed records are no part of an answer that may be under way. */
-    uint32_t part = records->is_answer ? records->part : UINT32_MAX;
-    rp_config_records_send(gossip->task,
-                           rp_kernel_find_task(gossip->kernel, "config"),
-                           RP_MSG_CONFIG_RECORDS, batch, message->from, part,
-                           records->is_answer && records->last);
-    rp_record_batch_unref(batch);
-}
-
-static void
-on_want(struct rp_gossip *gossip, const struct rp_peer_message *message)
-{
-    struct rp_config_want want;
-    g_strlcpy(want.peer, message->from, sizeof(want.peer));
-    memcpy(want.buckets, message->body.want.bucket_digests,
-           sizeof(want.buckets));
-    rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
-                 RP_MSG_CONFIG_WANT, &want, sizeof(want));
-}
-
-static void
-send_ack(struct rp_gossip *gossip, const struct rp_peer_probe *probe,
-         bool reached, int64_t now_ns)
-{
-    struct rp_peer_message message = {.kind = RP_PEER_SUSPECT_ACK};
-    struct rp_peer_ack *ack = &message.body.ack;
-    g_strlcpy(ack->subject, probe->subject, sizeof(ack->subject));
-    g_strlcpy(ack->origin, probe->origin, sizeof(ack->origin));
-    ack->incarnation = rp_member_self(gossip->members)->incarnation;
-    ack->reached = reached;
-    rp_gossip_send(gossip, &message, probe->reply_to, now_ns);
-}
-
-/* Answers a probe of this VM, or passes one of another member on once. */
-static void
-on_probe(struct rp_gossip *gossip, const struct rp_peer_message *received,
-         int64_t now_ns)
-{
-    const struct rp_member_info *self = rp_member_self(gossip->members);
-    const struct rp_peer_probe *probe = &received->body.probe;
-    if (strcmp(probe->subject, self->id) == 0) {
-        send_ack(gossip, probe, true, now_ns);
-        return;
-    }
-    /* Only the origin may ask for this, or a probe could go in circles. */
-    if (strcmp(probe->reply_to, probe->origin) != 0) {
-        return;
-    }
-    send_ack(gossip, probe, false, now_ns);
-    struct rp_peer_message message = {.kind = RP_PEER_SUSPECT_PROBE};
-    message.body.probe = *probe;
-    g_strlcpy(message.body.probe.reply_to, self->peer_address,
-              sizeof(message.body.probe.reply_to));
-    rp_gossip_send(gossip, &message, probe->subject_address, now_ns);
-}
-
-static void
-on_ack(struct rp_gossip *gossip, const struct rp_peer_message *received,
-       int64_t now_ns)
-{
-    const struct rp_member_info *self = rp_member_self(gossip->members);
-    const struct rp_peer_ack *ack = &received->body.ack;
-    if (strcmp(ack->origin, self->peer_address) != 0) {
-        /* Only the subject's own answer is passed on, and only once. */
-        if (ack->reached && strcmp(received->from, ack->subject) == 0) {
-            struct rp_peer_message message = {.kind = RP_PEER_SUSPECT_ACK};
-            message.body.ack = *ack;
-            rp_gossip_send(gossip, &message, ack->origin, now_ns);
-        }
-        return;
-    }
-    if (ack->reached) {
-        rp_member_hear(gossip->members, ack->subject, ack->incarnation,
-                       now_ns);
-    }
-    else {
-        rp_member_helper_answered(gossip->members, ack->subject);
-    }
-}
-
-static void
-dispatch_kind(struct rp_gossip *gossip, struct gossip_peer *peer,
-              struct rp_peer_message *message, int64_t now_ns)
-{
-    uint32_t delay_ms = note_delay(peer, &message->hlc, now_ns);
-    switch (message->kind) {
-    case RP_PEER_HEARTBEAT:
-        on_heartbeat(gossip, peer, message, delay_ms, now_ns);
-        break;
-    case RP_PEER_CONFIG_WANT:
-        on_want(gossip, message);
-        break;
-    case RP_PEER_CONFIG_RECORDS:
-        on_records(gossip, message, now_ns);
-        break;
-    case RP_PEER_SUSPECT_PROBE:
-        on_probe(gossip, message, now_ns);
-        break;
-    default:
-        on_ack(gossip, message, now_ns);
-        break;
-    }
-}
-
-static void
-on_received(struct rp_gossip *gossip, GBytes *payload, int64_t now_ns)
-{
-    struct rp_counters *counters = &gossip->context->counters;
-    struct rp_event_ring *events = gossip->context->events;
-    struct rp_peer_message message;
-    GError *error = NULL;
-    gsize byte_count;
-    const void *bytes = g_bytes_get_data(payload, &byte_count);
-    rp_counter_add(counters, RP_COUNTER_PEER_RECEIVED, 1);
-    rp_counter_add(counters, RP_COUNTER_PEER_RECEIVED_BYTES, byte_count);
-    if (!rp_peer_message_decode(bytes, byte_count, &message, &error)) {
-        note_malformed(gossip, error, now_ns);
-        g_error_free(error);
-        return;
-    }
-    if (!rp_peer_message_known(&message)) {
-        rp_counter_add(counters, RP_COUNTER_PEER_UNKNOWN, 1);
-        return;
-    }
-    struct gossip_peer *peer = find_peer(gossip, message.from);
-    bool own = strcmp(message.from, gossip->context->identity.id) == 0;
-    /* Records are joined, so that their order does not matter. */
-    if (peer == NULL || own ||
-        (!note_order(peer, &message) &&
-         message.kind != RP_PEER_CONFIG_RECORDS))
-    {
-        rp_counter_add(counters, RP_COUNTER_PEER_STALE, 1);
-        return;
-    }
-    rp_hlc_merge(rp_event_ring_clock(events), message.hlc,
-                 rp_event_ring_wall_ms(events, now_ns));
-    dispatch_kind(gossip, peer, &message, now_ns);
+    rp_gossip_receive(gossip, received->payload, now_ns);
     if (report_changes(gossip, now_ns)) {
         publish_members(gossip);
     }
@@ -548,9 +207,7 @@
     struct rp_gossip *gossip = data;
     switch (message->kind) {
     case RP_MSG_WIRE_RECEIVED:
-        on_received(gossip,
-                    ((const struct rp_wire_received *)message->body)->payload,
-                    now_ns);
+        on_received(gossip, message->body, now_ns);
         break;
     case RP_MSG_CONFIG_STATE:
         gossip->config = *(const struct rp_config_state *)message->body;
@@ -567,7 +224,8 @@
         break;
     case RP_MSG_PLATFORM_FRESHNESS: {
         const struct rp_platform_freshness *freshness = message->body;
-        note_platform(gossip, freshness->fresh_ns, freshness->revision, false);
+        rp_gossip_note_platform(gossip, freshness->fresh_ns,
+                                freshness->revision, false);
         break;
     }
     case RP_MSG_PLATFORM_VMS:
--- a/src/gossip_internal.h
+++ b/src/gossip_internal.h
@@ -1,7 +1,7 @@
 #ifndef RP_GOSSIP_INTERNAL_H
 #define RP_GOSSIP_INTERNAL_H
 
-/* Inside of the gossip task, for gossip.c and gossip_send.c only. */
+/* Inside of the gossip task, for the gossip*.c files only. */
 
 #include "byte_budget.h"
 #include "config_task.h"
@@ -54,6 +54,10 @@
 extern "C" {
 #endif
 
+void rp_gossip_receive(struct rp_gossip *gossip, GBytes *payload,
+                       int64_t now_ns);
+void rp_gossip_note_platform(struct rp_gossip *gossip, int64_t fresh_ns,
+                             uint64_t revision, bool tell);
 void rp_gossip_send(struct rp_gossip *gossip, struct rp_peer_message *message,
                     const char *address, int64_t now_ns);
 void rp_gossip_send_heartbeat(struct rp_gossip *gossip, const char *to_id,
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -1,7 +1,7 @@
 #ifndef RP_MEMBER_TABLE_H
 #define RP_MEMBER_TABLE_H
 
-/* Inside of the membership table, for member.c and member_detect.c only. */
+/* Inside of the membership table, for the member_*.c files only. */
 
 #include "member.h"
 
--- a/standin/peer.c
+++ b/standin/peer.c
@@ -210,10 +210,10 @@
            end.ru_maxrss);
     GArray *lags = peer->lags_us;
     if (lags->len > 0) {
+        guint middle = lags->len / 2;
         g_array_sort(lags, compare_lags);
         printf(", %u records in force after %.2f ms (median) %.2f ms (worst)",
-               lags->len,
-               (double)g_array_index(lags, int64_t, lags->len / 2) / 1e3,
+               lags->len, (double)g_array_index(lags, int64_t, middle) / 1e3,
                (double)g_array_index(lags, int64_t, lags->len - 1) / 1e3);
     }
     putchar('\n');
