--- a/src/gossip_internal.h
+++ b/src/gossip_internal.h
@@ -1,7 +1,7 @@
 #ifndef RP_GOSSIP_INTERNAL_H
 #define RP_GOSSIP_INTERNAL_H
 
-/* Inside of the gossip task, for gossip.c and gossip_send.c only. */
+/* Inside of the gossip task, for the gossip*.c files only. */
 
 #include "byte_budget.h"
 #include "config_task.h"
@@ -37,12 +37,14 @@
     GHashTable *peers; /* of struct gossip_peer, keyed by their ids */
     struct rp_byte_budget push_budget;
     struct rp_byte_budget repair_budget;
+    struct rp_byte_budget answer_budget;
     struct rp_config_state config;
     bool has_platform;
     uint64_t platform_revision;
     int64_t platform_fresh_ns; /* by this VM or by word of a peer */
     uint64_t seq;
     uint64_t ticks;
+    uint32_t next_ask;      /* place in the list of those to ask */
     int64_t quiet_until_ns; /* after a pause: nothing is pushed */
     int64_t next_malformed_event_ns;
     uint64_t malformed_unreported;
@@ -52,6 +54,10 @@
 extern "C" {
 #endif
 
+void rp_gossip_receive(struct rp_gossip *gossip, GBytes *payload,
+                       int64_t now_ns);
+void rp_gossip_note_platform(struct rp_gossip *gossip, int64_t fresh_ns,
+                             uint64_t revision, bool tell);
 void rp_gossip_send(struct rp_gossip *gossip, struct rp_peer_message *message,
                     const char *address, int64_t now_ns);
 void rp_gossip_send_heartbeat(struct rp_gossip *gossip, const char *to_id,
