--- a/standin/main.c
+++ b/standin/main.c
@@ -15,6 +15,7 @@
     {"caller", standin_caller_main, "a caller that checks its answers"},
     {"platform", standin_platform_main, "the platform's configuration"},
     {"relay", standin_relay_main, "a TCP relay that breaks on command"},
+    {"peer", standin_peer_main, "an entry VM that only talks to its peers"},
 };
 
 #define SUBCOMMAND_COUNT (sizeof(subcommands) / sizeof(subcommands[0]))
