--- a/tests/fake_target.c
+++ b/tests/fake_target.c
@@ -288,9 +288,10 @@
         target->in_flight++;
         targets->hooks.ran(targets->hooks.data, target, attempt->start.call,
                            attempt->process);
+        uint32_t waves = target->in_flight / 7;
         service_ns = (int64_t)((double)target->service_ns *
                                g_rand_double_range(targets->random, 0.3, 3) *
-                               (1.0 + (target->in_flight >= 7 ? 1.0 : 0.0)));
+                               (1.0 + waves));
         fake_clock_at(targets->clock, now_ns + service_ns, leave_slot, target,
                       0);
     }
