Add an open-loop load tool

Cause: latency that a call gains on its way needs a measure that counts from the intended start and meets the same noise both ways. Change: rp-standin load sends straight to a target and through the system in turn, at Poisson times, bounded in time.

--- /dev/null
+++ b/standin/load.c
@@ -0,0 +1,428 @@
+#include <argp.h>
+#include <errno.h>
+#include <math.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sysexits.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "address.h"
+#include "loop.h"
+#include "standin.h"
+
+/* Requests that wait for a connection; beyond it the run is overloaded. */
+#define BACKLOG 200000u
+#define READ_BYTES 65536
+
+/* One connection; it carries one request at a time. */
+struct load_connection {
+    struct load_side *side;
+    ev_io io;
+    bool busy;
+    int64_t intended_ns;
+    GByteArray *in;
+    uint64_t body_left;
+    bool head_done;
+};
+
+/* One of the two ways that requests take. */
+struct load_side {
+    struct load *load;
+    const char *name;
+    struct sockaddr_in address;
+    GPtrArray *idle;
+    GArray *waiting; /* intended times of requests without connection */
+    guint waiting_first;
+    GArray *latencies_ns;
+    uint32_t opened;
+    uint64_t done;
+    uint64_t failed;
+    uint64_t answered_late; /* after the end of the run */
+};
+
+struct load {
+    struct ev_loop *ev;
+    ev_timer tick;
+    ev_timer end;
+    ev_prepare prepare;
+    struct load_side sides[2]; /* straight, through the system */
+    double rate;
+    double duration_s;
+    uint32_t connections;
+    uint32_t idle_connections;
+    const char *path;
+    const char *method;
+    int64_t start_ns;
+    int64_t stop_ns;
+    int64_t next_ns;
+    uint64_t sent;
+    uint32_t sides_used;
+    GRand *random;
+    char *request;
+    size_t request_bytes;
+};
+
+static void send_request(struct load_connection *connection,
+                         int64_t intended_ns);
+
+static void
+take_next(struct load_connection *connection)
+{
+    struct load_side *side = connection->side;
+    connection->busy = false;
+    if (side->waiting_first < side->waiting->len) {
+        int64_t intended_ns =
+            g_array_index(side->waiting, int64_t, side->waiting_first++);
+        send_request(connection, intended_ns);
+        return;
+    }
+    g_ptr_array_add(side->idle, connection);
+}
+
+static void
+drop(struct load_connection *connection)
+{
+    struct load_side *side = connection->side;
+    if (connection->busy) {
+        side->failed++;
+    }
+    else {
+        g_ptr_array_remove_fast(side->idle, connection);
+    }
+    ev_io_stop(side->load->ev, &connection->io);
+    close(connection->io.fd);
+    g_byte_array_unref(connection->in);
+    g_free(connection);
+    side->opened--;
+}
+
+static bool
+parse_head(struct load_connection *connection)
+{
+    GByteArray *in = connection->in;
+    char *end = memmem(in->data, in->len, "\r\n\r\n", 4);
+    if (end == NULL) {
+        return false;
+    }
+    char *length = memmem(in->data, (size_t)(end - (char *)in->data),
+                          "Content-Length: ", 16);
+    connection->body_left =
+        length == NULL ? 0 : g_ascii_strtoull(length + 16, NULL, 10);
+    if (memcmp(in->data, "HTTP/1.1 200", 12) != 0) {
+        connection->side->failed++;
+    }
+    connection->head_done = true;
+    g_byte_array_remove_range(in, 0, (guint)(end + 4 - (char *)in->data));
+    return true;
+}
+
+static void
+take_bytes(struct load_connection *connection, int64_t now_ns)
+{
+    if (!connection->head_done && !parse_head(connection)) {
+        return;
+    }
+    uint64_t part = MIN(connection->body_left, connection->in->len);
+    connection->body_left -= part;
+    g_byte_array_set_size(connection->in, 0);
+    if (connection->body_left > 0) {
+        return;
+    }
+    struct load_side *side = connection->side;
+    int64_t latency_ns = now_ns - connection->intended_ns;
+    g_array_append_val(side->latencies_ns, latency_ns);
+    side->done++;
+    side->answered_late += now_ns > side->load->stop_ns;
+    take_next(connection);
+}
+
+static void
+on_io(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    struct load_connection *connection = watcher->data;
+    static uint8_t buffer[READ_BYTES];
+    ssize_t bytes = recv(watcher->fd, buffer, sizeof(buffer), 0);
+    if (bytes > 0) {
+        g_byte_array_append(connection->in, buffer, (guint)bytes);
+        take_bytes(connection, rp_loop_now_ns());
+    }
+    else if (bytes == 0 || errno != EAGAIN) {
+        drop(connection);
+    }
+}
+
+static struct load_connection *
+open_connection(struct load_side *side)
+{
+    int socket_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(socket_fd, (struct sockaddr *)&side->address,
+                sizeof(side->address)) != 0)
+    {
+        close(socket_fd);
+        return NULL;
+    }
+    int one = 1;
+    setsockopt(socket_fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    struct load_connection *connection = g_new0(struct load_connection, 1);
+    connection->side = side;
+    connection->in = g_byte_array_new();
+    ev_io_init(&connection->io, on_io, socket_fd, EV_READ);
+    connection->io.data = connection;
+    ev_io_start(side->load->ev, &connection->io);
+    side->opened++;
+    return connection;
+}
+
+static void
+send_request(struct load_connection *connection, int64_t intended_ns)
+{
+    const struct load *load = connection->side->load;
+    connection->busy = true;
+    connection->head_done = false;
+    connection->intended_ns = intended_ns;
+    /* The request fits the empty buffer of the socket. */
+    if (send(connection->io.fd, load->request, load->request_bytes,
+             MSG_NOSIGNAL) < 0)
+    {
+        connection->side->failed++;
+    }
+}
+
+static void
+start_request(struct load_side *side, int64_t intended_ns)
+{
+    if (side->idle->len > 0) {
+        struct load_connection *connection =
+            g_ptr_array_remove_index_fast(side->idle, side->idle->len - 1);
+        send_request(connection, intended_ns);
+        return;
+    }
+    if (side->waiting->len - side->waiting_first < BACKLOG) {
+        g_array_append_val(side->waiting, intended_ns);
+    }
+    else {
+        side->failed++;
+    }
+}
+
+/* Starts every request whose time has come, whether or not earlier ones were
+ * answered: arrivals are a Poisson process. */
+static void
+start_due(struct load *load)
+{
+    int64_t now_ns = rp_loop_now_ns();
+    while (load->next_ns <= now_ns && load->next_ns < load->stop_ns) {
+        uint32_t side =
+            load->sides_used == 3 ? load->sent % 2 : load->sides_used - 1;
+        start_request(&load->sides[side], load->next_ns);
+        load->sent++;
+        double gap_s = -log(1.0 - g_rand_double(load->random)) / load->rate;
+        load->next_ns += (int64_t)(gap_s * 1e9);
+    }
+}
+
+static void
+on_prepare(struct ev_loop *ev, ev_prepare *watcher, int events)
+{
+    (void)events;
+    struct load *load = watcher->data;
+    start_due(load);
+    int64_t now_ns = rp_loop_now_ns();
+    ev_now_update(ev);
+    ev_timer_stop(ev, &load->tick);
+    if (load->next_ns < load->stop_ns) {
+        ev_timer_set(&load->tick, (double)MAX(load->next_ns - now_ns, 0) / 1e9,
+                     0.0);
+        ev_timer_start(ev, &load->tick);
+    }
+}
+
+static void
+on_tick(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)watcher;
+    (void)events;
+}
+
+static void
+on_end(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)watcher;
+    (void)events;
+    ev_break(ev, EVBREAK_ALL);
+}
+
+static int
+compare_latencies(gconstpointer a, gconstpointer b)
+{
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+    return left < right ? -1 : left > right;
+}
+
+static double
+quantile_ms(const GArray *sorted, double share)
+{
+    if (sorted->len == 0) {
+        return NAN;
+    }
+    guint index = (guint)(share * (double)(sorted->len - 1));
+    return (double)g_array_index(sorted, int64_t, index) / 1e6;
+}
+
+static void
+print_side(struct load_side *side)
+{
+    const struct load *load = side->load;
+    g_array_sort(side->latencies_ns, compare_latencies);
+    g_print("%-9s calls/s=%.0f done=%" G_GUINT64_FORMAT
+            " failed=%" G_GUINT64_FORMAT " unanswered=%u "
+            "p50_ms=%.3f p99_ms=%.3f p999_ms=%.3f\n",
+            side->name,
+            (double)(side->done - side->answered_late) / load->duration_s,
+            side->done, side->failed,
+            side->waiting->len - side->waiting_first + side->opened -
+                side->idle->len,
+            quantile_ms(side->latencies_ns, 0.5),
+            quantile_ms(side->latencies_ns, 0.99),
+            quantile_ms(side->latencies_ns, 0.999));
+}
+
+static error_t
+parse_option(int key, char *argument, struct argp_state *state)
+{
+    struct load *load = state->input;
+    switch (key) {
+    case 't':
+    case 's':
+        if (!rp_address_parse(argument, &load->sides[key == 's'].address)) {
+            argp_error(state, "write IP:PORT");
+        }
+        load->sides_used |= key == 's' ? 2 : 1;
+        return 0;
+    case 'r':
+        load->rate = strtod(argument, NULL);
+        return 0;
+    case 'd':
+        load->duration_s = MIN(strtod(argument, NULL), 300.0);
+        return 0;
+    case 'c':
+        load->connections = (uint32_t)strtoul(argument, NULL, 10);
+        return 0;
+    case 'i':
+        load->idle_connections = (uint32_t)strtoul(argument, NULL, 10);
+        return 0;
+    case 'p':
+        load->path = argument;
+        return 0;
+    case 'm':
+        load->method = argument;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+set_up_side(struct load *load, int index, const char *name)
+{
+    struct load_side *side = &load->sides[index];
+    side->load = load;
+    side->name = name;
+    side->idle = g_ptr_array_new();
+    side->waiting = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    side->latencies_ns = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    if ((load->sides_used & (1u << index)) == 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < load->connections; i++) {
+        struct load_connection *connection = open_connection(side);
+        if (connection != NULL) {
+            g_ptr_array_add(side->idle, connection);
+        }
+    }
+    /* Connections beside those in use, which only stay open. */
+    for (uint32_t i = 0; index == 1 && i < load->idle_connections; i++) {
+        struct load_connection *connection = open_connection(side);
+        if (connection != NULL) {
+            side->opened--;
+        }
+    }
+}
+
+static void
+run(struct load *load)
+{
+    load->request = g_strdup_printf(
+        "%s %s HTTP/1.1\r\nHost: load\r\nRP-Request-Id: load\r\n%s\r\n",
+        load->method, load->path,
+        strcmp(load->method, "POST") == 0 ? "Content-Length: 0\r\n" : "");
+    load->request_bytes = strlen(load->request);
+    load->ev = ev_loop_new(EVFLAG_AUTO);
+    load->random = g_rand_new_with_seed(1);
+    set_up_side(load, 0, "straight");
+    set_up_side(load, 1, "system");
+    load->start_ns = rp_loop_now_ns();
+    load->next_ns = load->start_ns;
+    load->stop_ns = load->start_ns + (int64_t)(load->duration_s * 1e9);
+    ev_prepare_init(&load->prepare, on_prepare);
+    ev_timer_init(&load->tick, on_tick, 0.0, 0.0);
+    ev_timer_init(&load->end, on_end, load->duration_s + 1.0, 0.0);
+    load->prepare.data = load;
+    ev_prepare_start(load->ev, &load->prepare);
+    ev_timer_start(load->ev, &load->end);
+    ev_run(load->ev, 0);
+    for (int i = 0; i < 2; i++) {
+        if ((load->sides_used & (1u << i)) != 0) {
+            print_side(&load->sides[i]);
+        }
+    }
+}
+
+/* Sends requests at a fixed mean rate, each at its own time whatever became
+ * of earlier ones, and counts latency from that time. With both addresses
+ * the requests go the two ways in turn, so that both meet the same noise. */
+int
+standin_load_main(int argc, char **argv)
+{
+    static const struct argp_option options[] = {
+        {"target", 't', "IP:PORT", 0, "send straight to this target", 0},
+        {"system", 's', "IP:PORT", 0, "send through this entry VM", 0},
+        {"rate", 'r', "N", 0, "requests a second over both ways (1000)", 0},
+        {"duration-s", 'd', "S", 0, "time to run, at most 300 (10)", 0},
+        {"connections", 'c', "N", 0, "connections each way (16)", 0},
+        {"idle", 'i', "N", 0, "further idle connections to the system", 0},
+        {"path", 'p', "PATH", 0, "path with query", 0},
+        {"method", 'm', "METHOD", 0, "GET or POST", 0},
+        {0},
+    };
+    static const struct argp argp = {
+        options, parse_option, NULL, "An open-loop load tool.",
+        NULL,    NULL,         NULL};
+    struct load load = {
+        .rate = 1000.0,
+        .duration_s = 10.0,
+        .connections = 16,
+        .path = "/lookup?id=load",
+        .method = "GET",
+    };
+    argp_parse(&argp, argc, argv, 0, NULL, &load);
+    if (load.sides_used == 0 || load.rate <= 0.0) {
+        g_printerr("rp-standin load: give --target or --system, or both, "
+                   "and a --rate above 0\n");
+        return EX_USAGE;
+    }
+    run(&load);
+    return EX_OK;
+}
--- a/standin/main.c
+++ b/standin/main.c
@@ -13,6 +13,7 @@
 static const struct subcommand subcommands[] = {
     {"target", standin_target_main, "a target with slots, load and faults"},
     {"caller", standin_caller_main, "a caller that checks its answers"},
+    {"load", standin_load_main, "an open-loop load tool"},
     {"platform", standin_platform_main, "the platform's configuration"},
     {"relay", standin_relay_main, "a TCP relay that breaks on command"},
     {"peer", standin_peer_main, "an entry VM that only talks to its peers"},
