--- a/cli/status.c
+++ b/cli/status.c
@@ -87,9 +87,9 @@
 static void
 print_service(json_t *service)
 {
-    printf("  service %s: queued %lld, in progress %lld, refused %lld\n",
+    printf("  service %s: queued %lld, in progress %lld\n",
            get_text(service, "name"), get_number(service, "queued"),
-           get_number(service, "in_progress"), get_number(service, "refused"));
+           get_number(service, "in_progress"));
     size_t index;
     json_t *item;
     json_array_foreach(json_object_get(service, "estates"), index, item)
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -5,7 +5,9 @@
 #include <xxhash.h>
 
 #include "dispatch_call.h"
+#include "dispatch_status.h"
 #include "snapshot.h"
+#include "status.h"
 
 /* Fewer than a mailbox holds, so that a reply always finds room. */
 #define MAX_CALLS 16000
@@ -351,6 +353,10 @@
                    ((const struct rp_call_start *)message->body)->call,
                    now_ns);
         break;
+    case RP_MSG_STATUS_WANT:
+        rp_status_reply(task, message, "services",
+                        rp_dispatch_status(dispatch, now_ns));
+        break;
     case RP_MSG_CALL_GONE:
     case RP_MSG_ATTEMPT_HEAD:
     case RP_MSG_ATTEMPT_DONE:
