--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -191,7 +191,7 @@
     fake_callers_attach(soak->callers, process);
     place->config = rp_config_task_add(kernel, 30 * SOAK_S, now_ns, NULL);
     place->gossip = rp_gossip_new(kernel, &gossip, now_ns, NULL);
-    place->dispatch = rp_dispatch_new(kernel, &dispatch, NULL);
+    place->dispatch = rp_dispatch_new(kernel, &dispatch, now_ns, NULL);
     place->prober = rp_prober_new(kernel, &transport, now_ns, NULL);
 }
 
