--- a/src/admission.c
+++ b/src/admission.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 
 #define TURN_WEIGHT (1.0 / 32)
+/* What waited in the sockets during a pause is read within this time. */
+#define BURST_NS 100000000
 
 /* A queue that takes longer than this to pass only adds delay: it neither
  * fills slots better nor outlasts a rush (CoDel, Nichols and Jacobson 2012,
@@ -17,16 +19,19 @@
     int64_t latest_ns; /* time of the last useful start */
 };
 
-struct queue_classqueue {
+struct class_queue {
     GQueue calls;        /* of struct waiting_call, owned */
     double turn_ns;      /* time between two calls leaving the queue */
     int64_t last_pop_ns; /* INT64_MIN when the queue was empty since */
+    bool after_pause;    /* both ends in turn, until it is empty */
+    bool from_tail;      /* the newest call is next */
 };
 
 struct rp_admission {
-    struct queue_classqueue queues[RP_ADMISSION_CLASSES];
+    struct class_queue queues[RP_ADMISSION_CLASSES];
     uint32_t limit;
-    int64_t due_ns; /* no call's latest_ns is before this */
+    int64_t burst_until_ns; /* a queue that forms until then is a burst */
+    int64_t due_ns;         /* no call's latest_ns is before this */
 };
 
 /* Creates empty queues that hold up to limit calls each. Free them with
@@ -67,13 +72,15 @@
                    enum rp_admission_class queue_class, double turn_ns,
                    double service_ns, int64_t now_ns)
 {
-    struct queue_classqueue *queue = &admission->queues[queue_class];
+    struct class_queue *queue = &admission->queues[queue_class];
     if (queue->calls.length >= admission->limit) {
         return RP_REFUSAL_QUEUE_FULL;
     }
     if (queue->calls.length == 0) {
         queue->turn_ns = turn_ns;
         queue->last_pop_ns = INT64_MIN;
+        queue->after_pause = now_ns < admission->burst_until_ns;
+        queue->from_tail = false;
     }
     int64_t latest_ns = call->deadline_ns - (int64_t)service_ns;
     double expected_ns = queue->turn_ns * (queue->calls.length + 1);
@@ -98,11 +105,10 @@
 rp_admission_peek(const struct rp_admission *admission,
                   enum rp_admission_class queue_class)
 {
-    const struct waiting_call *waiting =
-        admission->queues[queue_class].calls.head != NULL
-            ? admission->queues[queue_class].calls.head->data
-            : NULL;
-    return waiting != NULL ? &waiting->call : NULL;
+    const struct class_queue *queue = &admission->queues[queue_class];
+    const GList *link =
+        queue->from_tail ? queue->calls.tail : queue->calls.head;
+    return link != NULL ? &((struct waiting_call *)link->data)->call : NULL;
 }
 
 /* Removes the call whose turn is next because it has been sent. */
@@ -110,17 +116,20 @@
 rp_admission_pop(struct rp_admission *admission,
                  enum rp_admission_class queue_class, int64_t now_ns)
 {
-    struct queue_classqueue *queue = &admission->queues[queue_class];
+    struct class_queue *queue = &admission->queues[queue_class];
     if (queue->last_pop_ns != INT64_MIN) {
         double turn = (double)(now_ns - queue->last_pop_ns);
         queue->turn_ns += TURN_WEIGHT * (turn - queue->turn_ns);
     }
     queue->last_pop_ns = now_ns;
-    g_free(g_queue_pop_head(&queue->calls));
+    g_free(queue->from_tail ? g_queue_pop_tail(&queue->calls)
+                            : g_queue_pop_head(&queue->calls));
+    queue->after_pause = queue->after_pause && queue->calls.length > 0;
+    queue->from_tail = queue->after_pause && !queue->from_tail;
 }
 
 static bool
-expire_in(struct queue_classqueue *queue, int64_t now_ns, int64_t *due_ns,
+expire_in(struct class_queue *queue, int64_t now_ns, int64_t *due_ns,
           struct rp_balancer_call *call)
 {
     for (GList *link = queue->calls.head; link != NULL; link = link->next) {
@@ -173,14 +182,18 @@
     return false;
 }
 
-/* Leaves the pause of the process out of the time between two calls leaving
- * a queue. */
+/* Takes note of a pause of the process. It is left out of the time between
+ * two calls leaving a queue. What arrived during the pause comes as one burst:
+ * until it has left, the oldest and the newest call have their turn by turns,
+ * so that those who come later do not all wait behind the burst. */
 void
-rp_admission_notice_pause(struct rp_admission *admission)
+rp_admission_notice_pause(struct rp_admission *admission, int64_t now_ns)
 {
     for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
         admission->queues[i].last_pop_ns = INT64_MIN;
+        admission->queues[i].after_pause = true;
     }
+    admission->burst_until_ns = now_ns + BURST_NS;
 }
 
 /* Returns when rp_admission_expire has to be called, or INT64_MAX. */
@@ -195,7 +208,7 @@
 rp_admission_wait_ns(const struct rp_admission *admission,
                      enum rp_admission_class queue_class)
 {
-    const struct queue_classqueue *queue = &admission->queues[queue_class];
+    const struct class_queue *queue = &admission->queues[queue_class];
     return (int64_t)(queue->turn_ns * queue->calls.length);
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -34,7 +34,7 @@
 bool rp_admission_expire(struct rp_admission *admission, int64_t now_ns,
                          struct rp_balancer_call *call);
 bool rp_admission_withdraw(struct rp_admission *admission, uint64_t call_id);
-void rp_admission_notice_pause(struct rp_admission *admission);
+void rp_admission_notice_pause(struct rp_admission *admission, int64_t now_ns);
 int64_t rp_admission_due_ns(const struct rp_admission *admission);
 int64_t rp_admission_wait_ns(const struct rp_admission *admission,
                              enum rp_admission_class queue_class);
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -486,7 +486,7 @@
 {
     (void)gap_ns;
     balancer->woken_ns = now_ns;
-    rp_admission_notice_pause(balancer->admission);
+    rp_admission_notice_pause(balancer->admission, now_ns);
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
         rp_route_forget(&balancer_get(balancer, i)->route, now_ns);
     }
--- a/tests/test_balancer.cc
+++ b/tests/test_balancer.cc
@@ -180,6 +180,35 @@
     EXPECT_EQ(verdict.refusal, RP_REFUSAL_DEADLINE);
 }
 
+// Guards against later calls all waiting behind the burst after a pause, and
+// against that order at any other time.
+TEST_F(balancer_test, burst_after_pause_is_served_from_both_ends)
+{
+    struct {
+        int64_t after_pause_ms;
+        uint64_t expected[3]; /* places in the queue */
+    } cases[] = {{0, {1, 10, 2}}, {200, {1, 2, 3}}};
+    for (const auto &entry : cases) {
+        struct rp_balancer_config config = {"d0", 1, 1, 100, 1};
+        rp_balancer_free(balancer);
+        balancer = rp_balancer_new(&config);
+        publish({"a"}, {});
+        learn();
+        rp_balancer_notice_pause(balancer, 300 * MS, now_ns);
+        now_ns += entry.after_pause_ms * MS;
+        for (int i = 0; i < 18 + 10; i++) {
+            offer();
+        }
+        ASSERT_EQ(rp_balancer_queued(balancer), 10u);
+        for (uint64_t place : entry.expected) {
+            struct rp_balancer_verdict verdict;
+            finish(0, RP_ATTEMPT_OK);
+            ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
+            EXPECT_EQ(verdict.call_id, 18 + place) << entry.after_pause_ms;
+        }
+    }
+}
+
 // Guards against retries and hedges outside their budgets.
 TEST_F(balancer_test, further_attempts_have_budgets)
 {
