--- a/src/balancer.c
+++ b/src/balancer.c
@@ -38,7 +38,7 @@
     rp_route_pool_init(&balancer->pool, MAX(deciders, 1));
     balancer->admission = rp_admission_new(config->queue_limit);
     rp_length_init(&balancer->length);
-    rp_retry_init(&balancer->retries);
+    rp_retry_budget_init(&balancer->retries);
     rp_hedge_init(&balancer->hedge);
     return balancer;
 }
@@ -231,9 +231,9 @@
         return rp_hedge_take(&balancer->hedge, used_share(balancer));
     }
     if ((flags & RP_CALL_RETRY) != 0) {
-        return rp_retry_take(&balancer->retries);
+        return rp_retry_budget_take(&balancer->retries);
     }
-    rp_retry_note_fresh(&balancer->retries);
+    rp_retry_budget_note_fresh(&balancer->retries);
     rp_hedge_note_fresh(&balancer->hedge);
     return true;
 }
--- a/src/balancer_private.h
+++ b/src/balancer_private.h
@@ -11,7 +11,7 @@
 #include "length.h"
 #include "limit.h"
 #include "outlier.h"
-#include "retry.h"
+#include "retry_budget.h"
 #include "route.h"
 
 struct balancer_target {
--- a/src/retry.c
+++ b/src/retry.c
@@ -1,56 +1,30 @@
 #include "retry.h"
 
-/* Retries as a share of fresh calls (retry budgets: Site Reliability
- * Engineering, 2016, chapter 21, and Finagle). */
-#define SHARE 0.1
-/* Lets a service with little traffic retry at all. */
-#define INITIAL_TOKENS 3
-/* Bounds the retries that a quiet time saves up for a fault. */
-#define MOST_TOKENS 30
-#define FIRST_BACKOFF_NS 5000000
-#define MOST_DOUBLINGS 6
+#include <glib.h>
 
-/* Starts a budget. */
-void
-rp_retry_init(struct rp_retry_budget *budget)
-{
-    budget->tokens = INITIAL_TOKENS;
-}
-
-/* Counts a fresh call. */
-void
-rp_retry_note_fresh(struct rp_retry_budget *budget)
-{
-    budget->tokens += SHARE;
-    if (budget->tokens > MOST_TOKENS) {
-        budget->tokens = MOST_TOKENS;
-    }
-}
+/* Delay before the second and later repeats: doubled each time, with full
+ * jitter, so that callers of one failed target do not come back together. */
+#define BASE_DELAY_NS INT64_C(4000000)
+#define MAX_DELAY_NS INT64_C(100000000)
 
-/* Takes one retry out of the budget; returns false when there is none. */
+/* Returns whether a call whose attempts have all failed may be tried again:
+ * it is repeatable or has truly not run, and there is time. */
 bool
-rp_retry_take(struct rp_retry_budget *budget)
+rp_retry_allowed(const struct rp_retry_state *state, int64_t now_ns)
 {
-    if (budget->tokens < 1) {
-        return false;
-    }
-    budget->tokens -= 1;
-    return true;
+    return (state->repeatable || !state->may_have_run) && state->body_kept &&
+           state->attempts_left > 0 && now_ns < state->deadline_ns;
 }
 
-/* Returns how long to wait before an attempt, 1 being the first retry. The
- * first one after a target said that it did not run the request goes to
- * another target at once. random, from 0 up to 1, spreads the callers. */
+/* Returns how long to wait before a further attempt. The first one after an
+ * attempt that did not run goes to another target at once. random is any
+ * 32 random bits. */
 int64_t
-rp_retry_backoff_ns(uint32_t attempt, bool not_run, double random)
+rp_retry_delay_ns(uint32_t retries, bool not_run, uint32_t random)
 {
-    if (attempt <= 1 && not_run) {
+    if (retries == 0 && not_run) {
         return 0;
     }
-    uint32_t doublings = attempt > 0 ? attempt - 1 : 0;
-    if (doublings > MOST_DOUBLINGS) {
-        doublings = MOST_DOUBLINGS;
-    }
-    return (int64_t)(random *
-                     (double)((int64_t)FIRST_BACKOFF_NS << doublings));
+    int64_t most_ns = MIN(BASE_DELAY_NS << MIN(retries, 10), MAX_DELAY_NS);
+    return most_ns * (int64_t)(random >> 16) / 65536;
 }
--- a/src/retry.h
+++ b/src/retry.h
@@ -4,19 +4,22 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Further attempts allowed, as a share of fresh work. */
-struct rp_retry_budget {
-    double tokens;
+/* What a decision on a further attempt rests on. */
+struct rp_retry_state {
+    bool repeatable;   /* by method and record */
+    bool may_have_run; /* some attempt may have run at a target */
+    bool body_kept;    /* the request body can be sent again, or is empty */
+    uint32_t retries;  /* made so far */
+    uint32_t attempts_left;
+    int64_t deadline_ns;
 };
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-void rp_retry_init(struct rp_retry_budget *budget);
-void rp_retry_note_fresh(struct rp_retry_budget *budget);
-bool rp_retry_take(struct rp_retry_budget *budget);
-int64_t rp_retry_backoff_ns(uint32_t attempt, bool not_run, double random);
+bool rp_retry_allowed(const struct rp_retry_state *state, int64_t now_ns);
+int64_t rp_retry_delay_ns(uint32_t retries, bool not_run, uint32_t random);
 
 #ifdef __cplusplus
 }
