Free the prober with its process

Cause: the prober outlives the kernel and nobody freed it. Change: the node frees it after the kernel. Figures: scripts/path_cases.sh build-asan: case clean-exit failed for both entry processes before (47,898 bytes leaked), now 110 cases, 0 failed. Conclusion: an entry process ends without a leak.

--- a/src/node.c
+++ b/src/node.c
@@ -31,6 +31,7 @@
     struct rp_kernel *kernel;
     struct rp_loop *loop;
     struct rp_entry *entry;
+    struct rp_prober *prober;
     ev_signal terminate;
     ev_signal interrupt;
     ev_timer stop_check;
@@ -271,7 +272,7 @@
            rp_dispatch_new(node->kernel, &dispatch, rp_loop_now_ns(), error) !=
                NULL &&
            rp_upstream_new(node->loop, &upstream, error) != NULL &&
-           rp_prober_new_http(node->loop, error) != NULL;
+           (node->prober = rp_prober_new_http(node->loop, error)) != NULL;
 }
 
 /* The config task is last, so that its first snapshot finds the others. */
@@ -328,6 +329,7 @@
     ev_signal_stop(ev, &node->interrupt);
     ev_timer_stop(ev, &node->stop_check);
     rp_kernel_free(node->kernel);
+    rp_prober_free(node->prober);
     rp_loop_free(node->loop);
     rp_context_free(node->context);
     g_free(node);
