--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "dispatch_call.h"
+#include "dispatch_hint.h"
 #include "snapshot.h"
 
 /* Fewer than a mailbox holds, so that a reply always finds room. */
@@ -220,6 +221,8 @@
     service->name = g_strdup(name);
     service->fresh_trials = DISPATCH_FRESH_TRIAL_BURST;
     service->balancer = rp_balancer_new(&config);
+    service->told =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_hash_table_insert(dispatch->services, service->name, service);
     return service;
 }
@@ -229,6 +232,7 @@
 {
     struct dispatch_service *service = data;
     rp_balancer_free(service->balancer);
+    g_hash_table_unref(service->told);
     g_free(service->name);
     g_free(service);
 }
@@ -346,6 +350,9 @@
     case RP_MSG_SNAPSHOT:
         take_snapshot(dispatch, message->body, now_ns);
         break;
+    case RP_MSG_TARGET_HINT:
+        dispatch_hint_take(dispatch, message->body, now_ns);
+        break;
     case RP_MSG_CALL_START:
         start_call(dispatch,
                    ((const struct rp_call_start *)message->body)->call,
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "dispatch_hint.h"
 #include "invariant.h"
 #include "retry.h"
 #include "snapshot.h"
@@ -10,6 +11,10 @@
  * truncated one can be tried elsewhere. It is what one turn reads. */
 #define HOLD_BYTES RP_STREAM_TURN_BYTES
 
+/* The end of an answer brings its load report to the balancer up to this age;
+ * an older one could undo what a later answer said, such as draining. */
+#define LOAD_FRESH_NS INT64_C(100000000)
+
 /* Attempts beside silent connections: a tenth of the calls of a service. */
 #define FRESH_TRIAL_SHARE 0.1
 
@@ -29,7 +34,9 @@
         .sent_ns = attempt->sent_ns,
         .first_byte_ns = first_byte_ns,
     };
-    if (attempt->answer != NULL && attempt->answer->has_load) {
+    if (attempt->answer != NULL && attempt->answer->has_load &&
+        now_ns - attempt->head_ns <= LOAD_FRESH_NS)
+    {
         result.has_load = true;
         result.load = attempt->answer->load;
     }
@@ -495,6 +502,22 @@
     }
 }
 
+/* A long answer ends long after its load report was true, so that the report
+ * counts from its head on. */
+static void
+take_load(struct dispatch_call *call, const struct dispatch_attempt *attempt,
+          int64_t now_ns)
+{
+    struct rp_balancer *balancer = call->service->balancer;
+    const char *address =
+        rp_balancer_target_address(balancer, attempt->target);
+    const struct rp_load_report *load = &attempt->answer->load;
+    if (!is_small(attempt->answer)) {
+        rp_balancer_observe(balancer, address, load, 0, now_ns);
+    }
+    dispatch_hint_tell(call->dispatch, call->service, address, load, now_ns);
+}
+
 /* Takes the head of an attempt's answer; one of an attempt that was given
  * up is dropped. */
 void
@@ -508,6 +531,10 @@
     struct dispatch_attempt *attempt = &call->attempts[index];
     attempt->head_seen = true;
     attempt->answer = rp_answer_ref(head->answer);
+    attempt->head_ns = now_ns;
+    if (head->answer->has_load) {
+        take_load(call, attempt, now_ns);
+    }
     if (now_ns >= call->deadline_ns) {
         fail_deadline(call, now_ns);
     }
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -16,6 +16,7 @@
 struct dispatch_service {
     char *name;
     struct rp_balancer *balancer;
+    GHashTable *told; /* what peers were told last, by address */
     const struct rp_service *service; /* of the snapshot; NULL: retired */
     double fresh_trials; /* tokens for attempts beside silent connections */
 };
@@ -37,6 +38,7 @@
     bool not_run;       /* it is certain that the target did not run it */
     bool beside_silent; /* it answered while its partner was silent */
     int64_t sent_ns;
+    int64_t head_ns; /* when head_seen was set */
     struct rp_answer *answer;
     struct rp_stream *body;
 };
--- /dev/null
+++ b/src/dispatch_hint.c
@@ -0,0 +1,70 @@
+#include "dispatch_hint.h"
+
+#include <string.h>
+
+/* Between two hints about a target whose state has not changed: half of the
+ * age at which the prober calls news old, so that a target with traffic is
+ * never probed. */
+#define TELL_NS INT64_C(500000000)
+
+#define TOLD_LIMIT 4096
+
+/* What was last told about a target. */
+struct told_target {
+    int64_t at_ns;
+    enum rp_target_state state;
+};
+
+/* Takes what the prober or a peer saw of a target to its balancer. */
+void
+dispatch_hint_take(struct rp_dispatch *dispatch,
+                   const struct rp_target_hint *hint, int64_t now_ns)
+{
+    struct dispatch_service *service =
+        g_hash_table_lookup(dispatch->services, hint->service);
+    if (service == NULL || !hint->has_load) {
+        return; /* failures are judged by own attempts */
+    }
+    rp_balancer_observe(service->balancer, hint->address, &hint->load,
+                        now_ns - hint->seen_ns, now_ns);
+    dispatch_touch_service(dispatch, service, now_ns);
+}
+
+/* Tells the prober and the peers, by gossip, what an answer said of its
+ * target: at once when the state has changed, else now and then. */
+void
+dispatch_hint_tell(struct rp_dispatch *dispatch,
+                   struct dispatch_service *service, const char *address,
+                   const struct rp_load_report *load, int64_t now_ns)
+{
+    static const char *const receivers[] = {"prober", "gossip"};
+    struct told_target *told = g_hash_table_lookup(service->told, address);
+    if (told == NULL) {
+        /* Addresses come and go with the records over the months. */
+        if (g_hash_table_size(service->told) >= TOLD_LIMIT) {
+            g_hash_table_remove_all(service->told);
+        }
+        told = g_new0(struct told_target, 1);
+        g_hash_table_insert(service->told, g_strdup(address), told);
+    }
+    else if (told->state == load->state && now_ns - told->at_ns < TELL_NS) {
+        return;
+    }
+    told->at_ns = now_ns;
+    told->state = load->state;
+    struct rp_target_hint hint = {
+        .source = RP_HINT_ANSWER,
+        .kind = load->state == RP_TARGET_DRAINING ? RP_HINT_DRAINING
+                                                  : RP_HINT_LOAD,
+        .has_load = true,
+        .load = *load,
+        .seen_ns = now_ns,
+    };
+    g_strlcpy(hint.service, service->name, sizeof(hint.service));
+    g_strlcpy(hint.address, address, sizeof(hint.address));
+    struct rp_kernel *kernel = rp_task_kernel(dispatch->task);
+    for (guint i = 0; i < G_N_ELEMENTS(receivers); i++) {
+        rp_task_send(dispatch->task, rp_kernel_find_task(kernel, receivers[i]),
+                     RP_MSG_TARGET_HINT, &hint, sizeof(hint));
+    }
+}
--- /dev/null
+++ b/src/dispatch_hint.h
@@ -0,0 +1,21 @@
+#ifndef RP_DISPATCH_HINT_H
+#define RP_DISPATCH_HINT_H
+
+#include "dispatch_call.h"
+#include "target_hint.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+void dispatch_hint_take(struct rp_dispatch *dispatch,
+                        const struct rp_target_hint *hint, int64_t now_ns);
+void dispatch_hint_tell(struct rp_dispatch *dispatch,
+                        struct dispatch_service *service, const char *address,
+                        const struct rp_load_report *load, int64_t now_ns);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/tests/fake_caller.c
+++ b/tests/fake_caller.c
@@ -44,7 +44,7 @@
     struct rp_stream *body; /* of the answer, once it is there */
     uint64_t read;
     int64_t deadline_ns;
-    bool read_slowly;
+    int64_t read_wait_ns;
     struct fake_process *passed_from; /* for a request passed on */
     struct rp_attempt_start passed;
 };
@@ -349,7 +349,11 @@
                       services[service].method, services[service].method_flag);
     open->call->timeout_ms =
         (uint32_t)g_rand_int_range(callers->random, 100, 3000);
-    open->read_slowly = g_rand_int_range(callers->random, 0, 20) == 0;
+    open->read_wait_ns = MS;
+    if (g_rand_int_range(callers->random, 0, service == 2 ? 3 : 20) == 0) {
+        open->call->timeout_ms = 20000;
+        open->read_wait_ns = g_rand_int_range(callers->random, 5, 1500) * MS;
+    }
     identity->copies++;
     identity->open++;
     callers->totals.sent++;
@@ -438,9 +442,9 @@
         finish_call(open, RP_OUTCOME_UNKNOWN);
         return;
     }
-    int64_t wait_ns = open->read_slowly ? 20 * MS : MS;
-    fake_process_input_at(process, fake_clock_now_ns(callers->clock) + wait_ns,
-                          read_answer, callers, number);
+    fake_process_input_at(
+        process, fake_clock_now_ns(callers->clock) + open->read_wait_ns,
+        read_answer, callers, number);
 }
 
 /* Brings the answer of the issuer back to the entry VM that passed the
--- a/tests/fake_target.c
+++ b/tests/fake_target.c
@@ -125,9 +125,12 @@
              uint32_t count)
 {
     uint64_t key = XXH64(request_id, strlen(request_id), 0);
+    uint64_t word = 0;
     for (uint32_t i = 0; i < count; i++) {
         uint64_t place = offset + i;
-        uint64_t word = (key ^ (place / 8)) * UINT64_C(0x9e3779b97f4a7c15);
+        if (i == 0 || place % 8 == 0) {
+            word = (key ^ (place / 8)) * UINT64_C(0x9e3779b97f4a7c15);
+        }
         bytes[i] = (uint8_t)(word >> (8 * (place % 8)));
     }
 }
@@ -194,7 +197,11 @@
     uint64_t total = attempt->refused ? 0 : attempt->target->body_bytes;
     uint8_t bytes[RP_STREAM_TURN_BYTES];
     uint64_t end = MIN(total, attempt->break_at);
-    uint32_t count = (uint32_t)MIN(end - attempt->body_written, sizeof(bytes));
+    /* The stream of a cancelled attempt is broken: write into the void. */
+    uint32_t room = attempt->cancelled ? sizeof(bytes)
+                                       : rp_stream_room(attempt->start.body);
+    uint32_t count =
+        (uint32_t)MIN(end - attempt->body_written, MIN(room, sizeof(bytes)));
     fake_pattern(attempt->start.call->request_id, attempt->body_written, bytes,
                  count);
     attempt->body_written +=
@@ -212,7 +219,8 @@
         g_hash_table_remove(targets->attempts, GSIZE_TO_POINTER(number));
         return;
     }
-    fake_process_input_at(process, fake_clock_now_ns(targets->clock) + MS,
+    int64_t wait_ns = room == 0 ? 20 * MS : MS;
+    fake_process_input_at(process, fake_clock_now_ns(targets->clock) + wait_ns,
                           write_body, targets, number);
 }
 
--- a/tests/soak_main.c
+++ b/tests/soak_main.c
@@ -1,33 +1,32 @@
 #include <argp.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "soak_world.h"
 
 struct options {
+    struct soak *running; /* for the log writer */
     uint64_t seed;
     uint64_t seeds;
     bool print;
+    bool twice;
 };
 
-/* The run in progress, for the handler of SIGABRT. */
-static struct soak *running;
-
-/* A failed invariant aborts from this program's own code and not in the
- * middle of a library call, so that printing from the handler is safe here. */
-/* NOLINTBEGIN(bugprone-signal-handler) */
-static void
-on_abort(int number)
+/* A failed invariant is logged as critical before the process aborts: the
+ * time line that led to it is printed first. */
+static GLogWriterOutput
+write_log(GLogLevelFlags level, const GLogField *fields, gsize field_count,
+          gpointer data)
 {
-    (void)number;
-    if (running != NULL) {
-        soak_print_lines(running);
-        printf("seed %llu aborted\n", (unsigned long long)running->seed);
-        fflush(stdout);
+    struct soak **running = data;
+    if ((level & G_LOG_LEVEL_CRITICAL) == 0 || *running == NULL) {
+        return G_LOG_WRITER_HANDLED; /* refused records and the like */
     }
+    soak_print_lines(*running);
+    printf("seed %llu aborts\n", (unsigned long long)(*running)->seed);
+    fflush(stdout);
+    return g_log_writer_standard_streams(level, fields, field_count, NULL);
 }
-/* NOLINTEND(bugprone-signal-handler) */
 
 static error_t
 parse_option(int key, char *argument, struct argp_state *state)
@@ -43,6 +42,9 @@
     case 'p':
         options->print = true;
         return 0;
+    case 't':
+        options->twice = true;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -51,6 +53,8 @@
 static const struct argp_option option_list[] = {
     {"seed", 's', "N", 0, "First seed", 0},
     {"seeds", 'n', "K", 0, "Number of seeds, one after the other", 0},
+    {"twice", 't', NULL, 0, "Run each seed twice and compare the time lines",
+     0},
     {"print", 'p', NULL, 0, "Print the whole time line", 0},
     {0},
 };
@@ -65,14 +69,28 @@
     NULL,
     NULL};
 
+/* Returns whether a second run of a seed has the same time line. */
+static bool
+is_repeatable(uint64_t seed, uint64_t digest)
+{
+    struct soak *soak = soak_new(seed, false);
+    bool same = soak_run(soak) == digest;
+    soak_free(soak);
+    if (!same) {
+        printf("seed %llu differs in its second run\n",
+               (unsigned long long)seed);
+    }
+    return same;
+}
+
 /* Runs one seed; returns whether all checks held. */
 static bool
-run_seed(uint64_t seed, const struct options *options)
+run_seed(uint64_t seed, struct options *options)
 {
     struct soak *soak = soak_new(seed, options->print);
-    running = soak;
+    options->running = soak;
     uint64_t digest = soak_run(soak);
-    running = NULL;
+    options->running = NULL;
     bool good = soak->failures == 0;
     const struct fake_caller_totals *totals =
         fake_callers_totals(soak->callers);
@@ -92,7 +110,7 @@
         (unsigned long long)totals->repeats, (unsigned long long)soak->probes);
     fflush(stdout);
     soak_free(soak);
-    return good;
+    return good && (!options->twice || is_repeatable(seed, digest));
 }
 
 int
@@ -100,7 +118,7 @@
 {
     struct options options = {.seed = 1, .seeds = 1};
     argp_parse(&parser, argc, argv, 0, NULL, &options);
-    signal(SIGABRT, on_abort);
+    g_log_set_writer_func(write_log, &options.running, NULL);
     uint64_t failed = 0;
     for (uint64_t i = 0; i < options.seeds; i++) {
         failed += !run_seed(options.seed + i, &options);
--- a/tests/soak_operator.c
+++ b/tests/soak_operator.c
@@ -44,7 +44,7 @@
         text,
         "\"kind\":\"service\",\"name\":\"%s\","
         "\"match\":{\"host\":\"\",\"path_prefix\":\"/%s\"},"
-        "\"timeout_ms\":%u,\"max_timeout_ms\":5000,"
+        "\"timeout_ms\":%u,\"max_timeout_ms\":20000,"
         "\"max_body_bytes\":65536,\"repeatable_methods\":[\"GET\"],"
         "\"length_class\":\"%s\",\"probes_per_10s\":%d,"
         "\"probe_path\":\"/load\"}",
