Keep what was put when the stand-in reads its files again

Change: a file is published again only when the file has changed. Test platform_store.files_do_not_undo_puts. Conclusion: operators' puts and files can be mixed.

--- a/standin/platform_store.c
+++ b/standin/platform_store.c
@@ -12,7 +12,8 @@
 
 struct platform_store {
     GArray *log;        /* of struct published; revision n is at n - 1 */
-    GHashTable *latest; /* key to index in the log */
+    GHashTable *loaded; /* key to checksum of its file */
+    json_t *loaded_vms; /* of the file; NULL when there is none */
     json_t *vms;
     json_t *frozen_vms;
     int64_t vms_as_of_ms;
@@ -34,8 +35,8 @@
     struct platform_store *store = g_new0(struct platform_store, 1);
     store->log = g_array_new(FALSE, FALSE, sizeof(struct published));
     g_array_set_clear_func(store->log, clear_published);
-    store->latest =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    store->loaded =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     store->vms = json_array();
     return store;
 }
@@ -48,7 +49,8 @@
         return;
     }
     g_array_unref(store->log);
-    g_hash_table_unref(store->latest);
+    g_hash_table_unref(store->loaded);
+    json_decref(store->loaded_vms);
     json_decref(store->vms);
     json_decref(store->frozen_vms);
     g_free(store);
@@ -81,23 +83,24 @@
     struct published published = {g_strdup(key),
                                   g_bytes_new(value, value_bytes)};
     g_array_append_val(store->log, published);
-    g_hash_table_insert(store->latest, g_strdup(key),
-                        GUINT_TO_POINTER(store->log->len));
     return store->log->len;
 }
 
+/* A file is published again only when the file itself has changed: a value
+ * that was put under its key since is newer than the file. */
 static bool
-value_is_new(const struct platform_store *store, const char *key,
-             const char *value, size_t value_bytes)
+file_has_changed(struct platform_store *store, const char *key,
+                 const char *value, size_t value_bytes)
 {
-    guint revision = GPOINTER_TO_UINT(g_hash_table_lookup(store->latest, key));
-    if (revision == 0) {
-        return true;
+    char *checksum = g_compute_checksum_for_data(
+        G_CHECKSUM_SHA256, (const guchar *)value, value_bytes);
+    const char *loaded = g_hash_table_lookup(store->loaded, key);
+    if (loaded != NULL && strcmp(loaded, checksum) == 0) {
+        g_free(checksum);
+        return false;
     }
-    size_t bytes = 0;
-    const void *held =
-        g_bytes_get_data(get_published(store, revision)->value, &bytes);
-    return bytes != value_bytes || memcmp(held, value, bytes) != 0;
+    g_hash_table_insert(store->loaded, g_strdup(key), checksum);
+    return true;
 }
 
 static bool
@@ -108,7 +111,7 @@
     if (!g_file_get_contents(path, &value, &bytes, NULL)) {
         return false;
     }
-    bool changed = value_is_new(store, key, value, bytes) &&
+    bool changed = file_has_changed(store, key, value, bytes) &&
                    platform_store_put(store, key, value, bytes) != 0;
     g_free(value);
     return changed;
@@ -168,7 +171,9 @@
     char *vms_path = g_build_filename(directory, "vms.json", NULL);
     bool changed = load_directory(store, records, "", 0);
     json_t *vms = json_load_file(vms_path, 0, NULL);
-    if (vms != NULL && !json_equal(vms, store->vms)) {
+    if (vms != NULL && !json_equal(vms, store->loaded_vms)) {
+        json_decref(store->loaded_vms);
+        store->loaded_vms = json_incref(vms);
         platform_store_set_vms(store, vms, g_get_real_time() / 1000);
         changed = true;
     }
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -7,11 +7,13 @@
 
 extern "C" {
 #include <curl/curl.h>
+#include <glib/gstdio.h>
 
 #include "config_task.h"
 #include "loop.h"
 #include "platform.h"
 #include "platform_server.h"
+#include "platform_store.h"
 #include "vm_list.h"
 }
 
@@ -214,4 +216,27 @@
     EXPECT_GE(counter(RP_COUNTER_PLATFORM_READ_FAILURES), 1u);
 }
 
+// Guards against a stand-in that undoes what was put when it looks at its
+// unchanged files again.
+TEST(platform_store, files_do_not_undo_puts)
+{
+    char *directory = g_dir_make_tmp("rp-records-XXXXXX", nullptr);
+    std::string records = std::string(directory) + "/records";
+    std::string file = records + "/a.json";
+    ASSERT_EQ(g_mkdir(records.c_str(), 0700), 0);
+    struct platform_store *store = platform_store_new();
+    ASSERT_TRUE(g_file_set_contents(file.c_str(), "1", -1, nullptr));
+    EXPECT_TRUE(platform_store_load(store, directory));
+    EXPECT_EQ(platform_store_put(store, "a", "2", 1), 2u);
+    EXPECT_FALSE(platform_store_load(store, directory));
+    ASSERT_TRUE(g_file_set_contents(file.c_str(), "3", -1, nullptr));
+    EXPECT_TRUE(platform_store_load(store, directory));
+    EXPECT_EQ(platform_store_revision(store), 3u);
+    platform_store_free(store);
+    g_unlink(file.c_str());
+    g_rmdir(records.c_str());
+    g_rmdir(directory);
+    g_free(directory);
+}
+
 } // namespace
