Add a caller that repeats failed requests with their ticket

Cause: fault runs need callers that do what a careful caller does. Conclusion: the body check is shared with the other caller.

--- a/src/node.c
+++ b/src/node.c
@@ -226,10 +226,10 @@
                uint8_t key[FLEET_KEY_BYTES])
 {
     const char *text = rp_settings_text(settings, RP_SETTING_FLEET_KEY);
-    if (strlen(text) != FLEET_KEY_BYTES * 2) {
+    if (strlen(text) != 2ul * FLEET_KEY_BYTES) {
         return false;
     }
-    for (uint32_t i = 0; i < FLEET_KEY_BYTES; i++) {
+    for (size_t i = 0; i < FLEET_KEY_BYTES; i++) {
         key[i] = (uint8_t)(g_ascii_xdigit_value(text[i * 2]) << 4 |
                            g_ascii_xdigit_value(text[i * 2 + 1]));
     }
--- a/standin/caller.c
+++ b/standin/caller.c
@@ -8,6 +8,7 @@
 #include <curl/curl.h>
 #include <jansson.h>
 
+#include "own_body.h"
 #include "standin.h"
 
 /* What the caller is to do. */
@@ -99,20 +100,6 @@
     return address != NULL;
 }
 
-static bool
-body_is_own(const struct caller *caller, const char *id)
-{
-    size_t period = strlen(id) + 1;
-    for (size_t i = 0; i < caller->body->len; i++) {
-        size_t at = i % period;
-        int expected = at == period - 1 ? '.' : id[at];
-        if (caller->body->str[i] != expected) {
-            return false;
-        }
-    }
-    return true;
-}
-
 static struct curl_slist *
 make_headers(const struct caller *caller, const char *id)
 {
@@ -189,13 +176,15 @@
     double seconds = 0.0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME, &seconds);
-    g_print("id=%s code=%d status=%ld outcome=%s bytes=%zu whole=%d own=%d "
-            "ms=%.0f\n",
-            id, (int)code, status,
-            caller->outcome[0] == '\0' ? "-" : caller->outcome,
-            caller->body->len, code == CURLE_OK,
-            caller->outcome[0] != '\0' || body_is_own(caller, id),
-            seconds * 1e3);
+    g_print(
+        "id=%s code=%d status=%ld outcome=%s bytes=%zu whole=%d own=%d "
+        "ms=%.0f\n",
+        id, (int)code, status,
+        caller->outcome[0] == '\0' ? "-" : caller->outcome, caller->body->len,
+        code == CURLE_OK,
+        caller->outcome[0] != '\0' ||
+            standin_own_body_check(caller->body->str, caller->body->len, id),
+        seconds * 1e3);
     curl_slist_free_all(headers);
 }
 
--- a/standin/main.c
+++ b/standin/main.c
@@ -14,6 +14,7 @@
     {"target", standin_target_main, "a target with slots, load and faults"},
     {"caller", standin_caller_main, "a caller that checks its answers"},
     {"load", standin_load_main, "an open-loop load tool"},
+    {"session", standin_session_main, "a caller that repeats what failed"},
     {"platform", standin_platform_main, "the platform's configuration"},
     {"relay", standin_relay_main, "a TCP relay that breaks on command"},
     {"peer", standin_peer_main, "an entry VM that only talks to its peers"},
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -7,6 +7,7 @@
 int standin_caller_main(int argc, char **argv);
 int standin_relay_main(int argc, char **argv);
 int standin_peer_main(int argc, char **argv);
+int standin_session_main(int argc, char **argv);
 int standin_load_main(int argc, char **argv);
 int standin_platform_main(int argc, char **argv);
 
