--- a/tests/fake_caller.c
+++ b/tests/fake_caller.c
@@ -542,8 +542,15 @@
                               relayed, reply->call_id);
         return;
     }
-    if (reply->outcome != RP_OUTCOME_NONE) {
-        finish_call(open, reply->outcome);
+    /* The answer of another entry VM that the request was passed on to. */
+    const char *passed =
+        reply->answer == NULL
+            ? NULL
+            : rp_fields_get(&reply->answer->fields, "RP-Outcome");
+    if (reply->outcome != RP_OUTCOME_NONE || passed != NULL) {
+        bool not_run = passed == NULL ? reply->outcome == RP_OUTCOME_NOT_RUN
+                                      : strcmp(passed, "not-run") == 0;
+        finish_call(open, not_run ? RP_OUTCOME_NOT_RUN : RP_OUTCOME_UNKNOWN);
         return;
     }
     check(callers, now_ns <= open->deadline_ns, "answer-past-deadline",
@@ -570,6 +577,7 @@
     int64_t now_ns = fake_clock_now_ns(callers->clock);
     open->call->timeout_ms =
         (uint32_t)MAX((start->deadline_ns - now_ns) / MS, 1);
+    open->call->passed_on = true;
     open->passed_from = fake_process_ref(from);
     open->passed = *start;
     rp_call_ref(start->call);
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -180,7 +180,10 @@
         seeds[i] = soak->network.address[i];
     }
     struct rp_gossip_settings gossip = {seeds, SOAK_PLACES};
-    struct rp_dispatch_config dispatch = {0};
+    struct rp_dispatch_config dispatch = {
+        .ticket_key = {(const uint8_t *)"key of the soak's fleet, 32 bytes",
+                       32},
+    };
     struct probe_start *start = g_new0(struct probe_start, 1);
     start->soak = soak;
     start->place = place;
@@ -191,7 +194,7 @@
     fake_callers_attach(soak->callers, process);
     place->config = rp_config_task_add(kernel, 30 * SOAK_S, now_ns, NULL);
     place->gossip = rp_gossip_new(kernel, &gossip, now_ns, NULL);
-    place->dispatch = rp_dispatch_new(kernel, &dispatch, NULL);
+    place->dispatch = rp_dispatch_new(kernel, &dispatch, now_ns, NULL);
     place->prober = rp_prober_new(kernel, &transport, now_ns, NULL);
 }
 
