--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -168,28 +168,29 @@
     rp_counter_add(&dispatch->context->counters, RP_COUNTER_CALLS, 1);
     dispatch->calls_since_told++;
     if (!dispatch->ready) {
-        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 503,
-                        NOT_READY_RETRY_MS,
-                        "this entry VM has no configuration yet");
+        dispatch_ticket_refuse(dispatch, call, 503, NOT_READY_RETRY_MS,
+                               "this entry VM has no configuration yet",
+                               now_ns);
         return;
     }
     const struct rp_service *record =
         rp_snapshot_match(dispatch->snapshot, call->host, call->target);
     if (record == NULL) {
-        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 404, 0,
-                        "no service has this host and path");
+        dispatch_ticket_refuse(dispatch, call, 404, 0,
+                               "no service has this host and path", now_ns);
         return;
     }
     if (call->body_bytes > 0 &&
         (uint64_t)call->body_bytes > record->max_body_bytes)
     {
-        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 413, 0,
-                        "the body is over the limit of the service");
+        dispatch_ticket_refuse(dispatch, call, 413, 0,
+                               "the body is over the limit of the service",
+                               now_ns);
         return;
     }
     if (g_hash_table_size(dispatch->calls) >= MAX_CALLS) {
-        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 503,
-                        FULL_RETRY_MS, "too many calls in progress");
+        dispatch_ticket_refuse(dispatch, call, 503, FULL_RETRY_MS,
+                               "too many calls in progress", now_ns);
         return;
     }
     struct dispatch_service *service =
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -565,7 +565,7 @@
     attempt->head_seen = true;
     attempt->answer = rp_answer_ref(head->answer);
     attempt->head_ns = now_ns;
-    if (head->answer->has_load) {
+    if (head->answer->has_load && !is_passed_on(call)) {
         take_load(call, attempt, now_ns);
     }
     if (now_ns >= call->deadline_ns) {
