--- a/src/entry.c
+++ b/src/entry.c
@@ -29,16 +29,6 @@
     }
 }
 
-/* Takes a request out of the daemon's hands until entry_resume. */
-void
-entry_suspend(struct entry_request *request)
-{
-    if (!request->suspended) {
-        request->suspended = true;
-        MHD_suspend_connection(request->mhd);
-    }
-}
-
 /* Lets the daemon go on with a request. */
 void
 entry_resume(struct entry_request *request)
@@ -76,11 +66,34 @@
     entry_send(request->entry, RP_MSG_CALL_GONE, &gone, sizeof(gone), NULL);
 }
 
+/* Ends a request whose caller has closed its connection. */
+static void
+give_up(struct entry_request *request)
+{
+    send_gone(request, RP_GONE_CALLER);
+    request->abort = true;
+    entry_resume(request);
+}
+
+/* Takes a request out of the daemon's hands until entry_resume. */
+void
+entry_suspend(struct entry_request *request)
+{
+    if (request->suspended) {
+        return;
+    }
+    request->suspended = true;
+    MHD_suspend_connection(request->mhd);
+    if (request->connection->gone) {
+        give_up(request);
+    }
+}
+
 struct field_scan {
     struct rp_http_framing framing;
     struct rp_call *call;
     const char *host;
-    const char *own[4]; /* timeout, attempts, ticket, request id */
+    const char *own[5]; /* timeout, attempts, ticket, request id, passed on */
 };
 
 static enum MHD_Result
@@ -89,7 +102,8 @@
 {
     (void)kind;
     static const char *const own[] = {"RP-Timeout-Ms", "RP-Attempts-Left",
-                                      "RP-Ticket", "RP-Request-Id"};
+                                      "RP-Ticket", "RP-Request-Id",
+                                      "RP-Passed-On"};
     struct field_scan *scan = data;
     value = value == NULL ? "" : value;
     rp_http_note_field(&scan->framing, name, name_bytes, value, value_bytes);
@@ -140,6 +154,7 @@
         }
         call->ticket = g_strdup(scan->own[2]);
     }
+    call->passed_on = scan->own[4] != NULL;
     if (scan->own[3] != NULL) {
         if (!rp_http_request_id_valid(scan->own[3])) {
             return false;
@@ -326,7 +341,9 @@
     (void)mhd;
     (void)url;
     struct entry_request *request = *context;
-    if (request->abort) {
+    if (request->abort ||
+        (request->phase == ENTRY_NEW && request->connection->gone))
+    {
         return MHD_NO;
     }
     switch (request->phase) {
@@ -438,10 +455,14 @@
     for (int i = 0; i < count; i++) {
         struct entry_connection *connection = ready[i].data.ptr;
         struct entry_request *request = connection->request;
+        connection->gone = true;
         if (request != NULL && request->suspended) {
-            send_gone(request, RP_GONE_CALLER);
-            request->abort = true;
-            entry_resume(request);
+            give_up(request);
+        }
+        else if (request != NULL && request->phase != ENTRY_ANSWERED) {
+            /* The daemon misses an end that came together with bytes; it
+             * looks again at a connection that is suspended and resumed. */
+            entry_suspend(request);
         }
     }
 }
@@ -522,6 +543,13 @@
         rp_snapshot_unref(old);
         break;
     }
+    case RP_MSG_MEMBERS: {
+        const struct rp_member_message *members = message->body;
+        struct rp_member_view *old = entry->members;
+        entry->members = rp_member_view_ref(members->view);
+        rp_member_view_unref(old);
+        break;
+    }
     case RP_MSG_STOP:
         entry->leaving = true;
         entry->leave_at_ns =
@@ -561,6 +589,7 @@
     close(entry->gone_epoll);
     g_hash_table_unref(entry->requests);
     rp_snapshot_unref(entry->snapshot);
+    rp_member_view_unref(entry->members);
     g_free(entry);
 }
 
--- a/src/route.h
+++ b/src/route.h
@@ -10,6 +10,10 @@
 
 /* Extra round trip to a target of another failure domain. */
 #define RP_ROUTE_DOMAIN_NS 1500000
+/* A report has lost half of its weight at an age of one response time divided
+ * by this. With 1, 14 entry VMs at 95% load took 26.2 ms at 99
+ * in 100 in place of 26.0. */
+#define RP_ROUTE_AGEING 4.0
 /* Without trusted reports, each other entry VM is taken to have this share of
  * the requests that this one has at a target: less than the same, as each
  * prefers the targets of its own failure domain. */
@@ -32,11 +36,14 @@
 /* What all targets of a service have in common, as one entry VM sees it. */
 struct rp_route_pool {
     double response_ns; /* usual response time without the domain's distance */
+    uint32_t samples;   /* answers so far, up to a bound */
     uint32_t deciders;  /* entry VMs that send to the targets */
     /* How own requests and reported totals vary together. */
     double covariance;
     double variance;
-    double trust; /* in the reports, 0 to 1 */
+    double total_variance; /* of reported totals */
+    double total_level;    /* their mean */
+    double trust;          /* in the reports, 0 to 1 */
 };
 
 /* What one entry VM knows of the load of one target. */
@@ -79,7 +86,8 @@
         return alike;
     }
     double age = (double)(now_ns - target->report_ns);
-    double weight = pool->response_ns / (pool->response_ns + age + 1);
+    double weight =
+        pool->response_ns / (pool->response_ns + RP_ROUTE_AGEING * age + 1);
     double reported = target->others_mean +
                       weight * (target->others_last - target->others_mean);
     return alike + pool->trust * (reported - alike);
--- a/src/upstream_attempt.c
+++ b/src/upstream_attempt.c
@@ -39,6 +39,10 @@
         return CURL_PREREQFUNC_ABORT;
     }
     attempt->sends++;
+    /* Taken here, since libcurl opens a connection before it sends again. */
+    long connects = 0;
+    curl_easy_getinfo(attempt->easy, CURLINFO_NUM_CONNECTS, &connects);
+    attempt->reused = connects == 0;
     return CURL_PREREQFUNC_OK;
 }
 
@@ -103,7 +107,8 @@
         attempt->progress_ns = attempt->first_byte_ns;
     }
     const char *space = strchr(line, ' ');
-    attempt->status = space == NULL ? 0 : (uint32_t)atoi(space + 1);
+    attempt->status =
+        space == NULL ? 0 : (uint32_t)g_ascii_strtoull(space + 1, NULL, 10);
     memset(&attempt->framing, 0, sizeof(attempt->framing));
     rp_answer_unref(attempt->answer);
     attempt->answer = rp_answer_new(attempt->status);
@@ -112,8 +117,10 @@
 }
 
 static void
-take_own_field(struct rp_answer *answer, const char *name, const char *value)
+take_own_field(struct rp_upstream_attempt *attempt, const char *name,
+               const char *value)
 {
+    struct rp_answer *answer = attempt->answer;
     if (g_ascii_strcasecmp(name, "RP-Load") == 0) {
         answer->has_load = rp_load_parse(value, &answer->load, NULL);
     }
@@ -153,7 +160,7 @@
         return false;
     }
     if (rp_http_is_own_field(line)) {
-        take_own_field(attempt->answer, line, value);
+        take_own_field(attempt, line, value);
     }
     else {
         rp_fields_add(&attempt->answer->fields, line, value);
@@ -316,6 +323,7 @@
     list = add_header(list, "RP-Request-Id", call->request_id);
     if ((start->flags & RP_ATTEMPT_PASS_ON) != 0 && call->ticket != NULL) {
         list = add_header(list, "RP-Ticket", call->ticket);
+        list = add_header(list, "RP-Passed-On", "1");
     }
     return list;
 }
@@ -399,16 +407,6 @@
     curl_easy_pause(attempt->easy, CURLPAUSE_CONT);
 }
 
-/* Returns whether the request went over a connection that had served
- * another one. */
-bool
-rp_upstream_attempt_reused(const struct rp_upstream_attempt *attempt)
-{
-    long connects = 0;
-    curl_easy_getinfo(attempt->easy, CURLINFO_NUM_CONNECTS, &connects);
-    return attempt->sends > 0 && connects == 0;
-}
-
 /* Returns whether the answer's body should have gone on by now. */
 bool
 rp_upstream_attempt_stalled(const struct rp_upstream_attempt *attempt,
