--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "dispatch_call.h"
+#include "dispatch_hint.h"
 #include "dispatch_status.h"
 #include "snapshot.h"
 #include "status.h"
@@ -167,28 +168,29 @@
     rp_counter_add(&dispatch->context->counters, RP_COUNTER_CALLS, 1);
     dispatch->calls_since_told++;
     if (!dispatch->ready) {
-        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 503,
-                        NOT_READY_RETRY_MS,
-                        "this entry VM has no configuration yet");
+        dispatch_ticket_refuse(dispatch, call, 503, NOT_READY_RETRY_MS,
+                               "this entry VM has no configuration yet",
+                               now_ns);
         return;
     }
     const struct rp_service *record =
         rp_snapshot_match(dispatch->snapshot, call->host, call->target);
     if (record == NULL) {
-        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 404, 0,
-                        "no service has this host and path");
+        dispatch_ticket_refuse(dispatch, call, 404, 0,
+                               "no service has this host and path", now_ns);
         return;
     }
     if (call->body_bytes > 0 &&
         (uint64_t)call->body_bytes > record->max_body_bytes)
     {
-        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 413, 0,
-                        "the body is over the limit of the service");
+        dispatch_ticket_refuse(dispatch, call, 413, 0,
+                               "the body is over the limit of the service",
+                               now_ns);
         return;
     }
     if (g_hash_table_size(dispatch->calls) >= MAX_CALLS) {
-        dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, 503,
-                        FULL_RETRY_MS, "too many calls in progress");
+        dispatch_ticket_refuse(dispatch, call, 503, FULL_RETRY_MS,
+                               "too many calls in progress", now_ns);
         return;
     }
     struct dispatch_service *service =
@@ -236,6 +238,8 @@
     service->name = g_strdup(name);
     service->fresh_trials = DISPATCH_FRESH_TRIAL_BURST;
     service->balancer = rp_balancer_new(&config);
+    service->told =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_hash_table_insert(dispatch->services, service->name, service);
     return service;
 }
@@ -245,6 +249,7 @@
 {
     struct dispatch_service *service = data;
     rp_balancer_free(service->balancer);
+    g_hash_table_unref(service->told);
     g_free(service->name);
     g_free(service);
 }
@@ -369,6 +374,9 @@
         rp_member_view_unref(old);
         break;
     }
+    case RP_MSG_TARGET_HINT:
+        dispatch_hint_take(dispatch, message->body, now_ns);
+        break;
     case RP_MSG_CALL_START:
         start_call(dispatch,
                    ((const struct rp_call_start *)message->body)->call,
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -18,6 +18,7 @@
 struct dispatch_service {
     char *name;
     struct rp_balancer *balancer;
+    GHashTable *told; /* what peers were told last, by address */
     const struct rp_service *service; /* of the snapshot; NULL: retired */
     double fresh_trials; /* tokens for attempts beside silent connections */
 };
@@ -45,6 +46,7 @@
     bool not_run;       /* it is certain that the target did not run it */
     bool beside_silent; /* it answered while its partner was silent */
     int64_t sent_ns;
+    int64_t head_ns; /* when head_seen was set */
     struct rp_answer *answer;
     struct rp_stream *body;
 };
@@ -117,6 +119,10 @@
 void dispatch_ticket_done(struct dispatch_call *call,
                           const struct rp_answer *head,
                           const struct rp_stream *body);
+void dispatch_ticket_refuse(struct rp_dispatch *dispatch,
+                            const struct rp_call *call, uint32_t status,
+                            int64_t retry_after_ms, const char *reason,
+                            int64_t now_ns);
 void dispatch_ticket_end(struct dispatch_call *call, bool not_run);
 void dispatch_tell_self(struct rp_dispatch *dispatch, uint32_t load_permille,
                         int64_t now_ns);
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -180,7 +180,10 @@
         seeds[i] = soak->network.address[i];
     }
     struct rp_gossip_settings gossip = {seeds, SOAK_PLACES};
-    struct rp_dispatch_config dispatch = {0};
+    struct rp_dispatch_config dispatch = {
+        .ticket_key = {(const uint8_t *)"key of the soak's fleet, 32 bytes",
+                       32},
+    };
     struct probe_start *start = g_new0(struct probe_start, 1);
     start->soak = soak;
     start->place = place;
