Let the soak tell answers of one request apart

Cause: an answer made of the head of one attempt and the body of another looked right to the callers of the soak, as both belonged to one request; and entry processes read the platform so often that agreement did not need gossip. Change: each attempt's answer has its own bytes, named in its head. An entry process that does not watch reads the platform once, at its start. Conclusion: the checks of whole-answer and config-monotonic are sharper.

--- a/tests/fake_caller.c
+++ b/tests/fake_caller.c
@@ -42,6 +42,7 @@
     struct fake_process *process;
     struct rp_call *call;
     struct rp_stream *body; /* of the answer, once it is there */
+    char answer_id[RP_REQUEST_ID_BYTES];
     uint64_t read;
     int64_t deadline_ns;
     int64_t read_wait_ns;
@@ -407,7 +408,7 @@
 check_bytes(struct open_call *open, const uint8_t *bytes, uint32_t count)
 {
     uint8_t expected[RP_STREAM_TURN_BYTES];
-    fake_pattern(open->identity->id, open->read, expected, count);
+    fake_pattern(open->answer_id, open->read, expected, count);
     check(open->callers, memcmp(bytes, expected, count) == 0, "whole-answer",
           open->identity);
 }
@@ -474,6 +475,13 @@
         .first_byte_ns = fake_clock_now_ns(open->callers->clock),
     };
     if (reply->outcome == RP_OUTCOME_NONE) {
+        uint32_t position = 0;
+        const char *name;
+        const char *value;
+        while (
+            rp_fields_next(&reply->answer->fields, &position, &name, &value)) {
+            rp_fields_add(&answer->fields, name, value);
+        }
         uint8_t bytes[4096];
         uint32_t count = 0;
         while (rp_stream_state(reply->body) == RP_STREAM_ENDED &&
@@ -556,6 +564,17 @@
     check(callers, now_ns <= open->deadline_ns, "answer-past-deadline",
           open->identity);
     check(callers, open->body == NULL, "one-answer", open->identity);
+    /* The body must be the one of this head, and the head of this request. */
+    const char *answer_id =
+        rp_fields_get(&reply->answer->fields, FAKE_ANSWER_FIELD);
+    size_t id_bytes = strlen(open->identity->id);
+    check(callers,
+          answer_id != NULL &&
+              strncmp(answer_id, open->identity->id, id_bytes) == 0 &&
+              answer_id[id_bytes] == '/',
+          "whole-answer", open->identity);
+    g_strlcpy(open->answer_id, answer_id == NULL ? "" : answer_id,
+              sizeof(open->answer_id));
     open->body = rp_stream_ref(reply->body);
     fake_process_input_at(process, now_ns, read_answer, callers,
                           reply->call_id);
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -5,7 +5,6 @@
 
 #define MS INT64_C(1000000)
 #define WATCH_NS (200 * MS)
-#define READ_NS (3000 * MS)
 #define TIMER_READ 0
 
 struct published {
@@ -173,8 +172,9 @@
     if (!reader->platform->dead) {
         read_platform(reader, task, now_ns);
     }
-    bool often = reader->watches || !reader->has_read;
-    rp_task_set_timer(task, TIMER_READ, now_ns + (often ? WATCH_NS : READ_NS));
+    if (reader->watches || !reader->has_read) {
+        rp_task_set_timer(task, TIMER_READ, now_ns + WATCH_NS);
+    }
 }
 
 static void
@@ -189,8 +189,8 @@
     .on_remove = on_remove,
 };
 
-/* Adds the task "platform" to a process. One that does not watch reads
- * rarely, as a node whose peers are silent would. */
+/* Adds the task "platform" to a process. One that does not watch reads once,
+ * at its start; what is published later it learns from its peers. */
 void
 fake_platform_attach(struct fake_platform *platform,
                      struct fake_process *process, bool watches)
--- a/tests/fake_target.c
+++ b/tests/fake_target.c
@@ -12,6 +12,7 @@
     struct fake_target *target;
     struct rp_attempt_start start; /* holds references */
     int64_t answered_ns;
+    char answer_id[RP_REQUEST_ID_BYTES]; /* tells answers apart */
     uint64_t body_written;
     uint64_t break_at; /* bytes after which the answer breaks off */
     bool cancelled;
@@ -202,8 +203,7 @@
                                        : rp_stream_room(attempt->start.body);
     uint32_t count =
         (uint32_t)MIN(end - attempt->body_written, MIN(room, sizeof(bytes)));
-    fake_pattern(attempt->start.call->request_id, attempt->body_written, bytes,
-                 count);
+    fake_pattern(attempt->answer_id, attempt->body_written, bytes, count);
     attempt->body_written +=
         rp_stream_write(attempt->start.body, bytes, count);
     if (attempt->body_written >= attempt->break_at) {
@@ -245,7 +245,7 @@
     if (total < 100000) {
         answer->body_bytes = (int64_t)total;
     }
-    rp_fields_add(&answer->fields, "Content-Type", "text/plain");
+    rp_fields_add(&answer->fields, FAKE_ANSWER_FIELD, attempt->answer_id);
     struct rp_attempt_head head = {
         .call_id = attempt->start.call_id,
         .generation = attempt->start.generation,
@@ -352,6 +352,8 @@
     attempt->process = fake_process_ref(process);
     attempt->target = target;
     attempt->start = *start;
+    g_snprintf(attempt->answer_id, sizeof(attempt->answer_id), "%s/%u",
+               start->call->request_id, (unsigned)number);
     rp_call_ref(start->call);
     rp_stream_ref(start->body);
     g_hash_table_insert(targets->attempts, GSIZE_TO_POINTER(number), attempt);
--- a/tests/fake_target.h
+++ b/tests/fake_target.h
@@ -9,6 +9,9 @@
  * stands for the connections to them. Targets count what they ran. */
 struct fake_targets;
 
+/* Names the answer that a body belongs to: request id, slash, number. */
+#define FAKE_ANSWER_FIELD "X-Answer"
+
 struct fake_target {
     char address[RP_ADDRESS_BYTES];
     char service[RP_SERVICE_BYTES];
