Assert drain-stops-work where work is sent

Cause: invariant I5 was checked by the soak only; drain.c had no user. Change: dispatch keeps an rp_drain for each target, fed by records, answers, probes and peers' hints, and asserts the bound when it sends new work. Conclusion: a failed I5 is counted in every build.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -280,6 +280,7 @@
         rp_balancer_set_service(
             service->balancer,
             service->service == NULL ? &empty : service->service, now_ns);
+        dispatch_drain_records(service, now_ns);
     }
     rp_snapshot_unref(old);
     touch_all_services(dispatch, now_ns);
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -41,6 +41,9 @@
         result.load = attempt->answer->load;
     }
     rp_balancer_finish(call->service->balancer, &result, now_ns);
+    dispatch_drain_ended(
+        call->service,
+        rp_balancer_target_address(call->service->balancer, attempt->target));
 }
 
 static void
@@ -289,6 +292,10 @@
     struct dispatch_attempt *attempt =
         add_attempt(call, verdict->target, flags, now_ns);
     attempt->owns_slot = true;
+    dispatch_drain_sent(
+        call->dispatch, call->service,
+        rp_balancer_target_address(call->service->balancer, attempt->target),
+        now_ns);
     start_first(call, attempt, now_ns);
     send_start(call, attempt, false, now_ns);
 }
--- a/src/dispatch_hint.c
+++ b/src/dispatch_hint.c
@@ -1,6 +1,7 @@
 #include "dispatch_hint.h"
 
-#include <string.h>
+#include "drain.h"
+#include "invariant.h"
 
 /* Between two hints about a target whose state has not changed: half of the
  * age at which the prober calls news old, so that a target with traffic is
@@ -9,12 +10,59 @@
 
 #define TOLD_LIMIT 4096
 
-/* What was last told about a target. */
+/* What is known and was last told about a target. */
 struct told_target {
-    int64_t at_ns;
+    int64_t at_ns; /* 0 for nothing told */
     enum rp_target_state state;
+    struct rp_drain drain;
 };
 
+static struct told_target *
+find_or_add(struct dispatch_service *service, const char *address)
+{
+    struct told_target *told = g_hash_table_lookup(service->told, address);
+    if (told == NULL) {
+        /* Addresses come and go with the records over the months. */
+        if (g_hash_table_size(service->told) >= TOLD_LIMIT) {
+            g_hash_table_remove_all(service->told);
+        }
+        told = g_new0(struct told_target, 1);
+        g_hash_table_insert(service->told, g_strdup(address), told);
+    }
+    return told;
+}
+
+/* Takes note of which targets the service's records drain. */
+void
+dispatch_drain_records(struct dispatch_service *service, int64_t now_ns)
+{
+    const struct rp_service *record = service->service;
+    for (uint32_t i = 0; record != NULL && i < record->target_count; i++) {
+        const struct rp_target *target = &record->targets[i];
+        rp_drain_set(&find_or_add(service, target->address)->drain,
+                     RP_DRAIN_RECORD, target->draining, now_ns);
+    }
+}
+
+/* Takes note of an attempt that is sent, and asserts that it is not new work
+ * for a target that left some time ago. */
+void
+dispatch_drain_sent(struct rp_dispatch *dispatch,
+                    struct dispatch_service *service, const char *address,
+                    int64_t now_ns)
+{
+    struct told_target *told = find_or_add(service, address);
+    rp_invariant_check(dispatch->context, RP_INVARIANT_DRAIN_STOPS_WORK,
+                       rp_drain_sent(&told->drain, now_ns), now_ns, address);
+}
+
+/* Takes note of the end of an attempt. */
+void
+dispatch_drain_ended(struct dispatch_service *service, const char *address)
+{
+    rp_drain_ended(&find_or_add(service, address)->drain);
+}
+
 /* Takes what the prober or a peer saw of a target to its balancer. */
 void
 dispatch_hint_take(struct rp_dispatch *dispatch,
@@ -25,6 +73,9 @@
     if (service == NULL || !hint->has_load) {
         return; /* failures are judged by own attempts */
     }
+    rp_drain_set_own(&find_or_add(service, hint->address)->drain,
+                     hint->load.state == RP_TARGET_DRAINING, hint->seen_ns,
+                     now_ns);
     rp_balancer_observe(service->balancer, hint->address, &hint->load,
                         now_ns - hint->seen_ns, now_ns);
     dispatch_touch_service(dispatch, service, now_ns);
@@ -38,16 +89,12 @@
                    const struct rp_load_report *load, int64_t now_ns)
 {
     static const char *const receivers[] = {"prober", "gossip"};
-    struct told_target *told = g_hash_table_lookup(service->told, address);
-    if (told == NULL) {
-        /* Addresses come and go with the records over the months. */
-        if (g_hash_table_size(service->told) >= TOLD_LIMIT) {
-            g_hash_table_remove_all(service->told);
-        }
-        told = g_new0(struct told_target, 1);
-        g_hash_table_insert(service->told, g_strdup(address), told);
-    }
-    else if (told->state == load->state && now_ns - told->at_ns < TELL_NS) {
+    struct told_target *told = find_or_add(service, address);
+    rp_drain_set_own(&told->drain, load->state == RP_TARGET_DRAINING, now_ns,
+                     now_ns);
+    if (told->at_ns != 0 && told->state == load->state &&
+        now_ns - told->at_ns < TELL_NS)
+    {
         return;
     }
     told->at_ns = now_ns;
