Drive libcurl from one place

Cause: the platform task, the prober and the upstream task each had a copy of the same socket and timer callbacks.

--- /dev/null
+++ b/src/curl_loop.c
@@ -0,0 +1,118 @@
+#include "curl_loop.h"
+
+#include <glib.h>
+
+static void
+report_done(struct rp_curl_loop *loop)
+{
+    CURLMsg *message;
+    int left;
+    while ((message = curl_multi_info_read(loop->multi, &left)) != NULL) {
+        if (message->msg == CURLMSG_DONE) {
+            loop->on_done(message->easy_handle, message->data.result,
+                          loop->data);
+        }
+    }
+}
+
+/* Runs what libcurl has due, such as transfers that were just resumed, and
+ * reports those that are done. */
+void
+rp_curl_loop_run(struct rp_curl_loop *loop)
+{
+    int running;
+    curl_multi_socket_action(loop->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    report_done(loop);
+}
+
+static void
+on_timer(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    rp_curl_loop_run(watcher->data);
+}
+
+static int
+set_timer(CURLM *multi, long timeout_ms, void *data)
+{
+    (void)multi;
+    struct rp_curl_loop *loop = data;
+    ev_timer_stop(loop->ev, &loop->timer);
+    if (timeout_ms >= 0) {
+        ev_timer_set(&loop->timer, (double)timeout_ms / 1e3, 0.0);
+        ev_timer_start(loop->ev, &loop->timer);
+    }
+    return 0;
+}
+
+static void
+on_socket(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    struct rp_curl_loop *loop = watcher->data;
+    int mask = (events & EV_READ ? CURL_CSELECT_IN : 0) |
+               (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+    int running;
+    curl_multi_socket_action(loop->multi, watcher->fd, mask, &running);
+    report_done(loop);
+}
+
+static int
+set_socket(CURL *easy, curl_socket_t socket, int what, void *data,
+           void *socket_data)
+{
+    (void)easy;
+    struct rp_curl_loop *loop = data;
+    ev_io *watcher = socket_data;
+    if (what == CURL_POLL_REMOVE) {
+        if (watcher != NULL) {
+            ev_io_stop(loop->ev, watcher);
+            curl_multi_assign(loop->multi, socket, NULL);
+            g_free(watcher);
+        }
+        return 0;
+    }
+    int events = (what & CURL_POLL_IN ? EV_READ : 0) |
+                 (what & CURL_POLL_OUT ? EV_WRITE : 0);
+    if (watcher == NULL) {
+        watcher = g_new0(ev_io, 1);
+        ev_io_init(watcher, on_socket, socket, events);
+        watcher->data = loop;
+        curl_multi_assign(loop->multi, socket, watcher);
+    }
+    else {
+        ev_io_stop(loop->ev, watcher);
+        ev_io_set(watcher, socket, events);
+    }
+    ev_io_start(loop->ev, watcher);
+    return 0;
+}
+
+/* Creates a multi handle under a libev loop, which is borrowed. on_done is
+ * called for each transfer that has ended; it removes the easy handle. loop
+ * must stay where it is until rp_curl_loop_stop. */
+void
+rp_curl_loop_start(struct rp_curl_loop *loop, struct ev_loop *ev,
+                   void (*on_done)(CURL *easy, CURLcode result, void *data),
+                   void *data)
+{
+    loop->ev = ev;
+    loop->on_done = on_done;
+    loop->data = data;
+    loop->multi = curl_multi_init();
+    ev_timer_init(&loop->timer, on_timer, 0.0, 0.0);
+    loop->timer.data = loop;
+    curl_multi_setopt(loop->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+    curl_multi_setopt(loop->multi, CURLMOPT_SOCKETDATA, loop);
+    curl_multi_setopt(loop->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+    curl_multi_setopt(loop->multi, CURLMOPT_TIMERDATA, loop);
+}
+
+/* Closes all connections. Easy handles must have been removed before. */
+void
+rp_curl_loop_stop(struct rp_curl_loop *loop)
+{
+    curl_multi_cleanup(loop->multi);
+    ev_timer_stop(loop->ev, &loop->timer);
+}
--- /dev/null
+++ b/src/curl_loop.h
@@ -0,0 +1,31 @@
+#ifndef RP_CURL_LOOP_H
+#define RP_CURL_LOOP_H
+
+#include <curl/curl.h>
+#include <ev.h>
+
+/* A libcurl multi handle driven by a libev loop. */
+struct rp_curl_loop {
+    struct ev_loop *ev;
+    CURLM *multi;
+    ev_timer timer;
+    void (*on_done)(CURL *easy, CURLcode result, void *data);
+    void *data;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+void rp_curl_loop_start(struct rp_curl_loop *loop, struct ev_loop *ev,
+                        void (*on_done)(CURL *easy, CURLcode result,
+                                        void *data),
+                        void *data);
+void rp_curl_loop_run(struct rp_curl_loop *loop);
+void rp_curl_loop_stop(struct rp_curl_loop *loop);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/platform.c
+++ b/src/platform.c
@@ -1,10 +1,9 @@
 #include "platform.h"
 
-#include <curl/curl.h>
-#include <ev.h>
 #include <string.h>
 
 #include "config_task.h"
+#include "curl_loop.h"
 #include "error.h"
 #include "platform_answer.h"
 #include "watch.h"
@@ -22,25 +21,17 @@
  * one is older than this. */
 #define LIST_KEEP_NS INT64_C(60000000000)
 
-/* libcurl has one watcher for each socket. */
-struct socket_watch {
-    ev_io io;
-    struct rp_platform *platform;
-};
-
 struct rp_platform {
     struct rp_task *task;
     struct rp_context *context;
-    struct ev_loop *ev;
     struct rp_watch *watch;
     char *url;
     int64_t timeout_ms;
     int64_t answer_max_bytes;
     uint32_t page_size; /* as set */
     uint32_t page_now;  /* lowered while answers are too large */
-    CURLM *multi;
+    struct rp_curl_loop curl;
     CURL *easy;
-    ev_timer timer;
     enum rp_watch_read reading;
     GByteArray *answer;
     bool answer_too_large;
@@ -97,7 +88,7 @@
     platform->answer_too_large = false;
     g_byte_array_set_size(platform->answer, 0);
     count(platform, RP_COUNTER_PLATFORM_READS);
-    curl_multi_add_handle(platform->multi, easy);
+    curl_multi_add_handle(platform->curl.multi, easy);
     g_free(url);
 }
 
@@ -305,77 +296,11 @@
 }
 
 static void
-collect_finished(struct rp_platform *platform)
-{
-    CURLMsg *message;
-    int left;
-    while ((message = curl_multi_info_read(platform->multi, &left)) != NULL) {
-        if (message->msg == CURLMSG_DONE) {
-            CURLcode code = message->data.result;
-            curl_multi_remove_handle(platform->multi, platform->easy);
-            finish_read(platform, code, rp_loop_now_ns());
-        }
-    }
-}
-
-static void
-on_socket_event(struct ev_loop *ev, ev_io *watcher, int events)
-{
-    struct socket_watch *socket = watcher->data;
-    struct rp_platform *platform = socket->platform;
-    int actions = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
-                  ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-    int running;
-    curl_multi_socket_action(platform->multi, watcher->fd, actions, &running);
-    collect_finished(platform);
-}
-
-static void
-on_curl_timer(struct ev_loop *ev, ev_timer *watcher, int events)
-{
-    struct rp_platform *platform = watcher->data;
-    int running;
-    curl_multi_socket_action(platform->multi, CURL_SOCKET_TIMEOUT, 0,
-                             &running);
-    collect_finished(platform);
-}
-
-static int
-on_curl_socket(CURL *easy, curl_socket_t fd, int what, void *data,
-               void *socket_data)
-{
-    struct rp_platform *platform = data;
-    struct socket_watch *socket = socket_data;
-    if (socket != NULL) {
-        ev_io_stop(platform->ev, &socket->io);
-    }
-    if (what == CURL_POLL_REMOVE) {
-        g_free(socket);
-        return 0;
-    }
-    if (socket == NULL) {
-        socket = g_new0(struct socket_watch, 1);
-        socket->platform = platform;
-        curl_multi_assign(platform->multi, fd, socket);
-    }
-    int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
-                 ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-    ev_io_init(&socket->io, on_socket_event, fd, events);
-    socket->io.data = socket;
-    ev_io_start(platform->ev, &socket->io);
-    return 0;
-}
-
-static int
-set_curl_timer(CURLM *multi, long timeout_ms, void *data)
+on_done(CURL *easy, CURLcode result, void *data)
 {
     struct rp_platform *platform = data;
-    ev_timer_stop(platform->ev, &platform->timer);
-    if (timeout_ms >= 0) {
-        ev_timer_set(&platform->timer, (double)timeout_ms / 1e3, 0.0);
-        ev_timer_start(platform->ev, &platform->timer);
-    }
-    return 0;
+    curl_multi_remove_handle(platform->curl.multi, easy);
+    finish_read(platform, result, rp_loop_now_ns());
 }
 
 static void
@@ -413,11 +338,10 @@
 {
     struct rp_platform *platform = data;
     if (platform->reading != RP_WATCH_READ_NONE) {
-        curl_multi_remove_handle(platform->multi, platform->easy);
+        curl_multi_remove_handle(platform->curl.multi, platform->easy);
     }
     curl_easy_cleanup(platform->easy);
-    curl_multi_cleanup(platform->multi);
-    ev_timer_stop(platform->ev, &platform->timer);
+    rp_curl_loop_stop(&platform->curl);
     rp_watch_free(platform->watch);
     g_byte_array_unref(platform->answer);
     g_free(platform->url);
@@ -428,15 +352,10 @@
                                                 on_remove};
 
 static void
-set_up_curl(struct rp_platform *platform)
+set_up_curl(struct rp_platform *platform, struct ev_loop *ev)
 {
-    platform->multi = curl_multi_init();
-    curl_multi_setopt(platform->multi, CURLMOPT_SOCKETFUNCTION,
-                      on_curl_socket);
-    curl_multi_setopt(platform->multi, CURLMOPT_SOCKETDATA, platform);
-    curl_multi_setopt(platform->multi, CURLMOPT_TIMERFUNCTION, set_curl_timer);
-    curl_multi_setopt(platform->multi, CURLMOPT_TIMERDATA, platform);
-    curl_multi_setopt(platform->multi, CURLMOPT_MAXCONNECTS, 2L);
+    rp_curl_loop_start(&platform->curl, ev, on_done, platform);
+    curl_multi_setopt(platform->curl.multi, CURLMOPT_MAXCONNECTS, 2L);
     CURL *easy = curl_easy_init();
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, platform);
@@ -451,8 +370,6 @@
     curl_easy_setopt(easy, CURLOPT_USERAGENT, agent);
     g_free(agent);
     platform->easy = easy;
-    ev_timer_init(&platform->timer, on_curl_timer, 0.0, 0.0);
-    platform->timer.data = platform;
 }
 
 /* Adds the task "platform" to the kernel of a loop, which owns it. Reads
@@ -479,7 +396,6 @@
     }
     platform->task = task;
     platform->context = rp_kernel_context(kernel);
-    platform->ev = rp_loop_ev(loop);
     platform->watch = rp_watch_new(platform->context->identity.id, now_ns);
     platform->url = g_strdup(settings->url);
     while (g_str_has_suffix(platform->url, "/")) {
@@ -494,7 +410,7 @@
                                      ? settings->answer_max_bytes
                                      : DEFAULT_ANSWER_MAX_BYTES;
     platform->answer = g_byte_array_new();
-    set_up_curl(platform);
+    set_up_curl(platform, rp_loop_ev(loop));
     rp_task_set_timer(task, 0, now_ns);
     return platform;
 }
--- a/src/probe_http.c
+++ b/src/probe_http.c
@@ -1,8 +1,6 @@
-#include <curl/curl.h>
-#include <ev.h>
 #include <string.h>
 
-#include "error.h"
+#include "curl_loop.h"
 #include "prober.h"
 
 /* A probe's answer is its head; more of a body than this fails the probe. */
@@ -17,19 +15,11 @@
     struct http_probe *next;
 };
 
-struct socket_watch {
-    ev_io watcher;
-    struct socket_watch *next;
-};
-
 /* Probes over libcurl multi, driven by the libev loop. */
 struct probe_http {
-    struct ev_loop *ev;
-    CURLM *multi;
-    ev_timer timer;
+    struct rp_curl_loop curl;
     struct rp_prober *prober;
     struct http_probe *probes;
-    struct socket_watch *watches;
 };
 
 static size_t
@@ -71,116 +61,27 @@
         link = &(*link)->next;
     }
     *link = probe->next;
-    curl_multi_remove_handle(http->multi, probe->easy);
+    curl_multi_remove_handle(http->curl.multi, probe->easy);
     curl_easy_cleanup(probe->easy);
     g_free(probe);
 }
 
 static void
-take_results(struct probe_http *http)
-{
-    int left;
-    CURLMsg *message;
-    while ((message = curl_multi_info_read(http->multi, &left)) != NULL) {
-        if (message->msg != CURLMSG_DONE) {
-            continue;
-        }
-        struct http_probe *probe = NULL;
-        long status = 0;
-        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &probe);
-        curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE,
-                          &status);
-        struct rp_probe_result result = {
-            .probe_id = probe->probe_id,
-            .answered =
-                message->data.result == CURLE_OK && status > 0 && status < 500,
-            .has_load = probe->has_load,
-            .load = probe->load,
-        };
-        remove_probe(http, probe);
-        rp_prober_finish(http->prober, &result, rp_loop_now_ns());
-    }
-}
-
-static void
-on_socket_event(struct ev_loop *ev, ev_io *watcher, int events)
-{
-    (void)ev;
-    struct probe_http *http = watcher->data;
-    int running;
-    int mask = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
-               ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-    curl_multi_socket_action(http->multi, watcher->fd, mask, &running);
-    take_results(http);
-}
-
-static void
-on_timeout(struct ev_loop *ev, ev_timer *timer, int events)
-{
-    (void)ev;
-    (void)events;
-    struct probe_http *http = timer->data;
-    int running;
-    curl_multi_socket_action(http->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-    take_results(http);
-}
-
-static int
-set_timeout(CURLM *multi, long timeout_ms, void *data)
-{
-    (void)multi;
-    struct probe_http *http = data;
-    ev_timer_stop(http->ev, &http->timer);
-    if (timeout_ms >= 0) {
-        ev_now_update(http->ev);
-        ev_timer_set(&http->timer, (double)timeout_ms / 1000.0, 0.0);
-        ev_timer_start(http->ev, &http->timer);
-    }
-    return 0;
-}
-
-static void
-remove_watch(struct probe_http *http, struct socket_watch *watch)
+on_done(CURL *easy, CURLcode result, void *data)
 {
-    struct socket_watch **link = &http->watches;
-    while (*link != NULL && *link != watch) {
-        link = &(*link)->next;
-    }
-    if (*link == watch) {
-        *link = watch->next;
-    }
-    ev_io_stop(http->ev, &watch->watcher);
-    g_free(watch);
-}
-
-static int
-set_socket(CURL *easy, curl_socket_t socket, int what, void *data,
-           void *socket_data)
-{
-    (void)easy;
     struct probe_http *http = data;
-    struct socket_watch *watch = socket_data;
-    if (what == CURL_POLL_REMOVE) {
-        if (watch != NULL) {
-            curl_multi_assign(http->multi, socket, NULL);
-            remove_watch(http, watch);
-        }
-        return 0;
-    }
-    if (watch == NULL) {
-        watch = g_new0(struct socket_watch, 1);
-        watch->next = http->watches;
-        http->watches = watch;
-        ev_init(&watch->watcher, on_socket_event);
-        watch->watcher.data = http;
-        curl_multi_assign(http->multi, socket, watch);
-    }
-    int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
-                 ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-    ev_io_stop(http->ev, &watch->watcher);
-    ev_io_set(&watch->watcher, socket, events);
-    ev_io_start(http->ev, &watch->watcher);
-    return 0;
+    struct http_probe *probe = NULL;
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &probe);
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    struct rp_probe_result finished = {
+        .probe_id = probe->probe_id,
+        .answered = result == CURLE_OK && status > 0 && status < 500,
+        .has_load = probe->has_load,
+        .load = probe->load,
+    };
+    remove_probe(http, probe);
+    rp_prober_finish(http->prober, &finished, rp_loop_now_ns());
 }
 
 static void
@@ -220,7 +121,7 @@
     char *url = g_strdup_printf("http://%s%s", choice->address, choice->path);
     set_options(probe, url);
     g_free(url);
-    if (curl_multi_add_handle(http->multi, easy) != CURLM_OK) {
+    if (curl_multi_add_handle(http->curl.multi, easy) != CURLM_OK) {
         remove_probe(http, probe);
         return false;
     }
@@ -234,38 +135,18 @@
     while (http->probes != NULL) {
         remove_probe(http, http->probes);
     }
-    ev_timer_stop(http->ev, &http->timer);
-    if (http->multi != NULL) {
-        curl_multi_cleanup(http->multi);
-    }
-    while (http->watches != NULL) {
-        remove_watch(http, http->watches);
-    }
+    rp_curl_loop_stop(&http->curl);
     g_free(http);
 }
 
 /* Registers the task "prober" with probes as HTTP GET requests over the
  * loop. curl_global_init must have been called. Free the prober before the
- * loop. Errors are those of rp_prober_new, or RP_ERROR_SYSTEM. */
+ * loop. Errors are those of rp_prober_new. */
 struct rp_prober *
 rp_prober_new_http(struct rp_loop *loop, GError **error)
 {
     struct probe_http *http = g_new0(struct probe_http, 1);
-    http->ev = rp_loop_ev(loop);
-    ev_timer_init(&http->timer, on_timeout, 0.0, 0.0);
-    http->timer.data = http;
-    http->multi = curl_multi_init();
-    if (http->multi == NULL) {
-        g_set_error(error, RP_ERROR, RP_ERROR_SYSTEM,
-                    "cannot create the libcurl handle of the prober: check "
-                    "the memory of this VM");
-        free_http(http);
-        return NULL;
-    }
-    curl_multi_setopt(http->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
-    curl_multi_setopt(http->multi, CURLMOPT_SOCKETDATA, http);
-    curl_multi_setopt(http->multi, CURLMOPT_TIMERFUNCTION, set_timeout);
-    curl_multi_setopt(http->multi, CURLMOPT_TIMERDATA, http);
+    rp_curl_loop_start(&http->curl, rp_loop_ev(loop), on_done, http);
     struct rp_prober_transport transport = {
         .start = start_probe,
         .free = free_http,
