Split the attempts from the calls; keep a body whole while its retry waits

Change: dispatch_attempt.c; the request stream is rewound when the retry is decided; max-calls is used; the script ignores SIGPIPE and forgets processes that it has waited for.

--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -20,11 +20,13 @@
 work=$(mktemp -d)
 
 cleanup() {
-    kill -KILL "${pids[@]}" 2>/dev/null
+    kill -KILL "${pids[@]}" "${serve_pids[@]}" 2>/dev/null
     wait 2>/dev/null
     rm -rf "$work"
 }
 trap cleanup EXIT
+# An entry VM may close a connection that a malformed request is written to.
+trap '' PIPE
 
 # Writes the records of a service and adds their names to $records.
 publish() { # SERVICE MAX_BODY_BYTES ADDRESS...
@@ -53,7 +55,6 @@
         --fleet-size 1 --address-ttl-ms 500 --first-byte-ms 250 --progress-ms 600 \
         --boot-wait-ms 0 --records "$records" \
         --fleet-key "$(printf '5a%.0s' $(seq 32))" "$@" &
-    pids+=($!)
     serve_pids+=($!)
 }
 
@@ -366,6 +367,8 @@
     wait "$pid"
     check clean-exit "status=$?" '^status=0$' 0 0 0
 done
+# Waited for: their numbers may belong to other processes by now.
+serve_pids=()
 # A request that is never forgotten would hold the stop up for 30 s.
 check no-request-left "seconds=$((SECONDS - seconds))" '^seconds=[0-9]$' 0 0 0
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -188,7 +188,7 @@
                                now_ns);
         return;
     }
-    if (g_hash_table_size(dispatch->calls) >= MAX_CALLS) {
+    if (g_hash_table_size(dispatch->calls) >= dispatch->config.max_calls) {
         dispatch_ticket_refuse(dispatch, call, 503, FULL_RETRY_MS,
                                "too many calls in progress", now_ns);
         return;
@@ -460,6 +460,9 @@
     if (dispatch->config.first_byte_ms == 0) {
         dispatch->config.first_byte_ms = DEFAULT_FIRST_BYTE_MS;
     }
+    if (config->max_calls == 0 || config->max_calls > MAX_CALLS) {
+        dispatch->config.max_calls = MAX_CALLS;
+    }
     dispatch->calls = g_hash_table_new_full(NULL, NULL, NULL, free_call);
     dispatch->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
--- /dev/null
+++ b/src/dispatch_attempt.c
@@ -0,0 +1,153 @@
+#include "dispatch_call.h"
+
+#include "invariant.h"
+
+/* The end of an answer brings its load report to the balancer up to this age;
+ * an older one could undo what a later answer said, such as draining. */
+#define LOAD_FRESH_NS INT64_C(100000000)
+
+/* Tells the balancer once how an attempt ended. first_byte_ns is 0 when there
+ * was none. */
+void
+dispatch_attempt_report(struct dispatch_call *call,
+                        struct dispatch_attempt *attempt,
+                        enum rp_attempt_outcome outcome, int64_t first_byte_ns,
+                        int64_t now_ns)
+{
+    if (!attempt->owns_slot) {
+        return;
+    }
+    attempt->owns_slot = false;
+    struct rp_attempt_report result = {
+        .target = attempt->target,
+        .outcome = outcome,
+        .flags = attempt->flags,
+        .kind = call->kind,
+        .sent_ns = attempt->sent_ns,
+        .first_byte_ns = first_byte_ns,
+    };
+    if (attempt->answer != NULL && attempt->answer->has_load &&
+        now_ns - attempt->head_ns <= LOAD_FRESH_NS)
+    {
+        result.has_load = true;
+        result.load = attempt->answer->load;
+    }
+    rp_balancer_finish(call->service->balancer, &result, now_ns);
+}
+
+/* Gives an attempt up. silent: its connection had no byte in time, and those
+ * of its age are left. */
+void
+dispatch_attempt_cancel(struct dispatch_call *call,
+                        struct dispatch_attempt *attempt, bool silent)
+{
+    struct rp_attempt_cancel message = {
+        .call_id = call->call->id,
+        .generation = attempt->generation,
+        .silent = silent,
+    };
+    struct rp_task *task = call->dispatch->task;
+    rp_task_send(task,
+                 rp_kernel_find_task(rp_task_kernel(task), RP_TASK_UPSTREAM),
+                 RP_MSG_ATTEMPT_CANCEL, &message, sizeof(message));
+    rp_stream_break(attempt->body);
+    attempt->state = ATTEMPT_OVER;
+}
+
+/* Returns whether it is certain that no attempt of a call ran. */
+bool
+dispatch_call_not_run(const struct dispatch_call *call)
+{
+    for (uint32_t i = 0; i < call->attempt_count; i++) {
+        if (call->attempts[i].state != ATTEMPT_OVER ||
+            !call->attempts[i].not_run) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns whether a call goes to the entry VM that issued its ticket. */
+bool
+dispatch_call_passed_on(const struct dispatch_call *call)
+{
+    return call->ticket.pass_on[0] != '\0';
+}
+
+/* Notes in the ticket table that the attempt in progress did not run. */
+void
+dispatch_call_note_not_run(struct dispatch_call *call)
+{
+    if (call->ticket.entry != NULL) {
+        rp_ticket_attempt_not_run(call->ticket.entry);
+    }
+}
+
+/* Hands an attempt to upstream. Returns false, with the attempt over, when
+ * upstream takes no more. */
+bool
+dispatch_attempt_send(struct dispatch_call *call,
+                      struct dispatch_attempt *attempt, bool fresh,
+                      int64_t now_ns)
+{
+    struct rp_task *task = call->dispatch->task;
+    struct rp_attempt_start start = {
+        .call_id = call->call->id,
+        .generation = attempt->generation,
+        .flags = (fresh ? RP_ATTEMPT_FRESH : 0) |
+                 (dispatch_call_passed_on(call) ? RP_ATTEMPT_PASS_ON : 0) |
+                 (call->repeatable ? RP_ATTEMPT_REPEATABLE : 0),
+        .call = rp_call_ref(call->call),
+        .body = rp_stream_ref(attempt->body),
+        .deadline_ns = call->deadline_ns,
+        .number = call->attempt_count,
+        .attempts_left = call->attempts_left,
+    };
+    const char *address = dispatch_call_passed_on(call)
+                              ? call->ticket.pass_on
+                              : rp_balancer_target_address(
+                                    call->service->balancer, attempt->target);
+    g_strlcpy(start.address, address, sizeof(start.address));
+    struct rp_task *upstream =
+        rp_kernel_find_task(rp_task_kernel(task), RP_TASK_UPSTREAM);
+    if (!rp_task_send_owned(task, upstream, RP_MSG_ATTEMPT_START, &start,
+                            sizeof(start), rp_attempt_start_release))
+    {
+        rp_attempt_start_release(&start);
+        attempt->state = ATTEMPT_OVER;
+        attempt->not_run = true;
+        dispatch_call_note_not_run(call);
+        dispatch_attempt_report(call, attempt, RP_ATTEMPT_CANCELLED, 0,
+                                now_ns);
+        return false;
+    }
+    return true;
+}
+
+/* Adds an attempt; there is room for it. */
+struct dispatch_attempt *
+dispatch_attempt_add(struct dispatch_call *call, uint32_t target,
+                     uint32_t flags, int64_t now_ns)
+{
+    rp_invariant_check(call->dispatch->context, RP_INVARIANT_AT_MOST_ONCE,
+                       call->repeatable || dispatch_call_not_run(call), now_ns,
+                       "a request that may not be repeated is sent again");
+    if (call->ticket.entry != NULL) {
+        rp_invariant_check(call->dispatch->context, RP_INVARIANT_AT_MOST_ONCE,
+                           rp_ticket_attempt_begin(call->ticket.entry), now_ns,
+                           "a ticket is used for a second run");
+    }
+    if (call->call->request != NULL && call->attempt_count > 0) {
+        rp_stream_rewind(call->call->request);
+    }
+    struct dispatch_attempt *attempt = &call->attempts[call->attempt_count++];
+    attempt->state = ATTEMPT_RUNNING;
+    attempt->generation = call->attempt_count;
+    attempt->target = target;
+    attempt->flags = call->flags | flags;
+    attempt->sent_ns = now_ns;
+    attempt->body = rp_stream_new();
+    call->state = CALL_RUNNING;
+    rp_counter_add(&call->dispatch->context->counters, RP_COUNTER_ATTEMPTS, 1);
+    return attempt;
+}
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -11,55 +11,9 @@
  * truncated one can be tried elsewhere. It is what one turn reads. */
 #define HOLD_BYTES RP_STREAM_TURN_BYTES
 
-/* The end of an answer brings its load report to the balancer up to this age;
- * an older one could undo what a later answer said, such as draining. */
-#define LOAD_FRESH_NS INT64_C(100000000)
-
 /* Attempts beside silent connections: a tenth of the calls of a service. */
 #define FRESH_TRIAL_SHARE 0.1
 
-static void
-report(struct dispatch_call *call, struct dispatch_attempt *attempt,
-       enum rp_attempt_outcome outcome, int64_t first_byte_ns, int64_t now_ns)
-{
-    if (!attempt->owns_slot) {
-        return;
-    }
-    attempt->owns_slot = false;
-    struct rp_attempt_report result = {
-        .target = attempt->target,
-        .outcome = outcome,
-        .flags = attempt->flags,
-        .kind = call->kind,
-        .sent_ns = attempt->sent_ns,
-        .first_byte_ns = first_byte_ns,
-    };
-    if (attempt->answer != NULL && attempt->answer->has_load &&
-        now_ns - attempt->head_ns <= LOAD_FRESH_NS)
-    {
-        result.has_load = true;
-        result.load = attempt->answer->load;
-    }
-    rp_balancer_finish(call->service->balancer, &result, now_ns);
-}
-
-static void
-cancel(struct dispatch_call *call, struct dispatch_attempt *attempt,
-       bool silent)
-{
-    struct rp_attempt_cancel message = {
-        .call_id = call->call->id,
-        .generation = attempt->generation,
-        .silent = silent,
-    };
-    struct rp_task *task = call->dispatch->task;
-    rp_task_send(task,
-                 rp_kernel_find_task(rp_task_kernel(task), RP_TASK_UPSTREAM),
-                 RP_MSG_ATTEMPT_CANCEL, &message, sizeof(message));
-    rp_stream_break(attempt->body);
-    attempt->state = ATTEMPT_OVER;
-}
-
 static void
 cancel_all(struct dispatch_call *call, enum rp_attempt_outcome outcome,
            int64_t now_ns)
@@ -67,28 +21,16 @@
     for (uint32_t i = 0; i < call->attempt_count; i++) {
         struct dispatch_attempt *attempt = &call->attempts[i];
         if (attempt->state != ATTEMPT_OVER) {
-            cancel(call, attempt, false);
+            dispatch_attempt_cancel(call, attempt, false);
             call->may_have_run = true;
         }
-        report(call, attempt, outcome, 0, now_ns);
+        dispatch_attempt_report(call, attempt, outcome, 0, now_ns);
     }
     if (call->state == CALL_QUEUED) {
         rp_balancer_withdraw(call->service->balancer, call->call->id, now_ns);
     }
 }
 
-static bool
-all_not_run(const struct dispatch_call *call)
-{
-    for (uint32_t i = 0; i < call->attempt_count; i++) {
-        if (call->attempts[i].state != ATTEMPT_OVER ||
-            !call->attempts[i].not_run) {
-            return false;
-        }
-    }
-    return true;
-}
-
 static void
 add_event(struct dispatch_call *call, enum rp_event_kind kind,
           const char *detail, int64_t now_ns)
@@ -108,7 +50,7 @@
     cancel_all(call, RP_ATTEMPT_CANCELLED, now_ns);
     bool not_run = !call->may_have_run;
     rp_invariant_check(call->dispatch->context, RP_INVARIANT_NOT_RUN_IS_TRUE,
-                       !not_run || all_not_run(call), now_ns,
+                       !not_run || dispatch_call_not_run(call), now_ns,
                        "a call with a sent attempt is answered as not run");
     if (call->attempt_count > 0 || !not_run) {
         add_event(call, RP_EVENT_CALL_FAILED, reason, now_ns);
@@ -152,84 +94,15 @@
          now_ns);
 }
 
-static bool
-is_passed_on(const struct dispatch_call *call)
-{
-    return call->ticket.pass_on[0] != '\0';
-}
-
-static void
-note_not_run(struct dispatch_call *call)
-{
-    if (call->ticket.entry != NULL) {
-        rp_ticket_attempt_not_run(call->ticket.entry);
-    }
-}
-
 static void
 send_start(struct dispatch_call *call, struct dispatch_attempt *attempt,
            bool fresh, int64_t now_ns)
 {
-    struct rp_task *task = call->dispatch->task;
-    struct rp_attempt_start start = {
-        .call_id = call->call->id,
-        .generation = attempt->generation,
-        .flags = (fresh ? RP_ATTEMPT_FRESH : 0) |
-                 (is_passed_on(call) ? RP_ATTEMPT_PASS_ON : 0) |
-                 (call->repeatable ? RP_ATTEMPT_REPEATABLE : 0),
-        .call = rp_call_ref(call->call),
-        .body = rp_stream_ref(attempt->body),
-        .deadline_ns = call->deadline_ns,
-        .number = call->attempt_count,
-        .attempts_left = call->attempts_left,
-    };
-    const char *address = is_passed_on(call)
-                              ? call->ticket.pass_on
-                              : rp_balancer_target_address(
-                                    call->service->balancer, attempt->target);
-    g_strlcpy(start.address, address, sizeof(start.address));
-    struct rp_task *upstream =
-        rp_kernel_find_task(rp_task_kernel(task), RP_TASK_UPSTREAM);
-    if (!rp_task_send_owned(task, upstream, RP_MSG_ATTEMPT_START, &start,
-                            sizeof(start), rp_attempt_start_release))
-    {
-        rp_attempt_start_release(&start);
-        attempt->state = ATTEMPT_OVER;
-        attempt->not_run = true;
-        note_not_run(call);
-        report(call, attempt, RP_ATTEMPT_CANCELLED, 0, now_ns);
+    if (!dispatch_attempt_send(call, attempt, fresh, now_ns)) {
         fail(call, 503, 100, "this entry VM is overloaded", now_ns);
     }
 }
 
-/* Adds an attempt; there is room for it. */
-static struct dispatch_attempt *
-add_attempt(struct dispatch_call *call, uint32_t target, uint32_t flags,
-            int64_t now_ns)
-{
-    rp_invariant_check(call->dispatch->context, RP_INVARIANT_AT_MOST_ONCE,
-                       call->repeatable || all_not_run(call), now_ns,
-                       "a request that may not be repeated is sent again");
-    if (call->ticket.entry != NULL) {
-        rp_invariant_check(call->dispatch->context, RP_INVARIANT_AT_MOST_ONCE,
-                           rp_ticket_attempt_begin(call->ticket.entry), now_ns,
-                           "a ticket is used for a second run");
-    }
-    if (call->call->request != NULL && call->attempt_count > 0) {
-        rp_stream_rewind(call->call->request);
-    }
-    struct dispatch_attempt *attempt = &call->attempts[call->attempt_count++];
-    attempt->state = ATTEMPT_RUNNING;
-    attempt->generation = call->attempt_count;
-    attempt->target = target;
-    attempt->flags = call->flags | flags;
-    attempt->sent_ns = now_ns;
-    attempt->body = rp_stream_new();
-    call->state = CALL_RUNNING;
-    rp_counter_add(&call->dispatch->context->counters, RP_COUNTER_ATTEMPTS, 1);
-    return attempt;
-}
-
 static void
 fill_offer(const struct dispatch_call *call, uint32_t flags,
            struct rp_balancer_call *offer)
@@ -287,7 +160,7 @@
         return;
     }
     struct dispatch_attempt *attempt =
-        add_attempt(call, verdict->target, flags, now_ns);
+        dispatch_attempt_add(call, verdict->target, flags, now_ns);
     attempt->owns_slot = true;
     start_first(call, attempt, now_ns);
     send_start(call, attempt, false, now_ns);
@@ -315,9 +188,9 @@
     call->service->fresh_trials =
         MIN(call->service->fresh_trials + FRESH_TRIAL_SHARE,
             DISPATCH_FRESH_TRIAL_BURST);
-    if (is_passed_on(call)) {
+    if (dispatch_call_passed_on(call)) {
         struct dispatch_attempt *attempt =
-            add_attempt(call, RP_BALANCER_NO_TARGET, 0, now_ns);
+            dispatch_attempt_add(call, RP_BALANCER_NO_TARGET, 0, now_ns);
         send_start(call, attempt, true, now_ns);
         settle(call);
         return;
@@ -399,6 +272,10 @@
              now_ns);
         return;
     }
+    if (request != NULL) {
+        /* At once, so that the body stays whole while the retry waits. */
+        rp_stream_rewind(call->call->request);
+    }
     int64_t delay_ns = rp_retry_delay_ns(
         call->retries, not_run, g_rand_int(call->dispatch->context->random));
     if (delay_ns == 0) {
@@ -433,8 +310,8 @@
             winner->owns_slot |= other->owns_slot;
             other->owns_slot = false;
         }
-        cancel(call, other, silent);
-        report(call, other, RP_ATTEMPT_CANCELLED, 0, now_ns);
+        dispatch_attempt_cancel(call, other, silent);
+        dispatch_attempt_report(call, other, RP_ATTEMPT_CANCELLED, 0, now_ns);
     }
     call->winner = index;
     call->state = CALL_REPLIED;
@@ -478,7 +355,7 @@
     call->may_have_run = true;
     stale->state = ATTEMPT_OVER;
     struct dispatch_attempt *attempt =
-        add_attempt(call, stale->target, RP_CALL_RETRY, now_ns);
+        dispatch_attempt_add(call, stale->target, RP_CALL_RETRY, now_ns);
     attempt->owns_slot = stale->owns_slot;
     stale->owns_slot = false;
     send_start(call, attempt, true, now_ns);
@@ -511,10 +388,10 @@
     attempt->state = ATTEMPT_OVER;
     attempt->not_run = not_run;
     if (not_run) {
-        note_not_run(call);
+        dispatch_call_note_not_run(call);
     }
     /* An issuer that cannot be reached may have run the request before. */
-    call->may_have_run |= !not_run || is_passed_on(call);
+    call->may_have_run |= !not_run || dispatch_call_passed_on(call);
     bool others = false;
     for (uint32_t i = 0; i < call->attempt_count; i++) {
         struct dispatch_attempt *other = &call->attempts[i];
@@ -527,7 +404,7 @@
             attempt->owns_slot = false;
         }
     }
-    report(call, attempt, outcome, 0, now_ns);
+    dispatch_attempt_report(call, attempt, outcome, 0, now_ns);
     if (!others) {
         call->hedge_at_ns = RP_KERNEL_NEVER_NS;
         call->first_byte_at_ns = RP_KERNEL_NEVER_NS;
@@ -565,7 +442,7 @@
     attempt->head_seen = true;
     attempt->answer = rp_answer_ref(head->answer);
     attempt->head_ns = now_ns;
-    if (head->answer->has_load && !is_passed_on(call)) {
+    if (head->answer->has_load && !dispatch_call_passed_on(call)) {
         take_load(call, attempt, now_ns);
     }
     if (now_ns >= call->deadline_ns) {
@@ -576,7 +453,7 @@
         call->first_byte_at_ns = RP_KERNEL_NEVER_NS;
     }
     else if (head->answer->refused) {
-        cancel(call, attempt, false);
+        dispatch_attempt_cancel(call, attempt, false);
         attempt_failed(call, index, RP_ATTEMPT_NOT_RUN, true, now_ns);
     }
     else {
@@ -620,12 +497,12 @@
     struct dispatch_attempt *attempt = &call->attempts[index];
     bool refused = attempt->answer != NULL && attempt->answer->refused;
     if (done->end == RP_END_WHOLE && attempt->answer != NULL &&
-        (!refused || is_passed_on(call)))
+        (!refused || dispatch_call_passed_on(call)))
     {
         dispatch_ticket_done(call, attempt->answer, attempt->body);
         win(call, index, now_ns);
-        report(call, attempt, outcome_of(attempt, done), done->first_byte_ns,
-               now_ns);
+        dispatch_attempt_report(call, attempt, outcome_of(attempt, done),
+                                done->first_byte_ns, now_ns);
         attempt->state = ATTEMPT_OVER;
         call->over = true;
         return;
@@ -633,7 +510,8 @@
     if (done->end == RP_END_CALLER) {
         attempt->state = ATTEMPT_OVER;
         call->may_have_run = true;
-        report(call, attempt, RP_ATTEMPT_CANCELLED, 0, now_ns);
+        dispatch_attempt_report(call, attempt, RP_ATTEMPT_CANCELLED, 0,
+                                now_ns);
         bool large = rp_stream_over_limit(call->call->request);
         fail(call, large ? 413 : 400, 0,
              large ? "the body is over the limit of the service"
@@ -679,8 +557,8 @@
         rp_stream_state(attempt->body) ==
             (done->end == RP_END_WHOLE ? RP_STREAM_ENDED : RP_STREAM_BROKEN),
         now_ns, "a broken answer looks whole");
-    report(call, attempt, outcome_of(attempt, done), done->first_byte_ns,
-           now_ns);
+    dispatch_attempt_report(call, attempt, outcome_of(attempt, done),
+                            done->first_byte_ns, now_ns);
     if (done->end == RP_END_WHOLE) {
         dispatch_ticket_done(call, attempt->answer, attempt->body);
     }
@@ -729,10 +607,10 @@
         owns_slot = late->owns_slot;
         late->owns_slot = false;
         call->may_have_run = true;
-        cancel(call, late, true);
+        dispatch_attempt_cancel(call, late, true);
     }
     struct dispatch_attempt *attempt =
-        add_attempt(call, late->target, RP_CALL_RETRY, now_ns);
+        dispatch_attempt_add(call, late->target, RP_CALL_RETRY, now_ns);
     attempt->partner = index + 1;
     attempt->owns_slot = owns_slot;
     attempt->beside_silent = request != NULL;
@@ -807,7 +685,7 @@
 dispatch_call_free(struct dispatch_call *call)
 {
     rp_due_remove(&call->dispatch->due, &call->due);
-    dispatch_ticket_end(call, all_not_run(call));
+    dispatch_ticket_end(call, dispatch_call_not_run(call));
     for (uint32_t i = 0; i < call->attempt_count; i++) {
         rp_answer_unref(call->attempts[i].answer);
         rp_stream_unref(call->attempts[i].body);
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -113,6 +113,22 @@
                         int64_t now_ns);
 void dispatch_call_free(struct dispatch_call *call);
 
+void dispatch_attempt_report(struct dispatch_call *call,
+                             struct dispatch_attempt *attempt,
+                             enum rp_attempt_outcome outcome,
+                             int64_t first_byte_ns, int64_t now_ns);
+void dispatch_attempt_cancel(struct dispatch_call *call,
+                             struct dispatch_attempt *attempt, bool silent);
+struct dispatch_attempt *dispatch_attempt_add(struct dispatch_call *call,
+                                              uint32_t target, uint32_t flags,
+                                              int64_t now_ns);
+bool dispatch_attempt_send(struct dispatch_call *call,
+                           struct dispatch_attempt *attempt, bool fresh,
+                           int64_t now_ns);
+bool dispatch_call_not_run(const struct dispatch_call *call);
+bool dispatch_call_passed_on(const struct dispatch_call *call);
+void dispatch_call_note_not_run(struct dispatch_call *call);
+
 bool dispatch_ticket_admit(struct rp_dispatch *dispatch,
                            const struct rp_call *call,
                            struct dispatch_ticket *result, int64_t now_ns);
--- a/src/node.c
+++ b/src/node.c
@@ -249,6 +249,8 @@
             (uint32_t)rp_settings_number(settings, RP_SETTING_ADDRESS_TTL_MS),
     };
     struct rp_dispatch_config dispatch = {
+        .max_calls =
+            (uint32_t)rp_settings_number(settings, RP_SETTING_MAX_CALLS),
         .first_byte_ms =
             (uint32_t)rp_settings_number(settings, RP_SETTING_FIRST_BYTE_MS),
     };
