Report calls found to be long as long

Cause: dispatch reported attempts with the flags of the call, without what the balancer had found; a call counted as long at the start and as short at the end stayed in the count of long calls. Change: dispatch hands back the flags of the verdict, as balancer.h says, and the count of long calls never exceeds that of all.

--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -287,7 +287,7 @@
         return;
     }
     struct dispatch_attempt *attempt =
-        add_attempt(call, verdict->target, flags, now_ns);
+        add_attempt(call, verdict->target, verdict->flags, now_ns);
     attempt->owns_slot = true;
     start_first(call, attempt, now_ns);
     send_start(call, attempt, false, now_ns);
--- a/src/route.c
+++ b/src/route.c
@@ -77,6 +77,8 @@
     if (is_long && target->long_in_flight > 0) {
         target->long_in_flight--;
     }
+    /* A call may be found to be short only while it runs. */
+    target->long_in_flight = MIN(target->long_in_flight, target->in_flight);
     if (!is_long) {
         target->owed_ns = now_ns;
     }
--- a/tests/test_route.cc
+++ b/tests/test_route.cc
@@ -114,4 +114,22 @@
     EXPECT_FALSE(rp_route_is_straggler(&target, &pool));
 }
 
+// Guards against long calls counting for ever when they are found to be short
+// while they run: new long ones would then wait without need.
+TEST(route, long_calls_that_end_as_short)
+{
+    struct rp_route_target target;
+    rp_route_init(&target, 6, true);
+    for (bool ends_as_long : {true, false}) {
+        for (int i = 0; i < 3; i++) {
+            rp_route_sent(&target, true, 0);
+        }
+        EXPECT_EQ(target.long_in_flight, 3u);
+        for (int i = 0; i < 3; i++) {
+            rp_route_ended(&target, ends_as_long, MS);
+        }
+        EXPECT_EQ(target.long_in_flight, 0u) << ends_as_long;
+    }
+}
+
 } // namespace
