--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -160,7 +160,7 @@
         return;
     }
     struct dispatch_attempt *attempt =
-        dispatch_attempt_add(call, verdict->target, flags, now_ns);
+        dispatch_attempt_add(call, verdict->target, verdict->flags, now_ns);
     attempt->owns_slot = true;
     start_first(call, attempt, now_ns);
     send_start(call, attempt, false, now_ns);
