--- a/src/dispatch_attempt.c
+++ b/src/dispatch_attempt.c
@@ -1,5 +1,6 @@
 #include "dispatch_call.h"
 
+#include "dispatch_hint.h"
 #include "invariant.h"
 
 /* The end of an answer brings its load report to the balancer up to this age;
@@ -33,6 +34,9 @@
         result.load = attempt->answer->load;
     }
     rp_balancer_finish(call->service->balancer, &result, now_ns);
+    dispatch_drain_ended(
+        call->service,
+        rp_balancer_target_address(call->service->balancer, attempt->target));
 }
 
 /* Gives an attempt up. silent: its connection had no byte in time, and those
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -162,6 +162,10 @@
     struct dispatch_attempt *attempt =
         dispatch_attempt_add(call, verdict->target, verdict->flags, now_ns);
     attempt->owns_slot = true;
+    dispatch_drain_sent(
+        call->dispatch, call->service,
+        rp_balancer_target_address(call->service->balancer, attempt->target),
+        now_ns);
     start_first(call, attempt, now_ns);
     send_start(call, attempt, false, now_ns);
 }
