--- a/bench/check.c
+++ b/bench/check.c
@@ -5,7 +5,8 @@
 
 #include "bench.h"
 
-/* The bounds of the table of bench targets in docs/design.md. */
+/* The bounds of the table of bench targets in docs/design.md, and of the
+ * recovery in its part on admission. */
 #define EQUAL_RATIO 1.03
 #define EQUAL_RATIO_FULL 1.05
 #define FULL_LOAD 0.95
@@ -13,6 +14,7 @@
 #define WORSE_RATIO 1.02
 #define SHORT_RATIO 1.10
 #define LEAST_GOODPUT 0.95
+#define MOST_RECOVERY_MS 1000
 #define MOST_PROBES 0.01
 #define MOST_FURTHER 0.05
 
@@ -115,6 +117,7 @@
     double goodput = (double)result->crest_answered / result->crest_best;
     compare(check, cell, "goodput-lost", 1 - goodput, 1 - LEAST_GOODPUT);
     compare(check, cell, "answered-late", (double)result->late, 0);
+    compare(check, cell, "recovery-ms", result->recovery_ms, MOST_RECOVERY_MS);
 }
 
 /* Short work beside maps against the same short calls alone. */
