--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -119,6 +119,10 @@
 void dispatch_ticket_done(struct dispatch_call *call,
                           const struct rp_answer *head,
                           const struct rp_stream *body);
+void dispatch_ticket_refuse(struct rp_dispatch *dispatch,
+                            const struct rp_call *call, uint32_t status,
+                            int64_t retry_after_ms, const char *reason,
+                            int64_t now_ns);
 void dispatch_ticket_end(struct dispatch_call *call, bool not_run);
 void dispatch_tell_self(struct rp_dispatch *dispatch, uint32_t load_permille,
                         int64_t now_ns);
--- a/src/dispatch_ticket.c
+++ b/src/dispatch_ticket.c
@@ -140,6 +140,37 @@
     }
 }
 
+/* Refuses a call before it is looked at any further. That is not-run, but for
+ * a ticket that may have been used already: this VM's table tells about its
+ * own tickets, and those of others may have run where they were issued. */
+void
+dispatch_ticket_refuse(struct rp_dispatch *dispatch,
+                       const struct rp_call *call, uint32_t status,
+                       int64_t retry_after_ms, const char *reason,
+                       int64_t now_ns)
+{
+    struct rp_ticket ticket;
+    struct dispatch_ticket claimed = {0};
+    bool with_ticket = call->ticket != NULL && dispatch->tickets != NULL &&
+                       rp_ticket_parse(&dispatch->config.ticket_key,
+                                       call->ticket, &ticket, NULL);
+    if (with_ticket && rp_ticket_table_route(dispatch->tickets, &ticket) !=
+                           RP_TICKET_ROUTE_OWN)
+    {
+        dispatch_refuse(dispatch, call->id, RP_OUTCOME_UNKNOWN, status, 0,
+                        reason);
+        return;
+    }
+    if (with_ticket) {
+        if (!claim(dispatch, call, &ticket, &claimed, now_ns)) {
+            return;
+        }
+        rp_ticket_finish_not_run(dispatch->tickets, claimed.entry);
+    }
+    dispatch_refuse(dispatch, call->id, RP_OUTCOME_NOT_RUN, status,
+                    retry_after_ms, reason);
+}
+
 /* Keeps the answer of a call that is whole in the body stream, for repeats of
  * the same ticket. */
 void
--- a/src/node.c
+++ b/src/node.c
@@ -31,6 +31,7 @@
     struct rp_kernel *kernel;
     struct rp_loop *loop;
     struct rp_entry *entry;
+    struct rp_prober *prober;
     ev_signal terminate;
     ev_signal interrupt;
     ev_timer stop_check;
@@ -226,10 +227,10 @@
                uint8_t key[FLEET_KEY_BYTES])
 {
     const char *text = rp_settings_text(settings, RP_SETTING_FLEET_KEY);
-    if (strlen(text) != FLEET_KEY_BYTES * 2) {
+    if (strlen(text) != 2ul * FLEET_KEY_BYTES) {
         return false;
     }
-    for (uint32_t i = 0; i < FLEET_KEY_BYTES; i++) {
+    for (size_t i = 0; i < FLEET_KEY_BYTES; i++) {
         key[i] = (uint8_t)(g_ascii_xdigit_value(text[i * 2]) << 4 |
                            g_ascii_xdigit_value(text[i * 2 + 1]));
     }
@@ -271,7 +272,7 @@
            rp_dispatch_new(node->kernel, &dispatch, rp_loop_now_ns(), error) !=
                NULL &&
            rp_upstream_new(node->loop, &upstream, error) != NULL &&
-           rp_prober_new_http(node->loop, error) != NULL;
+           (node->prober = rp_prober_new_http(node->loop, error)) != NULL;
 }
 
 /* The config task is last, so that its first snapshot finds the others. */
@@ -328,6 +329,7 @@
     ev_signal_stop(ev, &node->interrupt);
     ev_timer_stop(ev, &node->stop_check);
     rp_kernel_free(node->kernel);
+    rp_prober_free(node->prober);
     rp_loop_free(node->loop);
     rp_context_free(node->context);
     g_free(node);
--- a/tests/fake_caller.c
+++ b/tests/fake_caller.c
@@ -42,6 +42,7 @@
     struct fake_process *process;
     struct rp_call *call;
     struct rp_stream *body; /* of the answer, once it is there */
+    char answer_id[RP_REQUEST_ID_BYTES];
     uint64_t read;
     int64_t deadline_ns;
     int64_t read_wait_ns;
@@ -407,7 +408,7 @@
 check_bytes(struct open_call *open, const uint8_t *bytes, uint32_t count)
 {
     uint8_t expected[RP_STREAM_TURN_BYTES];
-    fake_pattern(open->identity->id, open->read, expected, count);
+    fake_pattern(open->answer_id, open->read, expected, count);
     check(open->callers, memcmp(bytes, expected, count) == 0, "whole-answer",
           open->identity);
 }
@@ -474,6 +475,13 @@
         .first_byte_ns = fake_clock_now_ns(open->callers->clock),
     };
     if (reply->outcome == RP_OUTCOME_NONE) {
+        uint32_t position = 0;
+        const char *name;
+        const char *value;
+        while (
+            rp_fields_next(&reply->answer->fields, &position, &name, &value)) {
+            rp_fields_add(&answer->fields, name, value);
+        }
         uint8_t bytes[4096];
         uint32_t count = 0;
         while (rp_stream_state(reply->body) == RP_STREAM_ENDED &&
@@ -542,13 +550,31 @@
                               relayed, reply->call_id);
         return;
     }
-    if (reply->outcome != RP_OUTCOME_NONE) {
-        finish_call(open, reply->outcome);
+    /* The answer of another entry VM that the request was passed on to. */
+    const char *passed =
+        reply->answer == NULL
+            ? NULL
+            : rp_fields_get(&reply->answer->fields, "RP-Outcome");
+    if (reply->outcome != RP_OUTCOME_NONE || passed != NULL) {
+        bool not_run = passed == NULL ? reply->outcome == RP_OUTCOME_NOT_RUN
+                                      : strcmp(passed, "not-run") == 0;
+        finish_call(open, not_run ? RP_OUTCOME_NOT_RUN : RP_OUTCOME_UNKNOWN);
         return;
     }
     check(callers, now_ns <= open->deadline_ns, "answer-past-deadline",
           open->identity);
     check(callers, open->body == NULL, "one-answer", open->identity);
+    /* The body must be the one of this head, and the head of this request. */
+    const char *answer_id =
+        rp_fields_get(&reply->answer->fields, FAKE_ANSWER_FIELD);
+    size_t id_bytes = strlen(open->identity->id);
+    check(callers,
+          answer_id != NULL &&
+              strncmp(answer_id, open->identity->id, id_bytes) == 0 &&
+              answer_id[id_bytes] == '/',
+          "whole-answer", open->identity);
+    g_strlcpy(open->answer_id, answer_id == NULL ? "" : answer_id,
+              sizeof(open->answer_id));
     open->body = rp_stream_ref(reply->body);
     fake_process_input_at(process, now_ns, read_answer, callers,
                           reply->call_id);
@@ -570,6 +596,7 @@
     int64_t now_ns = fake_clock_now_ns(callers->clock);
     open->call->timeout_ms =
         (uint32_t)MAX((start->deadline_ns - now_ns) / MS, 1);
+    open->call->passed_on = true;
     open->passed_from = fake_process_ref(from);
     open->passed = *start;
     rp_call_ref(start->call);
