--- a/scripts/peers.sh
+++ b/scripts/peers.sh
@@ -2,12 +2,14 @@
 # Runs a fleet of processes that only talk to their peers, with CURVE, on
 # loopback, and prints what it costs each and how soon records are in force.
 # Usage: scripts/peers.sh BUILD_DIR COUNT SECONDS [plain]
+# PEERS_IP is the loopback address to use; trials side by side need their own.
 set -eu
 build=$1
 count=$2
 seconds=$3
 mode=${4:-curve}
 first_port=21000
+ip=${PEERS_IP:-127.0.0.1}
 
 if [ "$mode" = curve ]; then
     eval "$("$build/rosemarypulley" keygen)"
@@ -16,7 +18,7 @@
 peers=
 i=0
 while [ "$i" -lt "$count" ]; do
-    peers="$peers${peers:+,}vm-$i=127.0.0.1:$((first_port + i))"
+    peers="$peers${peers:+,}vm-$i=$ip:$((first_port + i))"
     i=$((i + 1))
 done
 i=0
@@ -24,7 +26,7 @@
     publish=
     [ "$i" -ne 0 ] || publish=--publish=2000
     "$build/rp-standin" peer --id "vm-$i" \
-        --address "127.0.0.1:$((first_port + i))" --peers "$peers" \
+        --address "$ip:$((first_port + i))" --peers "$peers" \
         --seconds "$seconds" $publish &
     i=$((i + 1))
 done
