--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -261,6 +261,30 @@
     fields "$work/reads" vms ordinary | fit VMs "reads per s, ordinary"
 }
 
+# Bytes of one answer of the platform with the list of all VMs.
+measure_vm_list() {
+    local count number list
+    for count in 50 180 530; do
+        list=
+        for ((number = 0; number < count; number++)); do
+            list+="${list:+,}{\"id\":\"refill-log-old-$number\",
+                \"role\":\"target\",\"address\":\"10.20.30.100:21000\",
+                \"domain\":\"la-trinidad\",\"state\":\"live\"}"
+        done
+        mkdir -p "$work/platform/records"
+        echo "[$list]" >"$work/platform/vms.json"
+        "$build/rp-standin" platform --listen "$net.1:18900" \
+            --directory "$work/platform" --lifetime-s 60 >>"$work/log" 2>&1 &
+        pids+=($!)
+        sleep 1
+        echo "$count $(curl -s -m 2 "http://$net.1:18900/vms" | wc -c)" \
+            >>"$work/vm_list"
+        stop_all
+    done
+    echo "== configuration reader: list of VMs"
+    fit VMs "bytes an answer" <"$work/vm_list"
+}
+
 measure_decisions() {
     echo "== entry path: instructions of a decision"
     scripts/instructions.sh "$build/rp-bench" | tee "$work/decisions" |
@@ -274,6 +298,7 @@
 export ROSEMARYPULLEY_FLEET_KEY
 echo "load average $(cut -d' ' -f1-3 /proc/loadavg), $(nproc) cores"
 measure_records
+measure_vm_list
 measure_decisions
 measure_requests
 measure_services
