--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -56,7 +56,7 @@
 }
 
 # Writes the records of some services into files that $records then names. The addresses are those of start_targets.
-write_records() { # SERVICES TARGETS_EACH
+write_records() { # SERVICES TARGETS_EACH [SLOTS]
     local service target list number=0
     records=
     for ((service = 0; service < $1; service++)); do
@@ -64,11 +64,11 @@
         for ((target = 0; target < $2; target++)); do
             list+="${list:+,}{\"name\":\"t$number\",\"domain\":\"d1\",
                 \"address\":\"$net.$((100 + number % 100)):$((21000 +
-                number / 100))\",\"state\":\"serving\"}"
+                number / 100))\",\"state\":\"serving\",\"slots\":${3:-6}}"
             number=$((number + 1))
         done
         echo "{\"schema\":2,\"kind\":\"service\",\"name\":\"s$service\",
-            \"version\":1,\"timeout_ms\":2000,\"probes_per_10s\":5,
+            \"version\":1,\"timeout_ms\":9000,\"probes_per_10s\":5,
             \"match\":{\"path_prefix\":\"/s$service\"}}" \
             >"$work/service$service.json"
         echo "{\"schema\":2,\"kind\":\"targets\",\"service\":\"s$service\",
@@ -79,11 +79,11 @@
     done
 }
 
-start_targets() { # COUNT
+start_targets() { # COUNT [SLOTS]
     local number
     for ((number = 0; number < $1; number++)); do
         "$build/rp-standin" target --address "$net.$((100 + number)):21000" \
-            --life-s 120 >>"$work/log" 2>&1 &
+            --slots "${2:-6}" --life-s 120 >>"$work/log" 2>&1 &
         pids+=($!)
     done
 }
@@ -151,6 +151,26 @@
     stop_all
 }
 
+# Downloads of 3 s; curl reads them all in one process.
+measure_calls_in_progress() {
+    local calls loader
+    write_records 1 4 100
+    start_targets 4 100
+    start_entry 1
+    for calls in 50 100 200; do
+        curl -s -m 9 -Z --parallel-immediate --parallel-max 300 -o "$work/page" \
+            -H "RP-Timeout-Ms: 9000" \
+            "http://$net.1:18000/s0?bytes=150000&rate=50000&x=[1-$calls]" 2>/dev/null &
+        loader=$!
+        sleep 1.5
+        echo "$(metric calls_open) $(rss_kb "$entry")" >>"$work/open"
+        wait "$loader"
+    done
+    echo "== entry path: calls in progress (slow downloads)"
+    fit calls "resident kB" <"$work/open"
+    stop_all
+}
+
 # No target listens here, and with a fleet size of 14 no probe is due within the
 # time measured; the count of probes is printed to show it.
 measure_services() {
@@ -301,6 +321,7 @@
 measure_vm_list
 measure_decisions
 measure_requests
+measure_calls_in_progress
 measure_services
 measure_prober
 measure_peers
