--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -55,7 +55,8 @@
         awk -v name="rosemarypulley_$1" '$1 == name { print $2 }'
 }
 
-# Writes the records of some services into files that $records then names. The addresses are those of start_targets.
+# Writes the records of some services into files that $records then names. The
+# addresses are those of start_targets.
 write_records() { # SERVICES TARGETS_EACH [SLOTS]
     local service target list number=0
     records=
