Steer callers of a service to a subset of the entry VMs

Two processes could listen on one port, since libmicrohttpd's address reuse means SO_REUSEPORT. Change: src/steering.c keeps the width of each service's subset from the members' loads and suspicions; address answers use rp_subset_choose and that width, dispatch tells it to the balancers. The members are a list with ages. The option for address reuse is gone. The width follows all load of the subset's VMs, which is above that of one service.

--- a/src/address_answer.c
+++ b/src/address_answer.c
@@ -6,6 +6,8 @@
 #include <jansson.h>
 #include <xxhash.h>
 
+#include "subset.h"
+
 /* A member so much more loaded than another, in parts per thousand, is
  * named after it. Coarse, since loads are old when they arrive. */
 #define LOAD_STEP_PERMILLE 250
@@ -13,7 +15,7 @@
 struct candidate {
     uint32_t index;
     uint32_t rank;  /* smaller is better */
-    uint64_t place; /* in the rendezvous order of the service */
+    uint32_t place; /* in the order of the service */
     uint64_t shuffle;
 };
 
@@ -25,9 +27,7 @@
     if (left->rank / 4 != right->rank / 4) {
         return left->rank / 4 < right->rank / 4 ? -1 : 1;
     }
-    return left->place > right->place   ? -1
-           : left->place < right->place ? 1
-                                        : 0;
+    return left->place < right->place ? -1 : left->place > right->place;
 }
 
 static int
@@ -54,21 +54,42 @@
         struct candidate candidate = {
             .index = i,
             .rank = (uint32_t)member->state * 4,
-            .place =
-                XXH3_64bits_withSeed(member->id, strlen(member->id), seed),
+            .shuffle = XXH3_64bits_withSeed(member->id, strlen(member->id),
+                                            seed ^ question->random),
         };
-        candidate.shuffle = XXH3_64bits_withSeed(
-            &candidate.place, sizeof(candidate.place), question->random);
         g_array_append_val(found, candidate);
     }
     return found;
 }
 
-/* The serving members that rendezvous hashing gives to the service, each
- * failure domain ranked by the caller's own first and by load. */
+/* Sets each candidate's place in the order in which entry VMs serve the
+ * service; see rp_subset_choose. */
+static void
+set_places(const struct rp_address_question *question, GArray *found)
+{
+    struct rp_subset_member *members =
+        g_new(struct rp_subset_member, found->len + 1);
+    uint32_t *order = g_new(uint32_t, found->len + 1);
+    for (guint i = 0; i < found->len; i++) {
+        uint32_t index = g_array_index(found, struct candidate, i).index;
+        members[i].id = question->members[index].id;
+        members[i].domain = question->members[index].domain;
+    }
+    uint32_t count = rp_subset_choose(question->service, members, found->len,
+                                      found->len, order);
+    for (uint32_t i = 0; i < count; i++) {
+        g_array_index(found, struct candidate, order[i]).place = i;
+    }
+    g_free(order);
+    g_free(members);
+}
+
+/* The serving members of the service's subset, ranked by the caller's own
+ * first and by load. */
 static void
 rank(const struct rp_address_question *question, GArray *found)
 {
+    set_places(question, found);
     g_array_sort(found, compare_places);
     for (guint i = 0; i < found->len; i++) {
         struct candidate *candidate =
--- a/src/admin.c
+++ b/src/admin.c
@@ -283,7 +283,7 @@
             MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTION_LIMIT,
             MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)CONNECTION_TIMEOUT_S,
             MHD_OPTION_NOTIFY_COMPLETED, on_request_end, admin,
-            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+            MHD_OPTION_END);
     }
     if (admin->daemon == NULL) {
         g_set_error(error, RP_ERROR, RP_ERROR_SYSTEM,
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -9,6 +9,7 @@
 #include "dispatch_status.h"
 #include "snapshot.h"
 #include "status.h"
+#include "steering.h"
 
 /* Fewer than a mailbox holds, so that a reply always finds room. */
 #define MAX_CALLS 16000
@@ -254,6 +255,27 @@
     g_free(service);
 }
 
+/* Tells each balancer how many entry VMs choose targets for its service. */
+static void
+update_deciders(struct rp_dispatch *dispatch, int64_t now_ns)
+{
+    if (dispatch->members == NULL) {
+        return;
+    }
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, dispatch->services);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct dispatch_service *service = value;
+        struct rp_steering_choice choice;
+        rp_steering_update(dispatch->steering, service->name,
+                           dispatch->members, now_ns, &choice);
+        uint32_t deciders = rp_steering_deciders(
+            &choice, dispatch->context->identity.fleet_size);
+        rp_balancer_set_deciders(service->balancer, deciders, now_ns);
+    }
+}
+
 /* Puts a configuration in force. A service that it lacks keeps its balancer,
  * without targets. */
 static void
@@ -283,6 +305,7 @@
         dispatch_drain_records(service, now_ns);
     }
     rp_snapshot_unref(old);
+    update_deciders(dispatch, now_ns);
     touch_all_services(dispatch, now_ns);
 }
 
@@ -373,6 +396,7 @@
         struct rp_member_view *old = dispatch->members;
         dispatch->members = rp_member_view_ref(members->view);
         rp_member_view_unref(old);
+        update_deciders(dispatch, now_ns);
         break;
     }
     case RP_MSG_TARGET_HINT:
@@ -432,6 +456,7 @@
     g_hash_table_unref(dispatch->services);
     rp_snapshot_unref(dispatch->snapshot);
     rp_member_view_unref(dispatch->members);
+    rp_steering_free(dispatch->steering);
     rp_ticket_table_free(dispatch->tickets);
     g_free(dispatch->key_bytes);
     rp_due_clear(&dispatch->due);
@@ -457,6 +482,7 @@
         return NULL;
     }
     dispatch->context = rp_kernel_context(kernel);
+    dispatch->steering = rp_steering_new();
     dispatch->config = *config;
     if (dispatch->config.first_byte_ms == 0) {
         dispatch->config.first_byte_ms = DEFAULT_FIRST_BYTE_MS;
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -95,6 +95,7 @@
     struct rp_ticket_table *tickets; /* NULL without a fleet key */
     uint8_t *key_bytes;
     struct rp_member_view *members; /* NULL before the first */
+    struct rp_steering *steering;
     uint32_t calls_since_told;
     int64_t balancer_due_ns;
     bool ready;
--- a/src/entry.c
+++ b/src/entry.c
@@ -590,6 +590,7 @@
     g_hash_table_unref(entry->requests);
     rp_snapshot_unref(entry->snapshot);
     rp_member_view_unref(entry->members);
+    rp_steering_free(entry->steering);
     g_free(entry);
 }
 
@@ -601,13 +602,12 @@
     unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     return MHD_start_daemon(
         flags, 0, NULL, NULL, on_request, entry, MHD_OPTION_SOCK_ADDR,
-        (struct sockaddr *)address, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-        MHD_OPTION_CONNECTION_LIMIT, entry->config.connection_limit,
-        MHD_OPTION_CONNECTION_TIMEOUT, entry->config.idle_timeout_s,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
-        MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_STRICT_FOR_CLIENT, 1,
-        MHD_OPTION_URI_LOG_CALLBACK, on_target, entry,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, entry,
+        (struct sockaddr *)address, MHD_OPTION_CONNECTION_LIMIT,
+        entry->config.connection_limit, MHD_OPTION_CONNECTION_TIMEOUT,
+        entry->config.idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        CONNECTION_MEMORY_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u,
+        MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
+        on_target, entry, MHD_OPTION_NOTIFY_COMPLETED, on_completed, entry,
         MHD_OPTION_NOTIFY_CONNECTION, on_connection, entry, MHD_OPTION_END);
 }
 
@@ -654,6 +654,7 @@
     entry->ev = rp_loop_ev(loop);
     entry->next_call_id = 1;
     entry->requests = g_hash_table_new(NULL, NULL);
+    entry->steering = rp_steering_new();
     entry->gone_epoll = epoll_create1(EPOLL_CLOEXEC);
     entry->daemon = start_daemon(entry, &address);
     entry->task = entry->daemon == NULL
--- a/src/entry_reply.c
+++ b/src/entry_reply.c
@@ -250,13 +250,19 @@
         return entry_queue_fault(request, 404, RP_OUTCOME_NOT_RUN, 0,
                                  "no record describes this service");
     }
-    GArray *members = list_members(entry, rp_loop_now_ns());
+    int64_t now_ns = rp_loop_now_ns();
+    GArray *members = list_members(entry, now_ns);
+    struct rp_steering_choice choice = {.width = 1};
+    if (entry->members != NULL) {
+        rp_steering_update(entry->steering, service, entry->members, now_ns,
+                           &choice);
+    }
     struct rp_address_question question = {
         .service = service,
         .domain = domain == NULL ? "" : domain,
         .members = (const struct rp_address_member *)members->data,
         .member_count = members->len,
-        .subset = RP_ADDRESS_ANSWER_COUNT,
+        .subset = choice.width,
         .ttl_ms = entry->config.answer_ttl_ms,
         .random = g_rand_int(entry->context->random),
     };
--- a/src/entry_request.h
+++ b/src/entry_request.h
@@ -8,6 +8,7 @@
 #include "entry.h"
 #include "member.h"
 #include "snapshot.h"
+#include "steering.h"
 
 /* State of the entry task; internal to it. */
 struct rp_entry {
@@ -30,6 +31,7 @@
     uint32_t open;        /* requests in progress, address answers included */
     struct rp_snapshot *snapshot;
     struct rp_member_view *members; /* NULL before the first */
+    struct rp_steering *steering;
     bool ready;
     bool leaving;
     bool closing; /* every address answer that names this VM has expired */
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -167,7 +167,8 @@
 }
 
 static void
-on_status(struct rp_gossip *gossip, const struct rp_message *want)
+on_status(struct rp_gossip *gossip, const struct rp_message *want,
+          int64_t now_ns)
 {
     struct rp_member_view *view = rp_member_view_new(gossip->members);
     json_t *members = json_array();
@@ -175,19 +176,17 @@
         const struct rp_member *member = &view->members[i];
         json_array_append_new(
             members,
-            json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:i}", "id",
+            json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:I}", "id",
                       member->info.id, "domain", member->info.domain,
                       "address", member->info.address, "state",
                       rp_member_state_name(member->info.state), "phase",
                       rp_member_phase_name(member->info.phase), "incarnation",
                       (json_int_t)member->info.incarnation, "load_permille",
-                      (int)member->info.load_permille));
+                      (int)member->info.load_permille, "age_ms",
+                      (json_int_t)((now_ns - member->heard_ns) / 1000000)));
     }
     rp_member_view_unref(view);
-    rp_status_reply(gossip->task, want, "members",
-                    json_pack("{s:i, s:o}", "local_health",
-                              (int)rp_member_local_health(gossip->members),
-                              "members", members));
+    rp_status_reply(gossip->task, want, "members", members);
 }
 
 static void
@@ -248,7 +247,7 @@
         publish_members(gossip);
         break;
     case RP_MSG_STATUS_WANT:
-        on_status(gossip, message);
+        on_status(gossip, message, now_ns);
         break;
     default:
         break;
