Hand half of the further attempts down to nested calls

Cause: each attempt was told all further attempts that were left, so that over 25 nested calls 2 of them allowed 351 runs at the deepest level (worked out). Change: rp_deadline_split_repeats gives half of them to the attempt, and they are gone here; the default rises from 2 to 3, so that two repeats stay at the first level.

--- a/src/deadline.c
+++ b/src/deadline.c
@@ -61,6 +61,18 @@
     return now_ns >= deadline->deadline_ns;
 }
 
+/* Takes half of the repeats, rounded down, for calls nested in an attempt
+ * and returns them. Each repeat can then be used in one place of the tree
+ * only: a request of n repeats runs at most n + 1 times at any depth, where
+ * handing all of them down would allow n to multiply from call to call. */
+uint32_t
+rp_deadline_split_repeats(uint32_t *repeats_left)
+{
+    uint32_t given = *repeats_left / 2;
+    *repeats_left -= given;
+    return given;
+}
+
 /* Splits off what the next attempt is told. Half of the repeats, rounded
  * down, go with the attempt and are gone here: each repeat can be used in one
  * place of the tree only, so however deep calls are nested, a request of n
@@ -74,8 +86,7 @@
     if (left_ns < 1000000) {
         return false;
     }
-    uint32_t given = deadline->repeats_left / 2;
-    deadline->repeats_left -= given;
+    uint32_t given = rp_deadline_split_repeats(&deadline->repeats_left);
     share->deadline_ns = deadline->deadline_ns;
     share->timeout_ms = (uint32_t)(left_ns / 1000000);
     share->attempts_left = 1 + given;
--- a/src/deadline.h
+++ b/src/deadline.h
@@ -44,6 +44,7 @@
                        uint32_t max_timeout_ms, uint32_t attempts_left,
                        int64_t received_ns);
 bool rp_deadline_expired(const struct rp_deadline *deadline, int64_t now_ns);
+uint32_t rp_deadline_split_repeats(uint32_t *repeats_left);
 bool rp_deadline_give(struct rp_deadline *deadline, int64_t now_ns,
                       struct rp_deadline_share *share);
 bool rp_deadline_take_repeat(struct rp_deadline *deadline, bool not_run,
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -15,7 +15,8 @@
 #define MAX_CALLS 16000
 #define NOT_READY_RETRY_MS 1000
 #define FULL_RETRY_MS 100
-#define DEFAULT_ATTEMPTS_LEFT 2u
+/* One of them goes to calls nested in the first attempt, two stay here. */
+#define DEFAULT_ATTEMPTS_LEFT 3u
 #define MAX_ATTEMPTS_LEFT 5u
 #define DEFAULT_FIRST_BYTE_MS 2000
 #define MIN_FIRST_BYTE_MS 50
--- a/src/dispatch_attempt.c
+++ b/src/dispatch_attempt.c
@@ -1,5 +1,6 @@
 #include "dispatch_call.h"
 
+#include "deadline.h"
 #include "dispatch_hint.h"
 #include "invariant.h"
 
@@ -105,7 +106,7 @@
         .body = rp_stream_ref(attempt->body),
         .deadline_ns = call->deadline_ns,
         .number = call->attempt_count,
-        .attempts_left = call->attempts_left,
+        .attempts_left = rp_deadline_split_repeats(&call->attempts_left),
     };
     const char *address = dispatch_call_passed_on(call)
                               ? call->ticket.pass_on
--- a/tests/test_deadline.cc
+++ b/tests/test_deadline.cc
@@ -74,6 +74,34 @@
     }
 }
 
+// Runs at the deepest level of nested calls when each attempt fails, with the
+// repeats handed down as dispatch does.
+uint32_t
+count_split_runs(uint32_t repeats, int depth)
+{
+    uint32_t runs = 0;
+    for (;;) {
+        uint32_t given = rp_deadline_split_repeats(&repeats);
+        runs += depth == 1 ? 1 : count_split_runs(given, depth - 1);
+        if (repeats == 0) {
+            return runs;
+        }
+        repeats--;
+    }
+}
+
+// Guards against further attempts that multiply over 25 nested calls: handing
+// all of 3 down would allow 2,925 runs.
+TEST(deadline, split_repeats_do_not_multiply)
+{
+    for (uint32_t repeats : {0u, 1u, 3u, 5u}) {
+        for (int depth : {1, 2, 5, 25}) {
+            EXPECT_LE(count_split_runs(repeats, depth), repeats + 1)
+                << repeats << " " << depth;
+        }
+    }
+}
+
 // Guards against a nested call that outlives the time of its caller.
 TEST(deadline, time_left)
 {
