Spread probes over the entry VMs; let soak VMs take over from lost watchers

Cause: every entry VM took the targets by address, so that all of them probed the same target at once (seen in a trial of three processes). Change: the order is a hash of the VM's id and the target; the fake's readers take over after 2 to 3.2 s without news of a read.

--- a/src/probe.c
+++ b/src/probe.c
@@ -1,6 +1,7 @@
 #include "probe.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Sends that rp_probe_within_budget looks back on. */
 #define LOG_LENGTH 64
@@ -13,6 +14,7 @@
     int64_t last_ns;     /* of the last probe, or of when it became known */
     int64_t previous_ns; /* of the probe before it, or the same */
     int64_t seen_ns;     /* latest news of any source */
+    uint64_t place;      /* in the order of this entry VM */
     bool present;
     bool wanted; /* not leaving by record */
 };
@@ -20,9 +22,10 @@
 struct rp_probe {
     uint32_t fleet_size;
     GHashTable *targets; /* by key */
-    GPtrArray *order;    /* the same targets, borrowed, sorted by key */
-    int64_t gap_ns;      /* between any two probes of this entry VM */
-    int64_t last_ns;     /* of the latest probe, pause or start */
+    GPtrArray *order;    /* the same targets, borrowed, sorted by place */
+    uint64_t seed;
+    int64_t gap_ns;  /* between any two probes of this entry VM */
+    int64_t last_ns; /* of the latest probe, pause or start */
     const struct probe_target *latest;
     int64_t log_ns[LOG_LENGTH];
     uint64_t log_end;
@@ -50,13 +53,15 @@
 }
 
 /* Creates the probe schedule of one entry VM, without targets. fleet_size is
- * the greatest number of entry VMs, from the settings. Free it with
- * rp_probe_free. */
+ * the greatest number of entry VMs, from the settings. Entry VMs with
+ * different ids take the targets in different orders, so that a target is not
+ * probed by all of them at once. Free it with rp_probe_free. */
 struct rp_probe *
-rp_probe_new(uint32_t fleet_size, int64_t now_ns)
+rp_probe_new(uint32_t fleet_size, const char *id, int64_t now_ns)
 {
     struct rp_probe *probe = g_new0(struct rp_probe, 1);
     probe->fleet_size = fleet_size;
+    probe->seed = XXH3_64bits(id, strlen(id));
     probe->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
     probe->order = g_ptr_array_new();
@@ -86,6 +91,7 @@
     if (target == NULL) {
         target = g_new0(struct probe_target, 1);
         target->key = key;
+        target->place = XXH3_64bits_withSeed(key, strlen(key), probe->seed);
         target->service_bytes = (uint32_t)strlen(service->name);
         target->last_ns = now_ns;
         target->previous_ns = now_ns;
@@ -112,11 +118,11 @@
 }
 
 static int
-compare_keys(gconstpointer a, gconstpointer b)
+compare_places(gconstpointer a, gconstpointer b)
 {
     const struct probe_target *const *x = a;
     const struct probe_target *const *y = b;
-    return strcmp((*x)->key, (*y)->key);
+    return (*x)->place < (*y)->place ? -1 : (*x)->place > (*y)->place;
 }
 
 static void
@@ -134,8 +140,7 @@
             probes_per_ns += 1.0 / (double)target->interval_ns;
         }
     }
-    /* The order of a hash table differs from run to run. */
-    g_ptr_array_sort(probe->order, compare_keys);
+    g_ptr_array_sort(probe->order, compare_places);
     probe->gap_ns =
         probes_per_ns > 0.0 ? (int64_t)(1.0 / probes_per_ns) : INT64_MAX;
 }
--- a/src/probe.h
+++ b/src/probe.h
@@ -34,7 +34,8 @@
 extern "C" {
 #endif
 
-struct rp_probe *rp_probe_new(uint32_t fleet_size, int64_t now_ns);
+struct rp_probe *rp_probe_new(uint32_t fleet_size, const char *id,
+                              int64_t now_ns);
 void rp_probe_free(struct rp_probe *probe);
 void rp_probe_set_snapshot(struct rp_probe *probe,
                            const struct rp_snapshot *snapshot, int64_t now_ns);
--- a/src/prober.c
+++ b/src/prober.c
@@ -162,7 +162,8 @@
     struct rp_prober *prober = g_new0(struct rp_prober, 1);
     prober->transport = *transport;
     prober->schedule =
-        rp_probe_new(rp_kernel_context(kernel)->identity.fleet_size, now_ns);
+        rp_probe_new(rp_kernel_context(kernel)->identity.fleet_size,
+                     rp_kernel_context(kernel)->identity.id, now_ns);
     prober->task =
         rp_kernel_add_task(kernel, RP_TASK_PROBER, &prober_ops, prober, error);
     if (prober->task == NULL) {
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -6,6 +6,9 @@
 #define MS INT64_C(1000000)
 #define WATCH_NS (200 * MS)
 #define TIMER_READ 0
+/* As src/watch.c: 2 s, then a delay that differs from VM to VM. */
+#define PROMOTE_NS (2000 * MS)
+#define PROMOTE_STEP_NS (300 * MS)
 
 struct published {
     char *key;
@@ -94,6 +97,8 @@
     uint64_t after;
     bool watches;
     bool has_read;
+    int64_t fresh_ns;   /* latest read of any process that this one heard of */
+    int64_t promote_ns; /* it reads when that is longer ago */
 };
 
 /* The value of a key at a revision is the last one published up to it. */
@@ -159,6 +164,7 @@
         send_records(reader, task, newest);
     }
     reader->has_read = true;
+    reader->fresh_ns = now_ns;
     struct rp_platform_freshness freshness = {now_ns, newest};
     rp_task_send(task, rp_kernel_find_task(rp_task_kernel(task), "gossip"),
                  RP_MSG_PLATFORM_FRESHNESS, &freshness, sizeof(freshness));
@@ -169,11 +175,24 @@
 {
     (void)timer;
     struct platform_task *reader = data;
-    if (!reader->platform->dead) {
+    bool wanted = reader->watches || !reader->has_read ||
+                  now_ns - reader->fresh_ns > reader->promote_ns;
+    if (wanted && !reader->platform->dead) {
         read_platform(reader, task, now_ns);
     }
-    if (reader->watches || !reader->has_read) {
-        rp_task_set_timer(task, TIMER_READ, now_ns + WATCH_NS);
+    rp_task_set_timer(task, TIMER_READ, now_ns + WATCH_NS);
+}
+
+static void
+on_message(struct rp_task *task, const struct rp_message *message,
+           int64_t now_ns, void *data)
+{
+    (void)task;
+    (void)now_ns;
+    struct platform_task *reader = data;
+    if (message->kind == RP_MSG_PLATFORM_FRESHNESS) {
+        const struct rp_platform_freshness *body = message->body;
+        reader->fresh_ns = MAX(reader->fresh_ns, body->fresh_ns);
     }
 }
 
@@ -185,12 +204,14 @@
 }
 
 static const struct rp_task_ops platform_ops = {
+    .on_message = on_message,
     .on_timer = on_timer,
     .on_remove = on_remove,
 };
 
 /* Adds the task "platform" to a process. One that does not watch reads once,
- * at its start; what is published later it learns from its peers. */
+ * at its start; what is published later it learns from its peers, or reads
+ * itself when it hears of no read for about 2 s. */
 void
 fake_platform_attach(struct fake_platform *platform,
                      struct fake_process *process, bool watches)
@@ -198,6 +219,7 @@
     struct platform_task *reader = g_new0(struct platform_task, 1);
     reader->platform = platform;
     reader->watches = watches;
+    reader->promote_ns = PROMOTE_NS + process->index * PROMOTE_STEP_NS;
     struct rp_task *task = rp_kernel_add_task(process->kernel, "platform",
                                               &platform_ops, reader, NULL);
     rp_task_set_timer(task, TIMER_READ,
--- a/tests/test_probe.cc
+++ b/tests/test_probe.cc
@@ -53,7 +53,7 @@
     for (const auto &entry : cases) {
         struct rp_snapshot *snapshot =
             make_snapshot(entry.targets, entry.probes_per_10s);
-        struct rp_probe *probe = rp_probe_new(entry.fleet_size, 0);
+        struct rp_probe *probe = rp_probe_new(entry.fleet_size, "vm", 0);
         rp_probe_set_snapshot(probe, snapshot, 0);
         int64_t interval_ns =
             rp_probe_interval_ns(entry.probes_per_10s, entry.fleet_size);
@@ -69,7 +69,7 @@
             }
             if (now_ns == entry.restart_ns) {
                 rp_probe_free(probe);
-                probe = rp_probe_new(entry.fleet_size, now_ns);
+                probe = rp_probe_new(entry.fleet_size, "vm", now_ns);
                 rp_probe_set_snapshot(probe, snapshot, now_ns);
             }
             if (now_ns % (7 * S) == 0) {
@@ -108,7 +108,7 @@
 TEST(probe, goes_to_the_target_without_news)
 {
     struct rp_snapshot *snapshot = make_snapshot(3, 10);
-    struct rp_probe *probe = rp_probe_new(1, 0);
+    struct rp_probe *probe = rp_probe_new(1, "vm", 0);
     rp_probe_set_snapshot(probe, snapshot, 0);
     struct {
         int64_t now_ns;
@@ -137,4 +137,26 @@
     rp_snapshot_unref(snapshot);
 }
 
+// Guards against all entry VMs probing the same target at the same time, as
+// they did when each took the targets by address.
+TEST(probe, entry_vms_take_targets_in_different_orders)
+{
+    struct rp_snapshot *snapshot = make_snapshot(12, 10);
+    std::map<std::string, int> first;
+    for (int vm = 0; vm < 14; vm++) {
+        std::string id = "vm-" + std::to_string(vm);
+        struct rp_probe *probe = rp_probe_new(14, id.c_str(), 0);
+        rp_probe_set_snapshot(probe, snapshot, 0);
+        struct rp_probe_choice choice = {};
+        EXPECT_TRUE(rp_probe_next(probe, 100 * S, &choice));
+        first[choice.address]++;
+        rp_probe_free(probe);
+    }
+    EXPECT_GE(first.size(), 6u);
+    for (const auto &entry : first) {
+        EXPECT_LE(entry.second, 4) << entry.first;
+    }
+    rp_snapshot_unref(snapshot);
+}
+
 } // namespace
