Drive the upstream task and both operators' commands from shared code

Cause: the upstream task had the third copy of the libcurl callbacks, status and timeline each the same code to find and ask entry VMs; warnings of the configuration were in the status document but not printed. Change: src/curl_loop.c serves all three tasks, cli_fetch_documents both commands; status prints warnings; make faults checks that one address is enough to find all.

--- a/cli/fetch.c
+++ b/cli/fetch.c
@@ -24,17 +24,14 @@
     g_free(fetch);
 }
 
-/* Creates an empty list of struct cli_fetch; free it with
- * g_ptr_array_unref. */
-GPtrArray *
-cli_fetch_list_new(void)
+static GPtrArray *
+list_new(void)
 {
     return g_ptr_array_new_with_free_func(free_fetch);
 }
 
-/* Adds a document to fetch from an operators' port. */
-void
-cli_fetch_list_add(GPtrArray *list, const char *address, const char *path)
+static void
+list_add(GPtrArray *list, const char *address, const char *path)
 {
     struct cli_fetch *fetch = g_new0(struct cli_fetch, 1);
     fetch->address = g_strdup(address);
@@ -105,10 +102,9 @@
     }
 }
 
-/* Fetches all documents of a list side by side; each takes at most
- * timeout_ms milliseconds. */
-void
-cli_fetch_list_run(GPtrArray *list, long timeout_ms)
+/* Fetches all documents of a list side by side. */
+static void
+list_run(GPtrArray *list, long timeout_ms)
 {
     CURLM *multi = curl_multi_init();
     struct transfer *transfers = g_new0(struct transfer, list->len);
@@ -133,10 +129,9 @@
     g_free(transfers);
 }
 
-/* Returns the operators' addresses to ask: those of the flag, else of the
- * environment, else the default. The caller frees them with g_strfreev. */
-char **
-cli_fetch_addresses(const char *flag)
+/* The flag goes before the environment, and that before the default. */
+static char **
+split_addresses(const char *flag)
 {
     const char *text = flag;
     if (text == NULL) {
@@ -161,21 +156,19 @@
     g_free(host);
 }
 
-/* Returns the operators' addresses of all members that the given addresses
- * know of, and the given ones, as an array of strings. Entry VMs of a fleet
- * share one admin port, as their settings are the same but for the IP number;
- * others must be listed. The caller frees it with g_ptr_array_unref. */
-GPtrArray *
-cli_fetch_discover(char **addresses, long timeout_ms)
+/* Entry VMs of a fleet share one admin port, as their settings are the same
+ * but for the IP number; others must be listed. */
+static GPtrArray *
+discover_members(char **addresses, long timeout_ms)
 {
-    GPtrArray *list = cli_fetch_list_new();
+    GPtrArray *list = list_new();
     GHashTable *found =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (char **address = addresses; *address != NULL; address++) {
-        cli_fetch_list_add(list, *address, "/status");
+        list_add(list, *address, "/status");
         g_hash_table_add(found, g_strdup(*address));
     }
-    cli_fetch_list_run(list, timeout_ms);
+    list_run(list, timeout_ms);
     for (guint i = 0; i < list->len; i++) {
         struct cli_fetch *fetch = g_ptr_array_index(list, i);
         const char *admin_port = strchr(fetch->address, ':');
@@ -202,3 +195,29 @@
     g_hash_table_unref(found);
     return result;
 }
+
+/* Fetches a path from the operators' addresses of the flag, the environment
+ * or the default, and with discover also from the members that they know of.
+ * Returns an array of struct cli_fetch that the caller unrefs. */
+GPtrArray *
+cli_fetch_documents(const char *flag, bool discover, const char *path,
+                    long timeout_ms)
+{
+    char **listed = split_addresses(flag);
+    GPtrArray *list = list_new();
+    if (discover) {
+        GPtrArray *found = discover_members(listed, timeout_ms);
+        for (guint i = 0; i < found->len; i++) {
+            list_add(list, g_ptr_array_index(found, i), path);
+        }
+        g_ptr_array_unref(found);
+    }
+    else {
+        for (char **address = listed; *address != NULL; address++) {
+            list_add(list, *address, path);
+        }
+    }
+    list_run(list, timeout_ms);
+    g_strfreev(listed);
+    return list;
+}
--- a/cli/fetch.h
+++ b/cli/fetch.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <stdbool.h>
 
 /* One document to fetch and what came of it. */
 struct cli_fetch {
@@ -12,11 +13,7 @@
     char *failure;    /* NULL when it succeeded */
 };
 
-GPtrArray *cli_fetch_list_new(void);
-void cli_fetch_list_add(GPtrArray *list, const char *address,
-                        const char *path);
-void cli_fetch_list_run(GPtrArray *list, long timeout_ms);
-char **cli_fetch_addresses(const char *flag);
-GPtrArray *cli_fetch_discover(char **addresses, long timeout_ms);
+GPtrArray *cli_fetch_documents(const char *flag, bool discover,
+                               const char *path, long timeout_ms);
 
 #endif
--- a/cli/status.c
+++ b/cli/status.c
@@ -82,6 +82,10 @@
         printf("    refused %-31s %s\n", get_text(record, "key"),
                get_text(record, "reason"));
     }
+    json_array_foreach(json_object_get(config, "warnings"), index, record)
+    {
+        printf("    warning %s\n", json_string_value(record));
+    }
 }
 
 static void
@@ -128,28 +132,6 @@
     }
 }
 
-static GPtrArray *
-fetch_all(const struct status_options *chosen)
-{
-    char **listed = cli_fetch_addresses(chosen->at);
-    GPtrArray *list = cli_fetch_list_new();
-    if (chosen->all) {
-        GPtrArray *found = cli_fetch_discover(listed, TIMEOUT_MS);
-        for (guint i = 0; i < found->len; i++) {
-            cli_fetch_list_add(list, g_ptr_array_index(found, i), "/status");
-        }
-        g_ptr_array_unref(found);
-    }
-    else {
-        for (char **address = listed; *address != NULL; address++) {
-            cli_fetch_list_add(list, *address, "/status");
-        }
-    }
-    cli_fetch_list_run(list, TIMEOUT_MS);
-    g_strfreev(listed);
-    return list;
-}
-
 /* Shows what entry VMs are doing. Returns 0; EX_UNAVAILABLE when one did not
  * answer; 1 when configurations in force differ or a VM is not in force. */
 int
@@ -167,7 +149,8 @@
     };
     struct status_options chosen = {0};
     argp_parse(&argp, argc, argv, 0, NULL, &chosen);
-    GPtrArray *list = fetch_all(&chosen);
+    GPtrArray *list =
+        cli_fetch_documents(chosen.at, chosen.all, "/status", TIMEOUT_MS);
     const char *digest = NULL;
     int status = 0;
     for (guint i = 0; i < list->len; i++) {
--- a/cli/timeline.c
+++ b/cli/timeline.c
@@ -175,22 +175,8 @@
     append_argument(path, "subject", chosen->subject);
     append_argument(path, "since_ms", chosen->since);
     append_argument(path, "until_ms", chosen->until);
-    char **listed = cli_fetch_addresses(chosen->at);
-    GPtrArray *list = cli_fetch_list_new();
-    if (chosen->only_listed) {
-        for (char **address = listed; *address != NULL; address++) {
-            cli_fetch_list_add(list, *address, path->str);
-        }
-    }
-    else {
-        GPtrArray *found = cli_fetch_discover(listed, TIMEOUT_MS);
-        for (guint i = 0; i < found->len; i++) {
-            cli_fetch_list_add(list, g_ptr_array_index(found, i), path->str);
-        }
-        g_ptr_array_unref(found);
-    }
-    cli_fetch_list_run(list, TIMEOUT_MS);
-    g_strfreev(listed);
+    GPtrArray *list = cli_fetch_documents(chosen->at, !chosen->only_listed,
+                                          path->str, TIMEOUT_MS);
     g_string_free(path, TRUE);
     return list;
 }
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -178,6 +178,14 @@
 check "start: one configuration in force on all" \
     wait_for_version targets/work/new 1 15000
 
+# What an operator sees who knows one address only.
+sees_all() { # COMMAND
+    [ "$("$build/rosemarypulley" "$@" --json --at "$net.1:18200" 2>/dev/null |
+        grep -oE '"id":"entry-[0-9]+"' | sort -u | wc -l)" -eq $entry_count ]
+}
+check "status --all asks all entry VMs through one" sees_all status --all
+check "timeline asks all entry VMs through one" sees_all timeline
+
 for i in 1 2 3; do
     start_session "post$i" POST 50 "/work?bytes=40"
     start_session "get$i" GET 50 "/work?bytes=400"
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -9,6 +9,7 @@
 #include <curl/curl.h>
 
 #include "call.h"
+#include "curl_loop.h"
 #include "error.h"
 #include "upstream_attempt.h"
 
@@ -24,8 +25,7 @@
     struct rp_task *task;
     struct ev_loop *ev;
     struct rp_upstream_config config;
-    CURLM *multi;
-    ev_timer curl_timer;
+    struct rp_curl_loop curl;
     ev_timer sweep_timer;
     ev_timer kick; /* never started; fed to run before the loop sleeps */
     bool kicked;
@@ -80,7 +80,7 @@
     if (attempt->resumable) {
         g_ptr_array_remove_fast(upstream->resumable, attempt);
     }
-    curl_multi_remove_handle(upstream->multi, attempt->easy);
+    curl_multi_remove_handle(upstream->curl.multi, attempt->easy);
     if (upstream->idle_easies->len < MAX_IDLE_EASIES) {
         g_ptr_array_add(upstream->idle_easies, attempt->easy);
     }
@@ -139,49 +139,19 @@
 }
 
 static void
-take_finished(struct rp_upstream *upstream)
+on_done(CURL *easy, CURLcode result, void *data)
 {
-    CURLMsg *message;
-    int left;
-    while ((message = curl_multi_info_read(upstream->multi, &left)) != NULL) {
-        if (message->msg != CURLMSG_DONE) {
-            continue;
-        }
-        struct rp_upstream_attempt *attempt;
-        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &attempt);
-        finish(attempt,
-               rp_upstream_attempt_end(attempt, message->data.result));
-    }
+    (void)data;
+    struct rp_upstream_attempt *attempt;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &attempt);
+    finish(attempt, rp_upstream_attempt_end(attempt, result));
 }
 
 static void
-on_curl_timer(struct ev_loop *ev, ev_timer *watcher, int events)
+on_kick(struct ev_loop *ev, ev_timer *watcher, int events)
 {
     (void)ev;
     (void)events;
-    struct rp_upstream *upstream = watcher->data;
-    int running;
-    curl_multi_socket_action(upstream->multi, CURL_SOCKET_TIMEOUT, 0,
-                             &running);
-    take_finished(upstream);
-}
-
-static int
-set_curl_timer(CURLM *multi, long timeout_ms, void *data)
-{
-    (void)multi;
-    struct rp_upstream *upstream = data;
-    ev_timer_stop(upstream->ev, &upstream->curl_timer);
-    if (timeout_ms >= 0) {
-        ev_timer_set(&upstream->curl_timer, (double)timeout_ms / 1e3, 0.0);
-        ev_timer_start(upstream->ev, &upstream->curl_timer);
-    }
-    return 0;
-}
-
-static void
-on_kick(struct ev_loop *ev, ev_timer *watcher, int events)
-{
     struct rp_upstream *upstream = watcher->data;
     upstream->kicked = false;
     while (upstream->resumable->len > 0) {
@@ -190,50 +160,7 @@
         attempt->resumable = false;
         rp_upstream_attempt_resume(attempt);
     }
-    on_curl_timer(ev, watcher, events);
-}
-
-static void
-on_socket(struct ev_loop *ev, ev_io *watcher, int events)
-{
-    (void)ev;
-    struct rp_upstream *upstream = watcher->data;
-    int mask = (events & EV_READ ? CURL_CSELECT_IN : 0) |
-               (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
-    int running;
-    curl_multi_socket_action(upstream->multi, watcher->fd, mask, &running);
-    take_finished(upstream);
-}
-
-static int
-set_socket(CURL *easy, curl_socket_t socket, int what, void *data,
-           void *socket_data)
-{
-    (void)easy;
-    struct rp_upstream *upstream = data;
-    ev_io *watcher = socket_data;
-    if (what == CURL_POLL_REMOVE) {
-        if (watcher != NULL) {
-            ev_io_stop(upstream->ev, watcher);
-            curl_multi_assign(upstream->multi, socket, NULL);
-            g_free(watcher);
-        }
-        return 0;
-    }
-    int events = (what & CURL_POLL_IN ? EV_READ : 0) |
-                 (what & CURL_POLL_OUT ? EV_WRITE : 0);
-    if (watcher == NULL) {
-        watcher = g_new0(ev_io, 1);
-        ev_io_init(watcher, on_socket, socket, events);
-        watcher->data = upstream;
-        curl_multi_assign(upstream->multi, socket, watcher);
-    }
-    else {
-        ev_io_stop(upstream->ev, watcher);
-        ev_io_set(watcher, socket, events);
-    }
-    ev_io_start(upstream->ev, watcher);
-    return 0;
+    rp_curl_loop_run(&upstream->curl);
 }
 
 /* Breaks off answers whose body has made no progress although the caller
@@ -303,7 +230,7 @@
     }
     uint64_t key = attempt_key(start->call_id, start->generation);
     g_hash_table_insert(upstream->attempts, GSIZE_TO_POINTER(key), attempt);
-    curl_multi_add_handle(upstream->multi, attempt->easy);
+    curl_multi_add_handle(upstream->curl.multi, attempt->easy);
     kick(upstream);
 }
 
@@ -355,8 +282,7 @@
         curl_easy_cleanup(upstream->idle_easies->pdata[i]);
     }
     g_ptr_array_unref(upstream->idle_easies);
-    curl_multi_cleanup(upstream->multi);
-    ev_timer_stop(upstream->ev, &upstream->curl_timer);
+    rp_curl_loop_stop(&upstream->curl);
     ev_timer_stop(upstream->ev, &upstream->sweep_timer);
     ev_clear_pending(upstream->ev, &upstream->kick);
     g_free(upstream);
@@ -388,18 +314,13 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     upstream->resumable = g_ptr_array_new();
     upstream->idle_easies = g_ptr_array_new();
-    upstream->multi = curl_multi_init();
-    curl_multi_setopt(upstream->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
-    curl_multi_setopt(upstream->multi, CURLMOPT_SOCKETDATA, upstream);
-    curl_multi_setopt(upstream->multi, CURLMOPT_TIMERFUNCTION, set_curl_timer);
-    curl_multi_setopt(upstream->multi, CURLMOPT_TIMERDATA, upstream);
-    curl_multi_setopt(upstream->multi, CURLMOPT_MAXCONNECTS, MAX_CONNECTIONS);
-    curl_multi_setopt(upstream->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+    rp_curl_loop_start(&upstream->curl, upstream->ev, on_done, upstream);
+    curl_multi_setopt(upstream->curl.multi, CURLMOPT_MAXCONNECTS,
+                      MAX_CONNECTIONS);
+    curl_multi_setopt(upstream->curl.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       (long)config->connections_per_target);
-    ev_timer_init(&upstream->curl_timer, on_curl_timer, 0.0, 0.0);
     ev_timer_init(&upstream->kick, on_kick, 0.0, 0.0);
     ev_timer_init(&upstream->sweep_timer, on_sweep, SWEEP_S, SWEEP_S);
-    upstream->curl_timer.data = upstream;
     upstream->kick.data = upstream;
     upstream->sweep_timer.data = upstream;
     ev_timer_start(upstream->ev, &upstream->sweep_timer);
