Do not let old news that waited out a pause undo a target's draining

An entry VM that had been paused for 5.6 s sent work to a target that it knew to be leaving. On waking it took a heartbeat of a peer that it had never heard before; the delay of a message is measured against the quickest one of its sender, so the first seemed to have none, and a hint of 22.05 s counted as one of 24.1 s, later than the target's word of 22.136 s. Found by printing each report that the balancer took of the target. Change: for 2 s after a pause the hints of peers first heard since are not taken; a load report whose request was sent before a pause counts as old as the request.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -441,7 +441,20 @@
         FAILURE_WEIGHT * ((failed ? 1 : 0) - balancer->failure_rate);
 }
 
-/* Takes note of the end of an attempt. */
+/* Takes over a load report unless a later one is known. */
+static void
+take_load(struct rp_balancer *balancer, struct balancer_target *target,
+          const struct rp_load_report *load, int64_t age_ns, int64_t now_ns)
+{
+    if (target->route.reported && now_ns - age_ns < target->route.report_ns) {
+        return;
+    }
+    target->reported_draining = load->state == RP_TARGET_DRAINING;
+    rp_route_reported(&target->route, &balancer->pool, load, age_ns, now_ns);
+}
+
+/* Takes note of the end of an attempt. The load report of an answer that
+ * waited here while the process was paused may be as old as the request. */
 void
 rp_balancer_finish(struct rp_balancer *balancer,
                    const struct rp_attempt_report *report, int64_t now_ns)
@@ -455,9 +468,9 @@
     rp_route_ended(&target->route, is_long, now_ns);
     balancer->own_long_total -= long_before - target->route.long_in_flight;
     if (report->has_load) {
-        target->reported_draining = report->load.state == RP_TARGET_DRAINING;
-        rp_route_reported(&target->route, &balancer->pool, &report->load, 0,
-                          now_ns);
+        bool waited = report->sent_ns < balancer->woken_ns;
+        take_load(balancer, target, &report->load,
+                  waited ? now_ns - report->sent_ns : 0, now_ns);
     }
     note_outcome(balancer, target, report, is_long, now_ns);
 }
@@ -469,13 +482,9 @@
                     int64_t now_ns)
 {
     struct balancer_target *target = find_target(balancer, address);
-    if (target == NULL ||
-        (target->route.reported && now_ns - age_ns < target->route.report_ns))
-    {
-        return;
+    if (target != NULL) {
+        take_load(balancer, target, load, age_ns, now_ns);
     }
-    target->reported_draining = load->state == RP_TARGET_DRAINING;
-    rp_route_reported(&target->route, &balancer->pool, load, age_ns, now_ns);
 }
 
 /* Takes note that the process was paused and its view is old. What was sent
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -314,6 +314,7 @@
 notice_pause(struct rp_dispatch *dispatch, const struct rp_pause *pause,
              int64_t now_ns)
 {
+    dispatch->woken_ns = now_ns;
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, dispatch->services);
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -426,10 +426,16 @@
     const char *address =
         rp_balancer_target_address(balancer, attempt->target);
     const struct rp_load_report *load = &attempt->answer->load;
+    /* An answer that waited here while the process was paused may be as old
+     * as the request. */
+    int64_t seen_ns = attempt->sent_ns < call->dispatch->woken_ns
+                          ? attempt->sent_ns
+                          : now_ns;
     if (!is_small(attempt->answer)) {
-        rp_balancer_observe(balancer, address, load, 0, now_ns);
+        rp_balancer_observe(balancer, address, load, now_ns - seen_ns, now_ns);
     }
-    dispatch_hint_tell(call->dispatch, call->service, address, load, now_ns);
+    dispatch_hint_tell(call->dispatch, call->service, address, load, seen_ns,
+                       now_ns);
 }
 
 /* Takes the head of an attempt's answer; one of an attempt that was given
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -96,6 +96,7 @@
     uint8_t *key_bytes;
     struct rp_member_view *members; /* NULL before the first */
     struct rp_steering *steering;
+    int64_t woken_ns; /* end of the latest pause; 0 for none */
     uint32_t calls_since_told;
     int64_t balancer_due_ns;
     bool ready;
--- a/src/dispatch_hint.c
+++ b/src/dispatch_hint.c
@@ -82,15 +82,16 @@
 }
 
 /* Tells the prober and the peers, by gossip, what an answer said of its
- * target: at once when the state has changed, else now and then. */
+ * target at seen_ns: at once when the state has changed, else now and then. */
 void
 dispatch_hint_tell(struct rp_dispatch *dispatch,
                    struct dispatch_service *service, const char *address,
-                   const struct rp_load_report *load, int64_t now_ns)
+                   const struct rp_load_report *load, int64_t seen_ns,
+                   int64_t now_ns)
 {
     static const char *const receivers[] = {"prober", "gossip"};
     struct told_target *told = find_or_add(service, address);
-    rp_drain_set_own(&told->drain, load->state == RP_TARGET_DRAINING, now_ns,
+    rp_drain_set_own(&told->drain, load->state == RP_TARGET_DRAINING, seen_ns,
                      now_ns);
     if (told->at_ns != 0 && told->state == load->state &&
         now_ns - told->at_ns < TELL_NS)
@@ -105,7 +106,7 @@
                                                   : RP_HINT_LOAD,
         .has_load = true,
         .load = *load,
-        .seen_ns = now_ns,
+        .seen_ns = seen_ns,
     };
     g_strlcpy(hint.service, service->name, sizeof(hint.service));
     g_strlcpy(hint.address, address, sizeof(hint.address));
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -193,6 +193,7 @@
 on_pause(struct rp_gossip *gossip, const struct rp_pause *pause,
          int64_t now_ns)
 {
+    gossip->woken_ns = now_ns;
     gossip->quiet_until_ns = now_ns + QUIET_NS;
     rp_member_notice_pause(gossip->members, pause->gap_ns, now_ns);
     rp_gossip_send_probes(gossip, now_ns);
--- a/src/gossip_internal.h
+++ b/src/gossip_internal.h
@@ -20,6 +20,7 @@
     int64_t next_least_offset_ms;
     int64_t offset_period_ns;
     int64_t answered_ns;
+    int64_t first_ns; /* when its first message came */
 };
 
 /* Flags of a heartbeat. */
@@ -34,6 +35,7 @@
     struct rp_task *wire;
     struct rp_member_table *members;
     struct rp_hint_pool *hints;
+    int64_t woken_ns;  /* end of the latest pause; 0 for none */
     GHashTable *peers; /* of struct gossip_peer, keyed by their ids */
     struct rp_byte_budget push_budget;
     struct rp_byte_budget repair_budget;
--- a/src/gossip_receive.c
+++ b/src/gossip_receive.c
@@ -12,6 +12,8 @@
 
 #define OFFSET_PERIOD_NS INT64_C(60000000000)
 #define DELAY_MAX_MS 60000
+/* After a pause: four heartbeats, by which a peer has sent a fresh one. */
+#define SETTLE_NS (4 * RP_MEMBER_HEARTBEAT_NS)
 #define MALFORMED_EVENT_NS INT64_C(10000000000)
 
 static struct gossip_peer *
@@ -57,6 +59,9 @@
 note_delay(struct gossip_peer *peer, const struct rp_hlc *hlc, int64_t now_ns)
 {
     int64_t offset_ms = now_ns / 1000000 - hlc->wall_ms;
+    if (peer->first_ns == 0) {
+        peer->first_ns = now_ns;
+    }
     if (now_ns - peer->offset_period_ns > OFFSET_PERIOD_NS) {
         peer->least_offset_ms = peer->next_least_offset_ms;
         peer->next_least_offset_ms = INT64_MAX;
@@ -67,6 +72,17 @@
     return (uint32_t)CLAMP(offset_ms - peer->least_offset_ms, 0, DELAY_MAX_MS);
 }
 
+/* Whether the age of what a peer says is known. The first messages of a peer
+ * give the measure for its later ones; if they waited here during a pause,
+ * what they say looks younger than it is. */
+static bool
+age_is_known(const struct rp_gossip *gossip, const struct gossip_peer *peer,
+             int64_t now_ns)
+{
+    return gossip->woken_ns == 0 || peer->first_ns < gossip->woken_ns ||
+           now_ns - gossip->woken_ns > SETTLE_NS;
+}
+
 static void
 apply_updates(struct rp_gossip *gossip, struct rp_peer_heartbeat *heartbeat,
               uint32_t delay_ms, int64_t now_ns)
@@ -160,7 +176,9 @@
     apply_updates(gossip, heartbeat, delay_ms, now_ns);
     bool tell = rp_member_hear(gossip->members, message->from,
                                message->incarnation, now_ns);
-    apply_hints(gossip, heartbeat, delay_ms, now_ns);
+    if (age_is_known(gossip, peer, now_ns)) {
+        apply_hints(gossip, heartbeat, delay_ms, now_ns);
+    }
     const struct rp_member_info *from =
         rp_member_find(gossip->members, message->from);
     if (from == NULL || from->incarnation != message->incarnation) {
--- a/tests/test_balancer.cc
+++ b/tests/test_balancer.cc
@@ -251,4 +251,39 @@
     }
 }
 
+// Guards against an answer that waited here during a pause, and so is older
+// than the target's word that it is leaving, undoing that word.
+TEST_F(balancer_test, answers_from_before_a_pause_do_not_undo_draining)
+{
+    struct {
+        bool paused;
+        bool usable;
+    } cases[] = {{false, true}, {true, false}};
+    const struct rp_load_report draining = {0, 6, 0, 5000, RP_TARGET_DRAINING};
+    for (const auto &entry : cases) {
+        struct rp_balancer_verdict verdict = offer();
+        ASSERT_EQ(verdict.action, RP_BALANCER_SEND);
+        struct rp_attempt_report report = {};
+        report.target = verdict.target;
+        report.outcome = RP_ATTEMPT_OK;
+        report.kind = 1;
+        report.sent_ns = now_ns;
+        report.has_load = true;
+        report.load = {0, 6, 0, 5000, RP_TARGET_SERVING};
+        now_ns += 5 * MS;
+        rp_balancer_observe(
+            balancer, rp_balancer_target_address(balancer, verdict.target),
+            &draining, 0, now_ns);
+        now_ns += 3000 * MS;
+        if (entry.paused) {
+            rp_balancer_notice_pause(balancer, 3000 * MS, now_ns);
+        }
+        report.first_byte_ns = now_ns;
+        rp_balancer_finish(balancer, &report, now_ns);
+        EXPECT_EQ(rp_balancer_target_usable(balancer, verdict.target),
+                  entry.usable)
+            << entry.paused;
+    }
+}
+
 } // namespace
