Name the service of the fault runs jobs

Cause: its name read like a directory in record keys. Change: jobs in place of work. Conclusion: no other change.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -83,13 +83,13 @@
         list+="${list:+,}{\"name\":\"t$i\",\"address\":\"$address\",
             \"domain\":\"domain-$((i % 3))\",\"state\":\"$state\"}"
     done
-    echo "{\"schema\":2,\"kind\":\"targets\",\"service\":\"work\",
+    echo "{\"schema\":2,\"kind\":\"targets\",\"service\":\"jobs\",
         \"estate\":\"new\",\"version\":$1,\"targets\":[$list]}"
 }
 
 service_record() { # VERSION TIMEOUT_MS
-    echo "{\"schema\":2,\"kind\":\"service\",\"name\":\"work\",
-        \"version\":$1,\"timeout_ms\":$2,\"match\":{\"path_prefix\":\"/work\"}}"
+    echo "{\"schema\":2,\"kind\":\"service\",\"name\":\"jobs\",
+        \"version\":$1,\"timeout_ms\":$2,\"match\":{\"path_prefix\":\"/jobs\"}}"
 }
 
 # Prints the digests in force, one a line, of the entry VMs that answer.
@@ -135,7 +135,7 @@
 }
 
 start_session() { # NAME METHOD SECONDS PATH
-    "$build/rp-standin" session --entries "$entries" --service work \
+    "$build/rp-standin" session --entries "$entries" --service jobs \
         --path "$4" --method "$2" --id "$1" --seconds "$3" \
         >"$work/$1.session" 2>&1 &
     sessions+=($!)
@@ -170,13 +170,13 @@
 for i in 1 2 3 4; do
     start_target "$i"
 done
-wait_until 3000 publish service/work "$(service_record 1 3000)"
-publish targets/work/new "$(targets_record 1 serving)"
+wait_until 3000 publish service/jobs "$(service_record 1 3000)"
+publish targets/jobs/new "$(targets_record 1 serving)"
 for i in $(seq $entry_count); do
     start_entry "$i"
 done
 check "start: one configuration in force on all" \
-    wait_for_version targets/work/new 1 15000
+    wait_for_version targets/jobs/new 1 15000
 
 # What an operator sees who knows one address only.
 sees_all() { # COMMAND
@@ -187,13 +187,13 @@
 check "timeline asks all entry VMs through one" sees_all timeline
 
 for i in 1 2 3; do
-    start_session "post$i" POST 50 "/work?bytes=40"
-    start_session "get$i" GET 50 "/work?bytes=400"
+    start_session "post$i" POST 50 "/jobs?bytes=40"
+    start_session "get$i" GET 50 "/jobs?bytes=400"
 done
 
-publish service/work "$(service_record 2 3100)"
+publish service/jobs "$(service_record 2 3100)"
 check "publication with the platform up: in force within 8 s" \
-    wait_for_version service/work 2 8000
+    wait_for_version service/jobs 2 8000
 
 echo "--      kill entry-2, pause entry-3 for 2 s, pause target 2 for 2 s"
 kill -KILL "${entry_pid[2]}"
@@ -214,20 +214,20 @@
 kill -KILL "${entry_pid[4]}"
 start_entry 4
 check "platform down: a replaced VM learns all from its peers within 8 s" \
-    wait_for_version service/work 2 8000
+    wait_for_version service/jobs 2 8000
 platform_mode '{"mode":"stale","revision":1}'
 kill -KILL "${entry_pid[5]}"
 start_entry 5
 check "platform stale: a replaced VM does not take the old state" \
-    wait_for_version service/work 2 8000
+    wait_for_version service/jobs 2 8000
 platform_mode '{"mode":"normal"}'
 
 echo "--      two operators publish version 3 with different contents"
-publish service/work "$(service_record 3 2500)" &
+publish service/jobs "$(service_record 3 2500)" &
 racer=$!
-publish service/work "$(service_record 3 2600)"
+publish service/jobs "$(service_record 3 2600)"
 wait "$racer"
-check "race: one version 3 on all" wait_for_version service/work 3 8000
+check "race: one version 3 on all" wait_for_version service/jobs 3 8000
 check "race: one content on all within 8 s" wait_until 8000 agree
 
 echo "--      connections to target 3 go silent, then are cut, then delayed"
@@ -242,11 +242,11 @@
 echo "--      target 1 drains by record during a slow download from it"
 curl -s -m 20 -o "$work/download" -H "RP-Request-Id: download" \
     -H "RP-Timeout-Ms: 15000" \
-    "http://$net.1:18000/work?bytes=300000&rate=100000" &
+    "http://$net.1:18000/jobs?bytes=300000&rate=100000" &
 download=$!
 sleep 0.5
-publish targets/work/new "$(targets_record 2 draining)"
-check "drain: in force" wait_for_version targets/work/new 2 8000
+publish targets/jobs/new "$(targets_record 2 draining)"
+check "drain: in force" wait_for_version targets/jobs/new 2 8000
 sleep 5
 before=$(ran 1 | wc -l)
 sleep 2
@@ -255,13 +255,13 @@
 wait "$download"
 check "drain: the download in flight ended whole" \
     [ "$(stat -c %s "$work/download" 2>/dev/null)" = 300000 ]
-publish targets/work/new "$(targets_record 3 serving)"
+publish targets/jobs/new "$(targets_record 3 serving)"
 
 echo "--      rolling replacement of all entry VMs under load"
 wait "${sessions[@]}"
 sessions=()
-start_session roll1 GET 25 "/work?bytes=400"
-start_session roll2 POST 25 "/work?bytes=40"
+start_session roll1 GET 25 "/jobs?bytes=400"
+start_session roll2 POST 25 "/jobs?bytes=40"
 for i in $(seq $entry_count); do
     kill -TERM "${entry_pid[$i]}"
     wait "${entry_pid[$i]}"
