Run the operators' daemon from one place

Cause: two watchers repeated the same three lines. Change: run_daemon in src/mhd_loop.c serves both. Conclusion: same behaviour.

--- a/src/mhd_loop.c
+++ b/src/mhd_loop.c
@@ -1,13 +1,18 @@
 #include "mhd_loop.h"
 
+static void
+run_daemon(struct rp_mhd_loop *watch)
+{
+    watch->kicked = false;
+    MHD_run(watch->daemon);
+}
+
 static void
 on_readable(struct ev_loop *ev, ev_io *watcher, int events)
 {
     (void)ev;
     (void)events;
-    struct rp_mhd_loop *watch = watcher->data;
-    watch->kicked = false;
-    MHD_run(watch->daemon);
+    run_daemon(watcher->data);
 }
 
 static void
@@ -15,9 +20,7 @@
 {
     (void)ev;
     (void)events;
-    struct rp_mhd_loop *watch = watcher->data;
-    watch->kicked = false;
-    MHD_run(watch->daemon);
+    run_daemon(watcher->data);
 }
 
 static void
