--- a/cli/serve.c
+++ b/cli/serve.c
@@ -2,9 +2,11 @@
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sysexits.h>
 
 #include "cli.h"
+#include "gateway.h"
 #include "log.h"
 #include "node.h"
 #include "setting.h"
@@ -75,11 +77,20 @@
     return status;
 }
 
+static const struct rp_adapter *
+find_adapter(const struct rp_settings *settings)
+{
+    const char *name = rp_settings_text(settings, RP_SETTING_ADAPTER);
+    return strcmp(name, rp_gateway_adapter.name) == 0 ? &rp_gateway_adapter
+                                                      : NULL;
+}
+
 static int
 run_node(const struct rp_settings *settings)
 {
     GError *error = NULL;
-    struct rp_node *node = rp_node_start(settings, &error);
+    struct rp_node *node =
+        rp_node_start(settings, find_adapter(settings), &error);
     if (node == NULL) {
         return report_failure(error, EX_UNAVAILABLE);
     }
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -18,6 +18,7 @@
 {
     struct balancer_target *target = data;
     g_free(target->address);
+    g_free(target->instance);
     g_free(target->name);
     g_free(target->estate_name);
 }
@@ -72,7 +73,10 @@
 static struct balancer_target *
 add_target(struct rp_balancer *balancer, const struct rp_target *source)
 {
-    struct balancer_target fresh = {.address = g_strdup(source->address)};
+    struct balancer_target fresh = {
+        .address = g_strdup(source->address),
+        .instance = g_strdup(source->instance),
+    };
     bool local = g_strcmp0(source->domain, balancer->config.domain) == 0;
     rp_route_init(&fresh.route, source->slots, local);
     /* What joins a service in use has just started, as far as is known. */
@@ -515,6 +519,14 @@
     return balancer_get(balancer, target)->address;
 }
 
+/* Returns the instance that has the target's address, "" when unknown. */
+const char *
+rp_balancer_target_instance(const struct rp_balancer *balancer,
+                            uint32_t target)
+{
+    return balancer_get(balancer, target)->instance;
+}
+
 /* Returns whether a target may get new work at present. */
 bool
 rp_balancer_target_usable(const struct rp_balancer *balancer, uint32_t target)
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -128,6 +128,8 @@
 uint32_t rp_balancer_target_count(const struct rp_balancer *balancer);
 const char *rp_balancer_target_address(const struct rp_balancer *balancer,
                                        uint32_t target);
+const char *rp_balancer_target_instance(const struct rp_balancer *balancer,
+                                        uint32_t target);
 bool rp_balancer_target_usable(const struct rp_balancer *balancer,
                                uint32_t target);
 void rp_balancer_view(const struct rp_balancer *balancer, uint32_t target,
--- a/src/balancer_private.h
+++ b/src/balancer_private.h
@@ -24,6 +24,7 @@
     bool reported_draining; /* by its own word */
     uint64_t sent;
     char *address;
+    char *instance;
     char *name;
     char *estate_name;
 };
--- a/src/call.h
+++ b/src/call.h
@@ -17,6 +17,7 @@
 
 #define RP_REQUEST_ID_BYTES 64
 #define RP_TICKET_BYTES 256
+#define RP_INSTANCE_BYTES 208
 #define RP_ATTEMPTS_UNSET UINT32_MAX
 #define RP_LENGTH_UNKNOWN INT64_C(-1)
 
@@ -38,6 +39,7 @@
     char *host;   /* "" when the caller named none */
     struct rp_fields fields;
     char request_id[RP_REQUEST_ID_BYTES];
+    bool request_id_given;  /* by the caller */
     char *ticket;           /* NULL when the caller sent none */
     bool passed_on;         /* by another entry VM: goes no further */
     uint32_t timeout_ms;    /* RP-Timeout-Ms; 0 when the caller set none */
@@ -61,6 +63,7 @@
     uint32_t status;
     bool refused; /* the target says by contract that it did not run it */
     bool has_load;
+    bool echoed;             /* it names the request that it answers */
     enum rp_outcome outcome; /* of another entry VM; else NONE */
     int64_t body_bytes;      /* announced; RP_LENGTH_UNKNOWN when chunked */
     int64_t retry_after_ms;  /* 0 when the target named none */
@@ -117,6 +120,7 @@
     uint32_t number;        /* RP-Attempt: 1 for the first */
     uint32_t attempts_left; /* RP-Attempts-Left for the target */
     char address[RP_ADDRESS_BYTES];
+    char instance[RP_INSTANCE_BYTES]; /* of the target; "" when unknown */
 };
 
 /* RP_MSG_ATTEMPT_CANCEL, dispatch to upstream. No ATTEMPT_DONE follows. */
--- /dev/null
+++ b/src/directory.c
@@ -0,0 +1,107 @@
+#include "directory.h"
+
+#include <string.h>
+
+#include "address_book.h"
+#include "page_server.h"
+
+/* Addresses in one answer; callers take no more. */
+#define ADDRESSES 64
+
+struct rp_directory {
+    struct rp_task *task;
+    struct rp_directory_config config; /* the addresses are not kept */
+    struct rp_address_book *book;
+    struct rp_page_server *answers;
+    struct rp_page_server *readiness;
+};
+
+static void
+answer_addresses(struct rp_directory *directory, const char *domain,
+                 struct rp_page *page)
+{
+    const char *addresses[ADDRESSES];
+    uint32_t count =
+        rp_address_book_list(directory->book, domain == NULL ? "" : domain,
+                             addresses, ADDRESSES, rp_loop_now_ns());
+    if (count == 0) {
+        page->status = 503;
+        return;
+    }
+    page->status = 200;
+    page->type = "application/json";
+    page->body = directory->config.pages->format(addresses, count,
+                                                 directory->config.ttl_ms);
+}
+
+static void
+on_page(void *data, const char *path,
+        const char *(*argument)(void *connection, const char *name),
+        void *connection, struct rp_page *page)
+{
+    struct rp_directory *directory = data;
+    const struct rp_directory_pages *pages = directory->config.pages;
+    if (strcmp(path, pages->addresses_path) == 0) {
+        answer_addresses(directory,
+                         argument(connection, pages->domain_argument), page);
+    }
+    else if (strcmp(path, pages->ready_path) == 0) {
+        page->status = rp_address_book_ready(directory->book) ? 200 : 503;
+    }
+}
+
+static void
+on_message(struct rp_task *task, const struct rp_message *message,
+           int64_t now_ns, void *data)
+{
+    (void)task;
+    (void)now_ns;
+    struct rp_directory *directory = data;
+    rp_address_book_take(directory->book, message);
+}
+
+static void
+free_directory(struct rp_directory *directory)
+{
+    rp_page_server_free(directory->answers);
+    rp_page_server_free(directory->readiness);
+    rp_address_book_free(directory->book);
+    g_free(directory);
+}
+
+static void
+on_remove(struct rp_task *task, void *data)
+{
+    (void)task;
+    free_directory(data);
+}
+
+static const struct rp_task_ops directory_ops = {on_message, NULL, on_remove};
+
+/* Adds the task "directory", which belongs to the loop's kernel. Returns NULL
+ * with an error set when an address cannot be used. */
+struct rp_directory *
+rp_directory_new(struct rp_loop *loop,
+                 const struct rp_directory_config *config, GError **error)
+{
+    struct rp_kernel *kernel = rp_loop_kernel(loop);
+    struct rp_directory *directory = g_new0(struct rp_directory, 1);
+    directory->config = *config;
+    directory->book =
+        rp_address_book_new(rp_kernel_context(kernel), config->ttl_ms);
+    directory->answers =
+        rp_page_server_new(loop, config->address, on_page, directory, error);
+    if (directory->answers != NULL) {
+        directory->readiness = rp_page_server_new(loop, config->ready_address,
+                                                  on_page, directory, error);
+    }
+    if (directory->readiness != NULL) {
+        directory->task = rp_kernel_add_task(kernel, "directory",
+                                             &directory_ops, directory, error);
+    }
+    if (directory->task == NULL) {
+        free_directory(directory);
+        return NULL;
+    }
+    return directory;
+}
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -8,6 +8,7 @@
 #include "dispatch_hint.h"
 #include "dispatch_status.h"
 #include "snapshot.h"
+#include "split.h"
 #include "status.h"
 #include "steering.h"
 
@@ -125,10 +126,10 @@
 
 static int64_t
 first_byte_limit_ns(const struct rp_dispatch *dispatch,
-                    const struct rp_service *service, int64_t timeout_ms)
+                    const struct rp_route *route, int64_t timeout_ms)
 {
     int64_t most_ms = dispatch->config.first_byte_ms;
-    if (service->length_class == RP_LENGTH_LONG) {
+    if (route->length_class == RP_LENGTH_LONG) {
         most_ms = timeout_ms / 2;
     }
     int64_t limit_ms = CLAMP(timeout_ms / 4, MIN_FIRST_BYTE_MS,
@@ -136,34 +137,74 @@
     return limit_ms * 1000000;
 }
 
+/* Further attempts of a call after its first. */
+static uint32_t
+attempts_left(const struct rp_call *call, const struct rp_route *route)
+{
+    uint32_t most =
+        route->attempts > 0 ? route->attempts - 1 : DEFAULT_ATTEMPTS_LEFT;
+    if (call->attempts_left != RP_ATTEMPTS_UNSET) {
+        most = route->attempts > 0 ? MIN(most, call->attempts_left)
+                                   : call->attempts_left;
+    }
+    return MIN(most, MAX_ATTEMPTS_LEFT);
+}
+
 static struct dispatch_call *
 make_call(struct rp_dispatch *dispatch, struct rp_call *call,
-          struct dispatch_service *service)
+          const struct rp_route *route, struct dispatch_service *service)
 {
-    const struct rp_service *record = service->service;
     uint32_t timeout_ms =
-        call->timeout_ms > 0 ? call->timeout_ms : record->timeout_ms;
-    timeout_ms = MIN(timeout_ms, record->max_timeout_ms);
+        call->timeout_ms > 0 ? call->timeout_ms : route->timeout_ms;
+    timeout_ms = MIN(timeout_ms, route->max_timeout_ms);
     struct dispatch_call *made = g_new0(struct dispatch_call, 1);
     made->dispatch = dispatch;
     made->call = rp_call_ref(call);
     made->service = service;
-    made->repeatable = (call->method_flag & record->repeatable_methods) != 0;
+    made->route.aim_ms = route->aim_ms;
+    made->route.rank = route->rank;
+    made->route.repeat_errors = route->repeat_errors;
+    made->repeatable = route->repeatable_methods == RP_METHODS_ALL ||
+                       (call->method_flag & route->repeatable_methods) != 0;
     made->flags = (made->repeatable ? RP_CALL_REPEATABLE : 0) |
-                  (record->length_class == RP_LENGTH_LONG ? RP_CALL_LONG : 0);
+                  (route->length_class == RP_LENGTH_LONG ? RP_CALL_LONG : 0);
     made->kind = call_kind(call);
-    made->attempts_left = call->attempts_left == RP_ATTEMPTS_UNSET
-                              ? DEFAULT_ATTEMPTS_LEFT
-                              : MIN(call->attempts_left, MAX_ATTEMPTS_LEFT);
+    made->attempts_left = attempts_left(call, route);
     made->deadline_ns = call->received_ns + (int64_t)timeout_ms * 1000000;
     made->first_byte_limit_ns =
-        first_byte_limit_ns(dispatch, record, timeout_ms);
+        first_byte_limit_ns(dispatch, route, timeout_ms);
     made->hedge_at_ns = RP_KERNEL_NEVER_NS;
     made->first_byte_at_ns = RP_KERNEL_NEVER_NS;
     made->retry_at_ns = RP_KERNEL_NEVER_NS;
     return made;
 }
 
+/* Returns the service that the next call of a route goes to, or NULL when the
+ * records do not describe it. */
+static struct dispatch_service *
+choose_service(struct rp_dispatch *dispatch, const struct rp_route *route)
+{
+    uint32_t part = 0;
+    if (route->part_count > 1) {
+        struct rp_split *split =
+            g_hash_table_lookup(dispatch->splits, route->name);
+        if (split == NULL) {
+            split = g_new0(struct rp_split, 1);
+            g_hash_table_insert(dispatch->splits, g_strdup(route->name),
+                                split);
+        }
+        part = rp_split_choose(split, route);
+    }
+    return g_hash_table_lookup(dispatch->services, route->parts[part].service);
+}
+
+static gboolean
+split_is_unused(gpointer key, gpointer value, gpointer data)
+{
+    (void)value;
+    return !rp_snapshot_has_route(data, key);
+}
+
 static void
 start_call(struct rp_dispatch *dispatch, struct rp_call *call, int64_t now_ns)
 {
@@ -175,16 +216,15 @@
                                now_ns);
         return;
     }
-    const struct rp_service *record =
+    const struct rp_route *route =
         rp_snapshot_match(dispatch->snapshot, call->host, call->target);
-    if (record == NULL) {
+    if (route == NULL) {
         dispatch_ticket_refuse(dispatch, call, 404, 0,
                                "no service has this host and path", now_ns);
         return;
     }
     if (call->body_bytes > 0 &&
-        (uint64_t)call->body_bytes > record->max_body_bytes)
-    {
+        (uint64_t)call->body_bytes > route->max_body_bytes) {
         dispatch_ticket_refuse(dispatch, call, 413, 0,
                                "the body is over the limit of the service",
                                now_ns);
@@ -195,9 +235,14 @@
                                "too many calls in progress", now_ns);
         return;
     }
-    struct dispatch_service *service =
-        g_hash_table_lookup(dispatch->services, record->name);
-    struct dispatch_call *made = make_call(dispatch, call, service);
+    struct dispatch_service *service = choose_service(dispatch, route);
+    if (service == NULL) {
+        dispatch_ticket_refuse(dispatch, call, 503, NOT_READY_RETRY_MS,
+                               "no record describes the service of this route",
+                               now_ns);
+        return;
+    }
+    struct dispatch_call *made = make_call(dispatch, call, route, service);
     if (call->ticket != NULL && !made->repeatable) {
         struct dispatch_ticket ticket = {0};
         if (!dispatch_ticket_admit(dispatch, call, &ticket, now_ns)) {
@@ -208,8 +253,8 @@
     }
     g_hash_table_insert(dispatch->calls, GSIZE_TO_POINTER(call->id), made);
     show_open_calls(dispatch);
-    if (call->request != NULL) {
-        rp_stream_set_limit(call->request, record->max_body_bytes);
+    if (call->request != NULL && route->max_body_bytes < UINT64_MAX) {
+        rp_stream_set_limit(call->request, route->max_body_bytes);
         if (rp_stream_over_limit(call->request)) {
             dispatch_call_gone(made, RP_GONE_TOO_LARGE, now_ns);
             return;
@@ -306,6 +351,8 @@
         dispatch_drain_records(service, now_ns);
     }
     rp_snapshot_unref(old);
+    g_hash_table_foreach_remove(dispatch->splits, split_is_unused,
+                                dispatch->snapshot);
     update_deciders(dispatch, now_ns);
     touch_all_services(dispatch, now_ns);
 }
@@ -456,6 +503,7 @@
     struct rp_dispatch *dispatch = data;
     g_hash_table_unref(dispatch->calls);
     g_hash_table_unref(dispatch->services);
+    g_hash_table_unref(dispatch->splits);
     rp_snapshot_unref(dispatch->snapshot);
     rp_member_view_unref(dispatch->members);
     rp_steering_free(dispatch->steering);
@@ -495,6 +543,8 @@
     dispatch->calls = g_hash_table_new_full(NULL, NULL, NULL, free_call);
     dispatch->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    dispatch->splits =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     dispatch->balancer_due_ns = RP_KERNEL_NEVER_NS;
     if (config->ticket_key.byte_count > 0) {
         struct rp_ticket_config tickets = {
--- a/src/dispatch_attempt.c
+++ b/src/dispatch_attempt.c
@@ -108,11 +108,18 @@
         .number = call->attempt_count,
         .attempts_left = rp_deadline_split_repeats(&call->attempts_left),
     };
-    const char *address = dispatch_call_passed_on(call)
-                              ? call->ticket.pass_on
-                              : rp_balancer_target_address(
-                                    call->service->balancer, attempt->target);
-    g_strlcpy(start.address, address, sizeof(start.address));
+    if (dispatch_call_passed_on(call)) {
+        g_strlcpy(start.address, call->ticket.pass_on, sizeof(start.address));
+    }
+    else {
+        const struct rp_balancer *balancer = call->service->balancer;
+        g_strlcpy(start.address,
+                  rp_balancer_target_address(balancer, attempt->target),
+                  sizeof(start.address));
+        g_strlcpy(start.instance,
+                  rp_balancer_target_instance(balancer, attempt->target),
+                  sizeof(start.instance));
+    }
     struct rp_task *upstream =
         rp_kernel_find_task(rp_task_kernel(task), RP_TASK_UPSTREAM);
     if (!rp_task_send_owned(task, upstream, RP_MSG_ATTEMPT_START, &start,
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -23,6 +23,13 @@
     double fresh_trials; /* tokens for attempts beside silent connections */
 };
 
+/* What a call keeps of its route, which may change while it runs. */
+struct dispatch_route {
+    uint32_t aim_ms; /* 0: not known */
+    uint32_t rank;
+    bool repeat_errors;
+};
+
 /* What a call's ticket allows. */
 struct dispatch_ticket {
     struct rp_ticket_entry *entry;  /* claimed here; NULL without a claim */
@@ -63,6 +70,7 @@
     struct rp_dispatch *dispatch;
     struct rp_call *call;
     struct dispatch_service *service;
+    struct dispatch_route route;
     enum call_state state;
     bool repeatable;
     bool may_have_run;
@@ -90,6 +98,7 @@
     struct rp_dispatch_config config;
     GHashTable *calls;    /* struct dispatch_call by id */
     GHashTable *services; /* struct dispatch_service by name */
+    GHashTable *splits;   /* struct rp_split by name of the route */
     struct rp_snapshot *snapshot;
     struct rp_due due;
     struct rp_ticket_table *tickets; /* NULL without a fleet key */
--- a/src/entry.h
+++ b/src/entry.h
@@ -1,15 +1,16 @@
 #ifndef RP_ENTRY_H
 #define RP_ENTRY_H
 
+#include "dialect.h"
 #include "kernel.h"
 #include "loop.h"
 
 struct rp_entry;
 
 struct rp_entry_config {
+    const struct rp_dialect *dialect;
     uint32_t connection_limit;
-    uint32_t idle_timeout_s; /* of a caller's connection */
-    uint32_t answer_ttl_ms;  /* of address answers */
+    uint32_t answer_ttl_ms; /* of address answers */
 };
 
 #ifdef __cplusplus
--- a/src/entry_reply.c
+++ b/src/entry_reply.c
@@ -1,280 +1,206 @@
-#include "entry_request.h"
-
 #include <string.h>
 
-#include <jansson.h>
-
-#include "address_answer.h"
+#include "entry_private.h"
 
-/* Answers shorter than this are handed to the daemon in one piece. */
-#define WHOLE_BYTES RP_STREAM_TURN_BYTES
+/* The next bytes of a body; a chunk has a size of at most four digits. */
+#define PIECE_BYTES RP_STREAM_TURN_BYTES
 
 static void
-on_body_readable(void *data)
+put(struct entry_connection *connection, const char *text)
 {
-    entry_resume(data);
+    g_byte_array_append(connection->output, (const guint8 *)text,
+                        (guint)strlen(text));
 }
 
-/* Called by the daemon for the next bytes of an answer's body. */
-static ssize_t
-read_body(void *data, uint64_t position, char *buffer, size_t bytes)
+static void
+put_field(void *data, const char *name, const char *value)
 {
-    (void)position;
-    struct entry_request *request = data;
-    struct rp_stream *body = request->reply.body;
-    uint32_t count = rp_stream_read(
-        body, buffer, (uint32_t)MIN(bytes, RP_STREAM_TURN_BYTES));
-    if (count > 0) {
-        return count;
-    }
-    if (rp_stream_at_end(body)) {
-        return MHD_CONTENT_READER_END_OF_STREAM;
-    }
-    if (request->abort || rp_stream_state(body) == RP_STREAM_BROKEN) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    entry_suspend(request);
-    return 0;
+    struct entry_connection *connection = data;
+    put(connection, name);
+    put(connection, ": ");
+    put(connection, value);
+    put(connection, "\r\n");
 }
 
-static struct MHD_Response *
-make_response(struct entry_request *request)
+static void
+put_status(struct entry_connection *connection, uint32_t status)
 {
-    const struct rp_answer *answer = request->reply.answer;
-    struct rp_stream *body = request->reply.body;
-    bool bodyless = request->call->method_flag == RP_METHOD_HEAD ||
-                    answer->status == 204 || answer->status == 304;
-    uint64_t size = answer->body_bytes >= 0 ? (uint64_t)answer->body_bytes
-                                            : MHD_SIZE_UNKNOWN;
-    uint32_t available = rp_stream_available(body);
-    if (!bodyless && rp_stream_state(body) == RP_STREAM_ENDED &&
-        available <= WHOLE_BYTES && rp_stream_written(body) == available)
-    {
-        char bytes[WHOLE_BYTES];
-        rp_stream_read(body, bytes, available);
-        return MHD_create_response_from_buffer(available, bytes,
-                                               MHD_RESPMEM_MUST_COPY);
-    }
-    if (bodyless && answer->body_bytes < 0) {
-        return MHD_create_response_from_buffer(0, NULL,
-                                               MHD_RESPMEM_PERSISTENT);
-    }
-    rp_stream_set_reader(body, on_body_readable, request);
-    return MHD_create_response_from_callback(size, RP_STREAM_TURN_BYTES,
-                                             read_body, request, NULL);
+    char line[96];
+    const char *reason = http_status_str(status);
+    g_snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", status,
+               reason == NULL || reason[0] == '<' ? "-" : reason);
+    put(connection, line);
 }
 
 static void
-add_closing(const struct entry_request *request, struct MHD_Response *response)
+put_length(struct entry_connection *connection, uint64_t bytes)
 {
-    if (request->entry->closing || request->connection->gone) {
-        MHD_add_response_header(response, "Connection", "close");
-    }
+    char number[32];
+    g_snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT, bytes);
+    put_field(connection, "Content-Length", number);
 }
 
-static const char *
-outcome_word(enum rp_outcome outcome)
+static void
+on_body_readable(void *data)
 {
-    return outcome == RP_OUTCOME_NOT_RUN ? "not-run" : "unknown";
+    struct entry_request *request = data;
+    struct entry_connection *connection = request->connection;
+    /* The stream may be inside the upstream task: go on in the loop. */
+    ev_feed_event(connection->entry->ev, &connection->writer, EV_WRITE);
 }
 
+/* Decides whether the connection goes on after this answer. */
 static void
-add_outcome(struct MHD_Response *response, enum rp_outcome outcome,
-            int64_t retry_after_ms)
+put_connection(struct entry_request *request)
 {
-    MHD_add_response_header(response, "RP-Outcome", outcome_word(outcome));
-    if (retry_after_ms > 0) {
-        char number[32];
-        g_snprintf(number, sizeof(number), "%" G_GINT64_FORMAT,
-                   (retry_after_ms + 999) / 1000);
-        MHD_add_response_header(response, "Retry-After", number);
-        g_snprintf(number, sizeof(number), "%" G_GINT64_FORMAT,
-                   retry_after_ms);
-        MHD_add_response_header(response, "RP-Retry-After-Ms", number);
+    struct entry_connection *connection = request->connection;
+    const struct rp_entry *entry = connection->entry;
+    bool last = connection->requests.length == 1;
+    if (entry->leaving && last && request->phase == ENTRY_READ) {
+        request->keep_alive = false;
+    }
+    if (request->call != NULL && request->framing.expect_continue &&
+        request->continue_due)
+    {
+        /* The body was never asked for, so that nobody knows whether it
+         * comes. */
+        request->keep_alive = false;
+    }
+    if (!request->keep_alive) {
+        put_field(connection, "Connection", "close");
     }
 }
 
-/* Answers with what dispatch has decided. */
-enum MHD_Result
-entry_queue_reply(struct entry_request *request)
+static void
+write_local(struct entry_request *request, uint32_t status, const char *type,
+            const char *body)
 {
-    const struct rp_call_reply *reply = &request->reply;
-    if (reply->outcome != RP_OUTCOME_NONE) {
-        return entry_queue_fault(request, reply->status, reply->outcome,
-                                 reply->retry_after_ms, reply->reason);
-    }
-    struct MHD_Response *response = make_response(request);
-    uint32_t position = 0;
-    const char *name;
-    const char *value;
-    while (rp_fields_next(&reply->answer->fields, &position, &name, &value)) {
-        MHD_add_response_header(response, name, value);
-    }
-    MHD_add_response_header(response, "RP-Request-Id",
-                            request->call->request_id);
-    if (reply->answer->outcome != RP_OUTCOME_NONE) {
-        /* Made by the entry VM that the request was passed on to. */
-        add_outcome(response, reply->answer->outcome,
-                    reply->answer->retry_after_ms);
-    }
-    add_closing(request, response);
-    request->phase = ENTRY_ANSWERED;
-    enum MHD_Result result =
-        MHD_queue_response(request->mhd, reply->answer->status, response);
-    MHD_destroy_response(response);
-    return result;
+    struct entry_connection *connection = request->connection;
+    const struct rp_dialect *dialect = connection->entry->config.dialect;
+    put_status(connection, status);
+    put_field(connection, "Content-Type", type);
+    put_length(connection, strlen(body));
+    if (request->local.max_age_s > 0) {
+        char control[48];
+        g_snprintf(control, sizeof(control), "max-age=%u",
+                   request->local.max_age_s);
+        put_field(connection, "Cache-Control", control);
+    }
+    if (request->reply.outcome != RP_OUTCOME_NONE) {
+        dialect->add_reply_fields(dialect->data, request->call,
+                                  &request->reply, put_field, connection);
+    }
+    put_connection(request);
+    put(connection, "\r\n");
+    if (!request->is_head) {
+        put(connection, body);
+    }
+    request->body_written = true;
 }
 
-/* Answers a request that got no target's answer, with its outcome. */
-enum MHD_Result
-entry_queue_fault(struct entry_request *request, uint32_t status,
-                  enum rp_outcome outcome, int64_t retry_after_ms,
-                  const char *reason)
+static void
+write_system_answer(struct entry_request *request)
 {
-    const char *word = outcome_word(outcome);
-    json_t *body = json_pack("{s:s, s:s}", "outcome", word, "reason", reason);
-    char *text = json_dumps(body, JSON_COMPACT);
-    json_decref(body);
-    struct MHD_Response *response = MHD_create_response_from_buffer(
-        strlen(text), text, MHD_RESPMEM_MUST_FREE);
-    MHD_add_response_header(response, "Content-Type", "application/json");
-    add_outcome(response, outcome, retry_after_ms);
-    if (request->call != NULL) {
-        MHD_add_response_header(response, "RP-Request-Id",
-                                request->call->request_id);
-    }
-    add_closing(request, response);
-    request->phase = ENTRY_ANSWERED;
-    enum MHD_Result result =
-        MHD_queue_response(request->mhd, status, response);
-    MHD_destroy_response(response);
-    return result;
+    const struct rp_call_reply *reply = &request->reply;
+    char body[512];
+    const char *word =
+        reply->outcome == RP_OUTCOME_NOT_RUN ? "not-run" : "unknown";
+    /* The reasons are constant texts without characters to be escaped. */
+    g_snprintf(body, sizeof(body), "{\"outcome\":\"%s\",\"reason\":\"%s\"}",
+               word, reply->reason);
+    write_local(request, reply->status, "application/json", body);
 }
 
-static enum rp_address_state
-address_state(const struct rp_member *member)
+static void
+write_target_answer(struct entry_request *request)
 {
-    if (member->info.state == RP_MEMBER_DEAD ||
-        member->info.state == RP_MEMBER_LEAVING || member->listed_leaving ||
-        member->info.phase == RP_CONFIG_STARTING)
-    {
-        return RP_ADDRESS_UNUSABLE;
+    struct entry_connection *connection = request->connection;
+    const struct rp_dialect *dialect = connection->entry->config.dialect;
+    const struct rp_answer *answer = request->reply.answer;
+    struct rp_stream *body = request->reply.body;
+    bool bodyless =
+        request->is_head || answer->status == 204 || answer->status == 304;
+    put_status(connection, answer->status);
+    uint32_t position = 0;
+    const char *name;
+    const char *value;
+    while (rp_fields_next(&answer->fields, &position, &name, &value)) {
+        put_field(connection, name, value);
+    }
+    dialect->add_reply_fields(dialect->data, request->call, &request->reply,
+                              put_field, connection);
+    bool whole = rp_stream_state(body) == RP_STREAM_ENDED;
+    if (answer->body_bytes >= 0) {
+        if (answer->status != 204) {
+            put_length(connection, (uint64_t)answer->body_bytes);
+        }
     }
-    if (member->info.state == RP_MEMBER_SUSPECT) {
-        return RP_ADDRESS_SUSPECT;
+    else if (!bodyless && whole) {
+        put_length(connection, rp_stream_written(body));
     }
-    return member->info.phase == RP_CONFIG_PROVISIONAL ? RP_ADDRESS_PROVISIONAL
-                                                       : RP_ADDRESS_SERVING;
-}
-
-/* Lists the entry VMs that peers tell of, and this one by what it knows of
- * itself. */
-static GArray *
-list_members(const struct rp_entry *entry, int64_t now_ns)
-{
-    const struct rp_identity *identity = &entry->context->identity;
-    GArray *list = g_array_new(FALSE, FALSE, sizeof(struct rp_address_member));
-    struct rp_address_member self = {
-        .id = identity->id,
-        .address = identity->address,
-        .domain = identity->domain,
-        .ticket = "",
-        .state = entry->ready && !entry->leaving ? RP_ADDRESS_SERVING
-                                                 : RP_ADDRESS_UNUSABLE,
-        .incarnation = identity->incarnation,
-    };
-    uint32_t count = entry->members == NULL ? 0 : entry->members->count;
-    for (uint32_t i = 0; i < count; i++) {
-        const struct rp_member *member = &entry->members->members[i];
-        const char *ticket = now_ns < member->ticket_expires_ns
-                                 ? member->info.ticket_prefix
-                                 : "";
-        if (member->is_self) {
-            self.ticket = ticket;
-            self.load_permille = member->info.load_permille;
-            if (self.state == RP_ADDRESS_SERVING &&
-                member->info.phase == RP_CONFIG_PROVISIONAL)
-            {
-                self.state = RP_ADDRESS_PROVISIONAL;
-            }
-            continue;
+    else if (!bodyless) {
+        if (request->version_1_1) {
+            request->chunked = true;
+            put_field(connection, "Transfer-Encoding", "chunked");
+        }
+        else {
+            request->keep_alive = false;
         }
-        struct rp_address_member other = {
-            .id = member->info.id,
-            .address = member->info.address,
-            .domain = member->info.domain,
-            .ticket = ticket,
-            .state = address_state(member),
-            .incarnation = member->info.incarnation,
-            .load_permille = member->info.load_permille,
-        };
-        g_array_append_val(list, other);
     }
-    g_array_append_val(list, self);
-    return list;
-}
-
-static enum MHD_Result
-queue_json(struct entry_request *request, char *text, uint32_t ttl_ms)
-{
-    struct MHD_Response *response = MHD_create_response_from_buffer(
-        strlen(text), text, MHD_RESPMEM_MUST_COPY);
-    g_free(text);
-    char control[64];
-    g_snprintf(control, sizeof(control), "max-age=%u", ttl_ms / 1000);
-    MHD_add_response_header(response, "Content-Type", "application/json");
-    MHD_add_response_header(response, "Cache-Control", control);
-    add_closing(request, response);
-    request->phase = ENTRY_ANSWERED;
-    enum MHD_Result result = MHD_queue_response(request->mhd, 200, response);
-    MHD_destroy_response(response);
-    return result;
+    put_connection(request);
+    put(connection, "\r\n");
+    if (bodyless) {
+        request->body_written = true;
+        return;
+    }
+    rp_stream_set_reader(body, on_body_readable, request);
 }
 
-/* Answers GET /v1/addresses?service=NAME[&domain=D]. */
-enum MHD_Result
-entry_queue_addresses(struct entry_request *request)
+/* Writes the head of the answer that has come for a request, and the whole of
+ * one that this system makes. */
+void
+entry_reply_write_head(struct entry_request *request)
 {
-    struct rp_entry *entry = request->entry;
-    const char *service = MHD_lookup_connection_value(
-        request->mhd, MHD_GET_ARGUMENT_KIND, "service");
-    const char *domain = MHD_lookup_connection_value(
-        request->mhd, MHD_GET_ARGUMENT_KIND, "domain");
-    if (service == NULL) {
-        return entry_queue_fault(request, 400, RP_OUTCOME_NOT_RUN, 0,
-                                 "name the service: "
-                                 "/v1/addresses?service=NAME");
+    request->head_written = true;
+    if (request->has_local) {
+        write_local(request, request->local.status, request->local.type,
+                    request->local.body);
     }
-    if (entry->ready &&
-        rp_snapshot_find_service(entry->snapshot, service) == NULL) {
-        return entry_queue_fault(request, 404, RP_OUTCOME_NOT_RUN, 0,
-                                 "no record describes this service");
+    else if (request->reply.outcome != RP_OUTCOME_NONE) {
+        write_system_answer(request);
     }
-    int64_t now_ns = rp_loop_now_ns();
-    GArray *members = list_members(entry, now_ns);
-    struct rp_steering_choice choice = {.width = 1};
-    if (entry->members != NULL) {
-        rp_steering_update(entry->steering, service, entry->members, now_ns,
-                           &choice);
+    else {
+        write_target_answer(request);
     }
-    struct rp_address_question question = {
-        .service = service,
-        .domain = domain == NULL ? "" : domain,
-        .members = (const struct rp_address_member *)members->data,
-        .member_count = members->len,
-        .subset = choice.width,
-        .ttl_ms = entry->config.answer_ttl_ms,
-        .random = g_rand_int(entry->context->random),
-    };
-    if (entry->snapshot != NULL) {
-        question.digest = rp_snapshot_digest(entry->snapshot);
-        question.revision = rp_snapshot_revision(entry->snapshot);
+}
+
+/* Writes the bytes of an answer's body that have come, up to a turn's worth
+ * at a time. Returns false when the body is broken off. */
+bool
+entry_reply_write_body(struct entry_request *request)
+{
+    struct entry_connection *connection = request->connection;
+    struct rp_stream *body = request->reply.body;
+    uint8_t bytes[PIECE_BYTES];
+    uint32_t count = rp_stream_read(body, bytes, sizeof(bytes));
+    if (count > 0) {
+        char size[16];
+        if (request->chunked) {
+            g_snprintf(size, sizeof(size), "%x\r\n", count);
+            put(connection, size);
+        }
+        g_byte_array_append(connection->output, bytes, count);
+        if (request->chunked) {
+            put(connection, "\r\n");
+        }
     }
-    char *text = rp_address_answer_format(&question);
-    g_array_unref(members);
-    if (text == NULL) {
-        return entry_queue_fault(request, 503, RP_OUTCOME_NOT_RUN, 1000,
-                                 "no entry VM can serve now");
+    if (rp_stream_at_end(body)) {
+        if (request->chunked) {
+            put(connection, "0\r\n\r\n");
+        }
+        request->body_written = true;
+        return true;
     }
-    return queue_json(request, text, entry->config.answer_ttl_ms);
+    return rp_stream_state(body) != RP_STREAM_BROKEN ||
+           rp_stream_available(body) > 0;
 }
--- a/src/http_rules.c
+++ b/src/http_rules.c
@@ -112,7 +112,10 @@
     if (framing->malformed) {
         return RP_HTTP_MALFORMED_FIELD;
     }
-    if (framing->field_bytes > RP_HTTP_HEADER_LIMIT_BYTES) {
+    uint32_t limit_bytes = framing->limit_bytes > 0
+                               ? framing->limit_bytes
+                               : RP_HTTP_HEADER_LIMIT_BYTES;
+    if (framing->field_bytes > limit_bytes) {
         return RP_HTTP_HEADER_TOO_LARGE;
     }
     if (framing->length_malformed ||
@@ -144,17 +147,20 @@
 }
 
 /* Judges a target's answer by its fields. One whose end is only the end of
- * the connection is refused, since a target that dies looks the same. */
+ * the connection is refused unless the targets are known to end answers so,
+ * since a target that dies looks the same. */
 enum rp_http_fault
 rp_http_judge_answer(const struct rp_http_framing *framing, uint32_t status,
-                     bool head)
+                     bool head, bool may_end_with_connection)
 {
     enum rp_http_fault fault = judge_common(framing);
     if (fault != RP_HTTP_FINE) {
         return fault;
     }
     bool bodyless = head || status == 204 || status == 304;
-    if (!bodyless && framing->length_count + framing->transfer_count == 0) {
+    if (!bodyless && !may_end_with_connection &&
+        framing->length_count + framing->transfer_count == 0)
+    {
         return RP_HTTP_UNDELIMITED;
     }
     return RP_HTTP_FINE;
--- a/src/http_rules.h
+++ b/src/http_rules.h
@@ -11,6 +11,7 @@
  * the first field; the strings are borrowed. */
 struct rp_http_framing {
     uint32_t field_bytes;
+    uint32_t limit_bytes; /* of all fields; 0 for the default */
     uint32_t host_count;
     uint32_t length_count;
     uint32_t transfer_count;
@@ -47,7 +48,8 @@
 enum rp_http_fault rp_http_judge_request(const struct rp_http_framing *framing,
                                          bool version_1_1);
 enum rp_http_fault rp_http_judge_answer(const struct rp_http_framing *framing,
-                                        uint32_t status, bool head);
+                                        uint32_t status, bool head,
+                                        bool may_end_with_connection);
 uint32_t rp_http_fault_status(enum rp_http_fault fault);
 const char *rp_http_fault_text(enum rp_http_fault fault);
 
--- a/src/load.c
+++ b/src/load.c
@@ -32,7 +32,9 @@
                       : strcmp(key, "slots") == 0      ? &report->slots
                       : strcmp(key, "queue") == 0      ? &report->queued
                       : strcmp(key, "service_us") == 0 ? &report->service_us
-                                                       : NULL;
+                      : strcmp(key, "slowness_percent") == 0
+                          ? &report->slowness_percent
+                          : NULL;
     if (field == NULL) {
         return true; /* a field of a later version */
     }
--- a/src/load.h
+++ b/src/load.h
@@ -18,6 +18,9 @@
     uint32_t queued;     /* requests waiting for a slot */
     uint32_t service_us; /* recent mean time in a slot */
     enum rp_target_state state;
+    /* How long work takes there now, in parts of a hundred of the usual time;
+     * 0 when the target does not tell. */
+    uint32_t slowness_percent;
 };
 
 #ifdef __cplusplus
--- a/src/node.c
+++ b/src/node.c
@@ -9,6 +9,7 @@
 #include "admin.h"
 #include "call.h"
 #include "config_task.h"
+#include "directory.h"
 #include "dispatch.h"
 #include "entry.h"
 #include "gossip.h"
@@ -19,7 +20,6 @@
 #include "upstream.h"
 #include "wire.h"
 
-#define IDLE_TIMEOUT_S 75
 /* Every worker takes about 200 connections from the whole fleet. */
 #define CONNECTIONS_PER_WORKER 200
 #define LEAST_CONNECTIONS 4
@@ -27,6 +27,8 @@
 #define FLEET_KEY_BYTES 32
 
 struct rp_node {
+    const struct rp_adapter *adapter; /* NULL for the own protocols */
+    struct rp_platform_protocol *protocol;
     struct rp_context *context;
     struct rp_kernel *kernel;
     struct rp_loop *loop;
@@ -218,6 +220,10 @@
     struct rp_platform_settings platform = {
         .url = rp_settings_text(settings, RP_SETTING_PLATFORM),
     };
+    if (node->adapter != NULL) {
+        node->protocol = node->adapter->protocol_new();
+        platform.protocol = node->protocol;
+    }
     return platform.url[0] == '\0' ||
            rp_platform_add(node->loop, &platform, now_ns, error) != NULL;
 }
@@ -241,10 +247,12 @@
 start_path(struct rp_node *node, const struct rp_settings *settings,
            GError **error)
 {
+    const struct rp_dialect *dialect =
+        node->adapter == NULL ? &rp_dialect_own : node->adapter->dialect;
     struct rp_entry_config entry = {
+        .dialect = dialect,
         .connection_limit =
             (uint32_t)rp_settings_number(settings, RP_SETTING_MAX_CONNECTIONS),
-        .idle_timeout_s = IDLE_TIMEOUT_S,
         .answer_ttl_ms =
             (uint32_t)rp_settings_number(settings, RP_SETTING_ADDRESS_TTL_MS),
     };
@@ -262,6 +270,7 @@
     uint32_t share =
         CONNECTIONS_PER_WORKER / node->context->identity.fleet_size;
     struct rp_upstream_config upstream = {
+        .dialect = dialect,
         .connections_per_target = MAX(share, LEAST_CONNECTIONS),
         .progress_timeout_ms =
             (uint32_t)rp_settings_number(settings, RP_SETTING_PROGRESS_MS),
@@ -277,6 +286,23 @@
            (node->prober = rp_prober_new_http(node->loop, error)) != NULL;
 }
 
+static bool
+start_directory(struct rp_node *node, const struct rp_settings *settings,
+                GError **error)
+{
+    if (node->adapter == NULL) {
+        return true;
+    }
+    struct rp_directory_config directory = {
+        .pages = node->adapter->pages,
+        .address = rp_settings_text(settings, RP_SETTING_DIRECTORY_ADDRESS),
+        .ready_address = rp_settings_text(settings, RP_SETTING_READY_ADDRESS),
+        .ttl_ms =
+            (uint32_t)rp_settings_number(settings, RP_SETTING_ADDRESS_TTL_MS),
+    };
+    return rp_directory_new(node->loop, &directory, error) != NULL;
+}
+
 /* The config task is last, so that its first snapshot finds the others. */
 static bool
 start_tasks(struct rp_node *node, const struct rp_settings *settings,
@@ -285,18 +311,21 @@
     const char *admin = rp_settings_text(settings, RP_SETTING_ADMIN_ADDRESS);
     return rp_admin_start(node->loop, admin, error) != NULL &&
            start_path(node, settings, error) &&
+           start_directory(node, settings, error) &&
            start_peers(node, settings, error) &&
            start_config(node, settings, error);
 }
 
-/* Creates an entry process from checked settings and opens its ports. Returns
- * NULL with an error set when one cannot be opened. Free it with
- * rp_node_free. */
+/* Creates an entry process from checked settings and opens its ports. adapter
+ * is NULL for the project's own protocols. Returns NULL with an error set when
+ * one cannot be opened. Free it with rp_node_free. */
 struct rp_node *
-rp_node_start(const struct rp_settings *settings, GError **error)
+rp_node_start(const struct rp_settings *settings,
+              const struct rp_adapter *adapter, GError **error)
 {
     raise_descriptor_limit();
     struct rp_node *node = g_new0(struct rp_node, 1);
+    node->adapter = adapter;
     node->context = create_context(settings);
     node->kernel = rp_kernel_new(node->context);
     node->loop = rp_loop_new(node->kernel);
@@ -331,6 +360,9 @@
     ev_signal_stop(ev, &node->interrupt);
     ev_timer_stop(ev, &node->stop_check);
     rp_kernel_free(node->kernel);
+    if (node->protocol != NULL) {
+        node->adapter->protocol_free(node->protocol);
+    }
     rp_prober_free(node->prober);
     rp_loop_free(node->loop);
     rp_context_free(node->context);
--- a/src/node.h
+++ b/src/node.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "adapter.h"
 #include "setting.h"
 
 /* One entry process: the kernel, its loop and all tasks. */
@@ -13,6 +14,7 @@
 #endif
 
 struct rp_node *rp_node_start(const struct rp_settings *settings,
+                              const struct rp_adapter *adapter,
                               GError **error);
 void rp_node_run(struct rp_node *node);
 void rp_node_free(struct rp_node *node);
--- a/src/platform.c
+++ b/src/platform.c
@@ -25,6 +25,7 @@
     struct rp_task *task;
     struct rp_context *context;
     struct rp_watch *watch;
+    const struct rp_platform_protocol *protocol;
     char *url;
     int64_t timeout_ms;
     int64_t answer_max_bytes;
@@ -70,12 +71,13 @@
 start_read(struct rp_platform *platform, enum rp_watch_read read,
            int64_t wait_ms)
 {
-    char *url = read == RP_WATCH_READ_VMS
-                    ? g_strdup_printf("%s/vms", platform->url)
-                    : g_strdup_printf("%s/records?after=%" G_GUINT64_FORMAT
-                                      "&wait_ms=%" G_GINT64_FORMAT "&limit=%u",
-                                      platform->url, platform->after, wait_ms,
-                                      platform->page_now);
+    const struct rp_platform_protocol *protocol = platform->protocol;
+    char *path = read == RP_WATCH_READ_VMS
+                     ? g_strdup(protocol->vms_path)
+                     : protocol->records_path(protocol->data, platform->after,
+                                              wait_ms, platform->page_now);
+    char *url = g_strconcat(platform->url, path, NULL);
+    g_free(path);
     CURL *easy = platform->easy;
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
@@ -136,8 +138,6 @@
 static bool
 check_answer(struct rp_platform *platform, CURLcode code, GError **error)
 {
-    long status = 0;
-    curl_easy_getinfo(platform->easy, CURLINFO_RESPONSE_CODE, &status);
     if (platform->answer_too_large) {
         g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
                     "the platform's answer has more than %" G_GINT64_FORMAT
@@ -152,12 +152,6 @@
                     platform->url, curl_easy_strerror(code));
         return false;
     }
-    if (status != 200) {
-        g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
-                    "%s answered with status %ld; check the platform",
-                    platform->url, status);
-        return false;
-    }
     return true;
 }
 
@@ -224,7 +218,15 @@
                int64_t now_ns, GError **error)
 {
     const char *text = (const char *)platform->answer->data;
+    long status = 0;
+    curl_easy_getinfo(platform->easy, CURLINFO_RESPONSE_CODE, &status);
     if (platform->reading == RP_WATCH_READ_VMS) {
+        if (status != 200) {
+            g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
+                        "%s answered with status %ld; check the platform",
+                        platform->url, status);
+            return false;
+        }
         struct rp_vm_list *list =
             rp_vm_list_parse(text, platform->answer->len, error);
         if (list == NULL) {
@@ -235,7 +237,9 @@
         return true;
     }
     struct rp_platform_answer answer;
-    if (!rp_platform_answer_parse(text, platform->answer->len, &answer, error))
+    const struct rp_platform_protocol *protocol = platform->protocol;
+    if (!protocol->take_answer(protocol->data, (uint32_t)status, text,
+                               platform->answer->len, &answer, error))
     {
         return false;
     }
@@ -396,7 +400,12 @@
     }
     platform->task = task;
     platform->context = rp_kernel_context(kernel);
+    platform->protocol = settings->protocol == NULL ? &rp_platform_protocol_own
+                                                    : settings->protocol;
     platform->watch = rp_watch_new(platform->context->identity.id, now_ns);
+    if (platform->protocol->vms_path == NULL) {
+        rp_watch_set_unlisted(platform->watch);
+    }
     platform->url = g_strdup(settings->url);
     while (g_str_has_suffix(platform->url, "/")) {
         platform->url[strlen(platform->url) - 1] = '\0';
--- a/src/platform.h
+++ b/src/platform.h
@@ -3,6 +3,7 @@
 
 #include "kernel.h"
 #include "loop.h"
+#include "platform_protocol.h"
 #include "vm_list.h"
 
 /* The task "platform" reads the platform's configuration service. */
@@ -18,7 +19,8 @@
 
 /* Strings are copied. Zero values stand for the defaults. */
 struct rp_platform_settings {
-    const char *url;          /* "http://ip:port" */
+    const char *url;                             /* "http://ip:port" */
+    const struct rp_platform_protocol *protocol; /* NULL for the own one */
     int64_t timeout_ms;       /* of a read, above the time it may wait; 2000 */
     uint32_t page_size;       /* records asked for at once; 256 */
     int64_t answer_max_bytes; /* 8 MiB */
--- a/src/record.c
+++ b/src/record.c
@@ -11,13 +11,19 @@
 #define MAX_SLOTS 1024
 #define MAX_CONNECTIONS 10000
 #define MAX_VERSION INT64_C(1000000000000)
+#define MAX_WEIGHT 1000000
+#define MAX_ATTEMPTS 100
+#define MAX_RANK 1000
+#define MAX_HEADER_BYTES (1024 * 1024)
+/* The one estate of targets that are published one by one. */
+#define SINGLE_ESTATE "published"
 
 /* Targets of the two workloads have 6 slots and about 200 connections. */
 #define DEFAULT_SLOTS 6
 #define DEFAULT_CONNECTIONS 200
 
-static const char *const kind_names[] = {"service (schema 1)", "service",
-                                         "targets", "share"};
+static const char *const kind_names[] = {
+    "service (schema 1)", "service", "targets", "share", "routes", "target"};
 
 /* Returns the name of a kind as used in messages. */
 const char *
@@ -30,10 +36,31 @@
 free_target(struct rp_record_target *target)
 {
     g_free(target->name);
+    g_free(target->instance);
     g_free(target->address);
     g_free(target->domain);
 }
 
+static void
+free_routes(struct rp_record *record)
+{
+    for (uint32_t i = 0; i < record->pool_count; i++) {
+        g_free(record->pools[i].name);
+        g_free(record->pools[i].probe_path);
+    }
+    for (uint32_t i = 0; i < record->route_count; i++) {
+        struct rp_record_route *route = &record->routes[i];
+        for (uint32_t j = 0; j < route->part_count; j++) {
+            g_free(route->parts[j].service);
+        }
+        g_free(route->name);
+        g_free(route->host);
+        g_free(route->path_prefix);
+    }
+    g_free(record->pools);
+    g_free(record->routes);
+}
+
 /* Frees a record; NULL is allowed. */
 void
 rp_record_free(struct rp_record *record)
@@ -47,6 +74,7 @@
     for (uint32_t i = 0; i < record->share_count; i++) {
         g_free(record->shares[i].estate);
     }
+    free_routes(record);
     g_free(record->targets);
     g_free(record->settings.host);
     g_free(record->settings.path_prefix);
@@ -329,6 +357,166 @@
     check_unique(reader, place, record);
 }
 
+static void
+read_parts(struct rp_reader *reader, const char *place, const json_t *value,
+           const struct rp_field *field, void *out)
+{
+    static const struct rp_field weight = {"",         NULL, 0,    0,
+                                           MAX_WEIGHT, 0,    false};
+    struct rp_record_route *route = out;
+    size_t count = json_object_size(value);
+    if (!json_is_object(value) || count == 0 || count > RP_SNAPSHOT_PARTS) {
+        rp_reader_fault(reader, place,
+                        "must be an object of 1 to %d services and their "
+                        "weights; write {\"lookups\": 1}",
+                        RP_SNAPSHOT_PARTS);
+        return;
+    }
+    int64_t sum = 0;
+    const char *service;
+    json_t *entry;
+    json_object_foreach((json_t *)value, service, entry)
+    {
+        char inner[RP_READ_PLACE_BYTES];
+        g_snprintf(inner, sizeof(inner), "%s.%.40s", place, service);
+        json_t *name = json_string(service);
+        uint32_t i = route->part_count++;
+        rp_read_name(reader, inner, name, &weight, &route->parts[i].service);
+        json_decref(name);
+        rp_read_integer(reader, inner, entry, &weight,
+                        &route->parts[i].weight);
+        sum += route->parts[i].weight;
+    }
+    if (sum == 0) {
+        rp_reader_fault(reader, place,
+                        "has no weight above 0; give one service a weight");
+    }
+}
+
+static void
+read_routes(struct rp_reader *reader, const char *place, const json_t *value,
+            const struct rp_field *field, void *out)
+{
+#define ROUTE(member) offsetof(struct rp_record_route, member)
+    static const struct rp_field fields[] = {
+        {"name", rp_read_name, ROUTE(name), 0, 0, 0, true},
+        {"host", rp_read_text, ROUTE(host), 0, 253, 0, false},
+        {"path_prefix", rp_read_path, ROUTE(path_prefix), 1, 1024, 0, true},
+        {"repeatable", rp_read_boolean, ROUTE(repeatable), 0, 0, 0, true},
+        {"long", rp_read_boolean, ROUTE(long_answers), 0, 0, 0, false},
+        {"timeout_ms", rp_read_integer, ROUTE(timeout_ms), 1, MAX_TIMEOUT_MS,
+         0, true},
+        {"aim_ms", rp_read_integer, ROUTE(aim_ms), 0, MAX_TIMEOUT_MS, 0,
+         false},
+        {"attempts", rp_read_integer, ROUTE(attempts), 1, MAX_ATTEMPTS, 0,
+         true},
+        {"rank", rp_read_integer, ROUTE(rank), 0, MAX_RANK, 0, false},
+        {"services", read_parts, 0, 0, 0, 0, true},
+    };
+#undef ROUTE
+    struct rp_record *record = out;
+    size_t count = json_array_size(value);
+    if (!json_is_array(value) || count > RP_RECORD_MAX_ROUTES) {
+        rp_reader_fault(reader, place,
+                        "must be an array of at most %d routes; publish "
+                        "fewer routes",
+                        RP_RECORD_MAX_ROUTES);
+        return;
+    }
+    record->routes = g_new0(struct rp_record_route, count);
+    record->route_count = (uint32_t)count;
+    for (size_t i = 0; i < count; i++) {
+        char inner[RP_READ_PLACE_BYTES];
+        g_snprintf(inner, sizeof(inner), "%s[%zu]", place, i);
+        rp_reader_object(reader, inner, json_array_get(value, i), fields,
+                         G_N_ELEMENTS(fields), true, &record->routes[i]);
+    }
+}
+
+static void
+read_pools(struct rp_reader *reader, const char *place, const json_t *value,
+           const struct rp_field *field, void *out)
+{
+#define POOL(member) offsetof(struct rp_record_pool, member)
+    static const struct rp_field fields[] = {
+        {"name", rp_read_name, POOL(name), 0, 0, 0, true},
+        {"probe_path", rp_read_path, POOL(probe_path), 1, 1024, 0, false},
+        {"connections", rp_read_integer, POOL(connections), 1, MAX_CONNECTIONS,
+         0, false},
+    };
+#undef POOL
+    struct rp_record *record = out;
+    size_t count = json_array_size(value);
+    if (!json_is_array(value) || count > RP_RECORD_MAX_POOLS) {
+        rp_reader_fault(reader, place,
+                        "must be an array of at most %d services; publish "
+                        "fewer services",
+                        RP_RECORD_MAX_POOLS);
+        return;
+    }
+    record->pools = g_new0(struct rp_record_pool, count);
+    record->pool_count = (uint32_t)count;
+    for (size_t i = 0; i < count; i++) {
+        char inner[RP_READ_PLACE_BYTES];
+        g_snprintf(inner, sizeof(inner), "%s[%zu]", place, i);
+        record->pools[i].connections = DEFAULT_CONNECTIONS;
+        rp_reader_object(reader, inner, json_array_get(value, i), fields,
+                         G_N_ELEMENTS(fields), true, &record->pools[i]);
+    }
+}
+
+static void
+read_limits(struct rp_reader *reader, const char *place, const json_t *value,
+            const struct rp_field *field, void *out)
+{
+#define LIMIT(member) offsetof(struct rp_record_limits, member)
+    static const struct rp_field fields[] = {
+        {"header_bytes", rp_read_integer, LIMIT(header_bytes), 256,
+         MAX_HEADER_BYTES, 0, true},
+        {"body_bytes", rp_read_integer, LIMIT(body_bytes), 0, MAX_BODY_BYTES,
+         0, true},
+        {"header_ms", rp_read_integer, LIMIT(header_ms), 1, MAX_TIMEOUT_MS, 0,
+         true},
+        {"idle_ms", rp_read_integer, LIMIT(idle_ms), 1, MAX_TIMEOUT_MS, 0,
+         true},
+    };
+#undef LIMIT
+    rp_reader_object(reader, place, value, fields, G_N_ELEMENTS(fields), true,
+                     out);
+}
+
+/* A target record describes one target, whose fields stand beside those of
+ * the record itself. */
+static void
+read_single_target(struct rp_reader *reader, const json_t *root,
+                   struct rp_record *record)
+{
+#define TARGET(member) offsetof(struct rp_record_target, member)
+    static const struct rp_field fields[] = {
+        {"name", rp_read_name, TARGET(name), 0, 0, 0, true},
+        {"instance", rp_read_text, TARGET(instance), 1, 200, 0, false},
+        {"address", rp_read_address, TARGET(address), 0, 0, 0, true},
+        {"domain", rp_read_text, TARGET(domain), 1, 63, 0, true},
+        {"slots", rp_read_integer, TARGET(slots), 1, MAX_SLOTS, 0, false},
+        {"cold_ms", rp_read_integer, TARGET(cold_ms), 0, MAX_TIMEOUT_MS, 0,
+         false},
+        {"state", read_target_state, TARGET(draining), 0, 0, 0, false},
+        {"schema", rp_read_ignore, 0, 0, 0, 0, false},
+        {"version", rp_read_ignore, 0, 0, 0, 0, false},
+        {"kind", rp_read_ignore, 0, 0, 0, 0, false},
+        {"service", rp_read_ignore, 0, 0, 0, 0, false},
+        {"retired", rp_read_ignore, 0, 0, 0, 0, false},
+        {"comment", rp_read_ignore, 0, 0, 0, 0, false},
+    };
+#undef TARGET
+    record->targets = g_new0(struct rp_record_target, 1);
+    record->targets[0].slots = DEFAULT_SLOTS;
+    record->targets[0].connections = DEFAULT_CONNECTIONS;
+    record->target_count = 1;
+    rp_reader_object(reader, "", root, fields, G_N_ELEMENTS(fields),
+                     !record->retired, &record->targets[0]);
+}
+
 static void
 read_old_estate(struct rp_reader *reader, const char *place,
                 const json_t *value, const struct rp_field *field, void *out)
@@ -413,6 +601,28 @@
     {"shares", read_shares, 0, 0, 0, 0, true},
 };
 
+static const struct rp_field routes_fields[] = {
+    COMMON_FIELDS,
+    {"kind", rp_read_ignore, 0, 0, 0, 0, true},
+    {"limits", read_limits, RECORD(limits), 0, 0, 0, false},
+    {"services", read_pools, 0, 0, 0, 0, true},
+    {"routes", read_routes, 0, 0, 0, 0, true},
+};
+
+/* The other fields are read by read_single_target. */
+static const struct rp_field target_fields_single[] = {
+    COMMON_FIELDS,
+    {"kind", rp_read_ignore, 0, 0, 0, 0, true},
+    {"service", rp_read_name, RECORD(service), 0, 0, 0, true},
+    {"name", rp_read_ignore, 0, 0, 0, 0, true},
+    {"instance", rp_read_ignore, 0, 0, 0, 0, false},
+    {"address", rp_read_ignore, 0, 0, 0, 0, true},
+    {"domain", rp_read_ignore, 0, 0, 0, 0, true},
+    {"slots", rp_read_ignore, 0, 0, 0, 0, false},
+    {"cold_ms", rp_read_ignore, 0, 0, 0, 0, false},
+    {"state", rp_read_ignore, 0, 0, 0, 0, false},
+};
+
 static const struct {
     const struct rp_field *fields;
     size_t count;
@@ -430,6 +640,12 @@
     [RP_RECORD_SHARE] = {share_fields,
                          G_N_ELEMENTS(share_fields),
                          {"service", NULL}},
+    [RP_RECORD_ROUTES] = {routes_fields,
+                          G_N_ELEMENTS(routes_fields),
+                          {NULL, NULL}},
+    [RP_RECORD_TARGET] = {target_fields_single,
+                          G_N_ELEMENTS(target_fields_single),
+                          {"name", NULL}},
 };
 
 static bool
@@ -442,21 +658,26 @@
         *kind = RP_RECORD_OLD_SERVICE;
         return true;
     }
-    if (schema != 2) {
+    if (schema != 2 && schema != 3) {
         rp_reader_fault(reader, "schema",
-                        "must be 1 or 2; publish the record in a form that "
+                        "must be 1, 2 or 3; publish the record in a form that "
                         "this release knows");
         return false;
     }
-    for (int i = RP_RECORD_SERVICE; i <= RP_RECORD_SHARE; i++) {
+    int first = schema == 2 ? RP_RECORD_SERVICE : RP_RECORD_ROUTES;
+    int last = schema == 2 ? RP_RECORD_SHARE : RP_RECORD_TARGET;
+    for (int i = first; i <= last; i++) {
         if (name != NULL && strcmp(name, kind_names[i]) == 0) {
             *kind = (enum rp_record_kind)i;
             return true;
         }
     }
     rp_reader_fault(reader, "kind",
-                    "must be \"service\", \"targets\" or \"share\"; correct "
-                    "the value");
+                    schema == 2
+                        ? "must be \"service\", \"targets\" or \"share\"; "
+                          "correct the value"
+                        : "must be \"routes\" or \"target\"; correct the "
+                          "value");
     return false;
 }
 
@@ -473,10 +694,29 @@
                                record->estate);
     case RP_RECORD_SHARE:
         return g_strdup_printf("share/%s", record->service);
+    case RP_RECORD_ROUTES:
+        return g_strdup("routes");
+    case RP_RECORD_TARGET:
+        return g_strdup_printf("target/%s", record->targets[0].name);
     }
     return NULL;
 }
 
+static bool
+has_identity(const struct rp_record *record)
+{
+    switch (record->kind) {
+    case RP_RECORD_ROUTES:
+        return true;
+    case RP_RECORD_TARGET:
+        return record->targets[0].name != NULL;
+    case RP_RECORD_TARGETS:
+        return record->service != NULL && record->estate != NULL;
+    default:
+        return record->service != NULL;
+    }
+}
+
 static void
 check_identity(struct rp_reader *reader, const json_t *root, const char *key,
                struct rp_record *record)
@@ -491,9 +731,7 @@
     if (record->retired && json_object_get(root, "version") == NULL) {
         rp_reader_fault(reader, "version", "is missing; add the field");
     }
-    if (record->service == NULL ||
-        (record->kind == RP_RECORD_TARGETS && record->estate == NULL))
-    {
+    if (!has_identity(record)) {
         return;
     }
     record->key = record_key(record);
@@ -540,6 +778,10 @@
     if (kind == RP_RECORD_OLD_SERVICE) {
         record->estate = g_strdup("old");
     }
+    if (kind == RP_RECORD_TARGET) {
+        record->estate = g_strdup(SINGLE_ESTATE);
+        read_single_target(reader, root, record);
+    }
     check_identity(reader, root, key, record);
     check_timeouts(reader, &record->settings);
     return record;
--- a/src/record.h
+++ b/src/record.h
@@ -16,12 +16,18 @@
 #define RP_RECORD_MAX_TARGETS 2048
 #define RP_RECORD_MAX_KEY_BYTES 200
 #define RP_RECORD_MAX_FAULTS 50
+/* Routes of one routes record; a value of 1 MB holds about 4,000. */
+#define RP_RECORD_MAX_ROUTES 8192
+/* Ten times the services of the design size. */
+#define RP_RECORD_MAX_POOLS 512
 
 enum rp_record_kind {
     RP_RECORD_OLD_SERVICE, /* schema 1, key "v1/NAME" */
     RP_RECORD_SERVICE,     /* schema 2, key "service/NAME" */
     RP_RECORD_TARGETS,     /* schema 2, key "targets/SERVICE/ESTATE" */
     RP_RECORD_SHARE,       /* schema 2, key "share/SERVICE" */
+    RP_RECORD_ROUTES,      /* schema 3, key "routes" */
+    RP_RECORD_TARGET,      /* schema 3, key "target/NAME" */
 };
 
 /* Which fields of the service a record gives. */
@@ -50,10 +56,12 @@
 
 struct rp_record_target {
     char *name;
-    char *address; /* "ip:port" */
+    char *instance; /* NULL when it is not given */
+    char *address;  /* "ip:port" */
     char *domain;
     int64_t slots;
     int64_t connections;
+    int64_t cold_ms;
     bool draining;
 };
 
@@ -62,6 +70,38 @@
     uint32_t permille;
 };
 
+/* A service of a routes record: what all its targets have in common. */
+struct rp_record_pool {
+    char *name;
+    char *probe_path;
+    int64_t connections; /* that one target takes from the whole fleet */
+};
+
+/* One route of a routes record. */
+struct rp_record_route {
+    char *name;
+    char *host;
+    char *path_prefix;
+    bool repeatable;
+    bool long_answers;
+    int64_t timeout_ms;
+    int64_t aim_ms;
+    int64_t attempts;
+    int64_t rank;
+    struct {
+        char *service;
+        int64_t weight;
+    } parts[RP_SNAPSHOT_PARTS];
+    uint32_t part_count;
+};
+
+struct rp_record_limits {
+    int64_t header_bytes;
+    int64_t body_bytes;
+    int64_t header_ms;
+    int64_t idle_ms;
+};
+
 /* One published record after all checks. Fields that its kind does not have
  * are empty. */
 struct rp_record {
@@ -76,6 +116,11 @@
     uint32_t target_count;
     struct rp_record_share shares[RP_SNAPSHOT_ESTATES];
     uint32_t share_count;
+    struct rp_record_pool *pools;
+    uint32_t pool_count;
+    struct rp_record_route *routes;
+    uint32_t route_count;
+    struct rp_record_limits limits;
 };
 
 #ifdef __cplusplus
--- a/src/record_build.c
+++ b/src/record_build.c
@@ -15,7 +15,14 @@
     const struct rp_record *old;
     const struct rp_record *service;
     const struct rp_record *share;
-    GArray *candidates; /* of struct candidate */
+    const struct rp_record_pool *pool; /* of the routes record */
+    GArray *candidates;                /* of struct candidate */
+};
+
+/* All records, by service. */
+struct all_parts {
+    GTree *services; /* name to struct service_parts */
+    const struct rp_record *routes;
 };
 
 static void
@@ -27,18 +34,28 @@
 }
 
 static struct service_parts *
-find_parts(GTree *services, const struct rp_record *record)
+find_parts(GTree *services, char *name)
 {
-    struct service_parts *parts = g_tree_lookup(services, record->service);
+    struct service_parts *parts = g_tree_lookup(services, name);
     if (parts == NULL) {
         parts = g_new0(struct service_parts, 1);
         parts->candidates =
             g_array_new(FALSE, FALSE, sizeof(struct candidate));
-        g_tree_insert(services, record->service, parts);
+        g_tree_insert(services, name, parts);
     }
     return parts;
 }
 
+static void
+collect_routes(struct all_parts *all, const struct rp_record *record)
+{
+    all->routes = record;
+    for (uint32_t i = 0; i < record->pool_count; i++) {
+        struct rp_record_pool *pool = &record->pools[i];
+        find_parts(all->services, pool->name)->pool = pool;
+    }
+}
+
 static gboolean
 collect_entry(gpointer key, gpointer value, gpointer data)
 {
@@ -47,7 +64,12 @@
     if (record->retired) {
         return FALSE;
     }
-    struct service_parts *parts = find_parts(data, record);
+    struct all_parts *all = data;
+    if (record->kind == RP_RECORD_ROUTES) {
+        collect_routes(all, record);
+        return FALSE;
+    }
+    struct service_parts *parts = find_parts(all->services, record->service);
     switch (record->kind) {
     case RP_RECORD_OLD_SERVICE:
         parts->old = record;
@@ -59,6 +81,8 @@
         parts->share = record;
         break;
     case RP_RECORD_TARGETS:
+    case RP_RECORD_ROUTES:
+    case RP_RECORD_TARGET:
         break;
     }
     for (uint32_t i = 0; i < record->target_count; i++) {
@@ -183,7 +207,13 @@
         struct rp_target *target = rp_service_add_target(
             service, from->name, from->address, from->domain, estate);
         target->slots = (uint32_t)from->slots;
-        target->connections = (uint32_t)from->connections;
+        target->connections =
+            (uint32_t)(parts->pool == NULL ? from->connections
+                                           : parts->pool->connections);
+        target->cold_ms = (uint32_t)from->cold_ms;
+        if (from->instance != NULL) {
+            replace_text(&target->instance, from->instance);
+        }
         target->draining = from->draining;
     }
 }
@@ -300,15 +330,68 @@
     GPtrArray *warnings;
 };
 
+/* The route that a service record gives to its own service. */
+static void
+add_own_route(struct rp_snapshot *snapshot, const struct rp_service *service)
+{
+    struct rp_route *route = rp_snapshot_add_route(
+        snapshot, service->name, service->host, service->path_prefix);
+    route->timeout_ms = service->timeout_ms;
+    route->max_timeout_ms = service->max_timeout_ms;
+    route->max_body_bytes = service->max_body_bytes;
+    route->repeatable_methods = service->repeatable_methods;
+    route->length_class = service->length_class;
+    rp_route_add_part(route, service->name, 1);
+}
+
+static void
+add_route(struct rp_snapshot *snapshot, const struct rp_record_route *from)
+{
+    struct rp_route *route = rp_snapshot_add_route(
+        snapshot, from->name, from->host == NULL ? "" : from->host,
+        from->path_prefix);
+    route->timeout_ms = (uint32_t)from->timeout_ms;
+    route->max_timeout_ms = route->timeout_ms;
+    route->aim_ms = (uint32_t)from->aim_ms;
+    route->repeatable_methods = from->repeatable ? RP_METHODS_ALL : 0;
+    route->repeat_errors = from->repeatable;
+    route->length_class =
+        from->long_answers ? RP_LENGTH_LONG : RP_LENGTH_MEASURED;
+    route->attempts = (uint32_t)from->attempts;
+    route->rank = (uint32_t)from->rank;
+    for (uint32_t i = 0; i < from->part_count; i++) {
+        rp_route_add_part(route, from->parts[i].service,
+                          (uint32_t)from->parts[i].weight);
+    }
+}
+
+static void
+apply_routes(struct rp_snapshot *snapshot, const struct rp_record *record)
+{
+    for (uint32_t i = 0; i < record->route_count; i++) {
+        add_route(snapshot, &record->routes[i]);
+    }
+    if (record->limits.header_bytes > 0) {
+        struct rp_caller_limits limits = {
+            .header_bytes = (uint32_t)record->limits.header_bytes,
+            .body_bytes = (uint64_t)record->limits.body_bytes,
+            .header_ms = (uint32_t)record->limits.header_ms,
+            .idle_ms = (uint32_t)record->limits.idle_ms,
+        };
+        rp_snapshot_set_limits(snapshot, &limits);
+    }
+}
+
 static gboolean
 build_service(gpointer key, gpointer value, gpointer data)
 {
     struct build_state *state = data;
     struct service_parts *parts = value;
-    if (parts->old == NULL && parts->service == NULL) {
+    if (parts->old == NULL && parts->service == NULL && parts->pool == NULL) {
         warn(state->warnings,
              "service '%s' has targets or shares but no service record, so "
-             "it is not in force; publish 'service/%s'",
+             "it is not in force; publish 'service/%s' or name it in "
+             "'routes'",
              (const char *)key, (const char *)key);
         return FALSE;
     }
@@ -321,6 +404,12 @@
     }
     service->max_timeout_ms =
         MAX(service->max_timeout_ms, service->timeout_ms);
+    if (parts->pool != NULL && parts->pool->probe_path != NULL) {
+        replace_text(&service->probe_path, parts->pool->probe_path);
+    }
+    if (parts->old != NULL || parts->service != NULL) {
+        add_own_route(state->snapshot, service);
+    }
     add_targets(service, parts, state->warnings);
     if (service->target_count == 0) {
         warn(state->warnings,
@@ -350,11 +439,16 @@
 rp_record_set_build(const struct rp_record_set *set, GHashTable *leaving,
                     GPtrArray *warnings)
 {
-    GTree *services = g_tree_new_full(compare_names, NULL, NULL, free_parts);
-    g_tree_foreach(set->entries, collect_entry, services);
+    struct all_parts all = {
+        .services = g_tree_new_full(compare_names, NULL, NULL, free_parts),
+    };
+    g_tree_foreach(set->entries, collect_entry, &all);
     struct build_state state = {rp_snapshot_new(), leaving, warnings};
-    g_tree_foreach(services, build_service, &state);
-    g_tree_unref(services);
+    g_tree_foreach(all.services, build_service, &state);
+    if (all.routes != NULL) {
+        apply_routes(state.snapshot, all.routes);
+    }
+    g_tree_unref(all.services);
     rp_snapshot_set_version(state.snapshot, set->digest, set->revision);
     return state.snapshot;
 }
--- a/src/setting_list.h
+++ b/src/setting_list.h
@@ -25,3 +25,6 @@
 RP_SETTING(FIRST_BYTE_MS, "first-byte-ms", NUMBER(10, 600000), "2000", 0, "greatest wait for the first byte of an answer, in ms")
 RP_SETTING(PROGRESS_MS, "progress-ms", NUMBER(10, 600000), "10000", 0, "greatest time without a byte within an answer, in ms")
 RP_SETTING(ONCE_CONNECTIONS, "once-connections", CHOICE("fresh|reuse"), "fresh", 0, "connections of requests that may not be repeated: fresh or reuse")
+RP_SETTING(ADAPTER, "adapter", CHOICE("own|gateway"), "own", 0, "protocols of the platform, callers and targets: own or gateway")
+RP_SETTING(DIRECTORY_ADDRESS, "directory-address", ADDRESS, "", 0, "ip:port of the directory; with an adapter")
+RP_SETTING(READY_ADDRESS, "ready-address", ADDRESS, "", 0, "ip:port of the readiness page; with an adapter")
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -2,10 +2,17 @@
 
 #include <string.h>
 
+/* Bounds that hold while no record sets others. Browsers and proxies commonly
+ * allow 32 KiB of header and keep idle connections for about a minute. */
+#define DEFAULT_HEADER_BYTES 32768u
+#define DEFAULT_IDLE_MS 75000u
+
 struct rp_snapshot {
     grefcount references;
     GPtrArray *services; /* of struct rp_service, in order of addition */
     GHashTable *by_name; /* borrowed names to borrowed services */
+    GPtrArray *routes;   /* of struct rp_route, in order of addition */
+    struct rp_caller_limits limits;
     uint64_t digest;
     uint64_t revision;
 };
@@ -16,6 +23,7 @@
     struct rp_service *service = data;
     for (uint32_t i = 0; i < service->target_count; i++) {
         g_free(service->targets[i].name);
+        g_free(service->targets[i].instance);
         g_free(service->targets[i].address);
         g_free(service->targets[i].domain);
     }
@@ -30,6 +38,19 @@
     g_free(service);
 }
 
+static void
+free_route(gpointer data)
+{
+    struct rp_route *route = data;
+    for (uint32_t i = 0; i < route->part_count; i++) {
+        g_free(route->parts[i].service);
+    }
+    g_free(route->name);
+    g_free(route->host);
+    g_free(route->path_prefix);
+    g_free(route);
+}
+
 /* Creates an empty snapshot with one reference. It may be filled until it is
  * shared. */
 struct rp_snapshot *
@@ -39,6 +60,13 @@
     g_ref_count_init(&snapshot->references);
     snapshot->services = g_ptr_array_new_with_free_func(free_service);
     snapshot->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    snapshot->routes = g_ptr_array_new_with_free_func(free_route);
+    snapshot->limits = (struct rp_caller_limits){
+        .header_bytes = DEFAULT_HEADER_BYTES,
+        .body_bytes = UINT64_MAX,
+        .header_ms = DEFAULT_IDLE_MS,
+        .idle_ms = DEFAULT_IDLE_MS,
+    };
     return snapshot;
 }
 
@@ -91,6 +119,7 @@
     struct rp_target *target = &service->targets[service->target_count++];
     memset(target, 0, sizeof(*target));
     target->name = g_strdup(name);
+    target->instance = g_strdup("");
     target->address = g_strdup(address);
     target->domain = g_strdup(domain);
     target->estate = find_or_add_estate(service, estate);
@@ -124,6 +153,7 @@
         return;
     }
     g_hash_table_unref(snapshot->by_name);
+    g_ptr_array_unref(snapshot->routes);
     g_ptr_array_unref(snapshot->services);
     g_free(snapshot);
 }
@@ -164,6 +194,63 @@
     return g_hash_table_lookup(snapshot->by_name, name);
 }
 
+/* Adds a route without parts and with the default limits and returns it for
+ * filling. It belongs to the snapshot. */
+struct rp_route *
+rp_snapshot_add_route(struct rp_snapshot *snapshot, const char *name,
+                      const char *host, const char *path_prefix)
+{
+    struct rp_route *route = g_new0(struct rp_route, 1);
+    route->name = g_strdup(name);
+    route->host = g_strdup(host);
+    route->path_prefix = g_strdup(path_prefix);
+    route->timeout_ms = 10000;
+    route->max_timeout_ms = 60000;
+    route->max_body_bytes = UINT64_MAX;
+    route->repeatable_methods = RP_METHODS_IDEMPOTENT;
+    g_ptr_array_add(snapshot->routes, route);
+    return route;
+}
+
+/* Adds a service that the route spreads its calls over. The record parser
+ * refuses more than RP_SNAPSHOT_PARTS. */
+void
+rp_route_add_part(struct rp_route *route, const char *service, uint32_t weight)
+{
+    g_return_if_fail(route->part_count < RP_SNAPSHOT_PARTS);
+    struct rp_route_part *part = &route->parts[route->part_count++];
+    part->service = g_strdup(service);
+    part->weight = weight;
+}
+
+/* Returns whether there is a route of that name. */
+bool
+rp_snapshot_has_route(const struct rp_snapshot *snapshot, const char *name)
+{
+    for (uint32_t i = 0; i < snapshot->routes->len; i++) {
+        const struct rp_route *route = g_ptr_array_index(snapshot->routes, i);
+        if (strcmp(route->name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Sets the limits for callers. */
+void
+rp_snapshot_set_limits(struct rp_snapshot *snapshot,
+                       const struct rp_caller_limits *limits)
+{
+    snapshot->limits = *limits;
+}
+
+/* Returns the limits for callers. */
+const struct rp_caller_limits *
+rp_snapshot_limits(const struct rp_snapshot *snapshot)
+{
+    return &snapshot->limits;
+}
+
 static bool
 path_has_prefix(const char *path, const char *prefix, size_t prefix_bytes)
 {
@@ -176,33 +263,32 @@
            next == '\0' || next == '/' || next == '?';
 }
 
-/* Returns the service that a request belongs to: the longest matching path
- * prefix, a named host before any host; NULL when none matches. host may be
- * NULL and may carry a port. */
-const struct rp_service *
+/* Returns the route of a request: the longest matching path prefix, a named
+ * host before any host; NULL when none matches. host may be NULL and may carry
+ * a port. */
+const struct rp_route *
 rp_snapshot_match(const struct rp_snapshot *snapshot, const char *host,
                   const char *path)
 {
-    const struct rp_service *best = NULL;
+    const struct rp_route *best = NULL;
     size_t best_rank = 0;
     size_t host_bytes = host == NULL ? 0 : strcspn(host, ":");
-    for (uint32_t i = 0; i < snapshot->services->len; i++) {
-        const struct rp_service *service =
-            g_ptr_array_index(snapshot->services, i);
-        size_t prefix_bytes = strlen(service->path_prefix);
-        if (!path_has_prefix(path, service->path_prefix, prefix_bytes)) {
+    for (uint32_t i = 0; i < snapshot->routes->len; i++) {
+        const struct rp_route *route = g_ptr_array_index(snapshot->routes, i);
+        size_t prefix_bytes = strlen(route->path_prefix);
+        if (!path_has_prefix(path, route->path_prefix, prefix_bytes)) {
             continue;
         }
-        bool any_host = service->host[0] == '\0';
+        bool any_host = route->host[0] == '\0';
         if (!any_host &&
-            (strlen(service->host) != host_bytes ||
-             g_ascii_strncasecmp(service->host, host, host_bytes) != 0))
+            (strlen(route->host) != host_bytes ||
+             g_ascii_strncasecmp(route->host, host, host_bytes) != 0))
         {
             continue;
         }
         size_t rank = prefix_bytes * 2 + (any_host ? 1 : 2);
         if (rank > best_rank) {
-            best = service;
+            best = route;
             best_rank = rank;
         }
     }
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #define RP_SNAPSHOT_ESTATES 8
+#define RP_SNAPSHOT_PARTS 8
 
 /* Flags of a service: which methods may be repeated. */
 #define RP_METHOD_GET (1u << 0)
@@ -20,6 +21,7 @@
 #define RP_METHODS_IDEMPOTENT                                                 \
     (RP_METHOD_GET | RP_METHOD_HEAD | RP_METHOD_PUT | RP_METHOD_DELETE |      \
      RP_METHOD_OPTIONS)
+#define RP_METHODS_ALL UINT32_MAX
 
 enum rp_length_class {
     RP_LENGTH_MEASURED, /* learned from the answers */
@@ -30,11 +32,14 @@
 /* A server that answers requests of one service. */
 struct rp_target {
     char *name;
-    char *address; /* "ip:port"; unique within a service */
+    char *instance; /* of its present start; "" when it is not known */
+    char *address;  /* "ip:port"; unique within a service */
     char *domain;
     uint32_t estate; /* index into the service's estates */
     uint32_t slots;
     uint32_t connections;
+    uint32_t
+        cold_ms; /* how long it stays slow after its start, as published */
     bool draining;
 };
 
@@ -61,6 +66,39 @@
     uint32_t target_count;
 };
 
+/* One of the services that a route spreads its calls over. */
+struct rp_route_part {
+    char *service;
+    uint32_t weight;
+};
+
+/* Which calls go where, and what may be done with them. A service record
+ * gives one route to itself; a routes record gives any number. */
+struct rp_route {
+    char *name;
+    char *host;              /* "" matches every host */
+    char *path_prefix;       /* begins with "/" */
+    uint32_t timeout_ms;     /* of a call that names none */
+    uint32_t max_timeout_ms; /* whatever a call names */
+    uint32_t aim_ms;         /* answers are wanted within it; 0: not known */
+    uint64_t max_body_bytes;
+    uint32_t repeatable_methods;
+    bool repeat_errors; /* an answer of 500 or above may be tried elsewhere */
+    uint32_t attempts;  /* targets that one call may reach; 0: no own bound */
+    uint32_t rank;      /* 0 goes first */
+    enum rp_length_class length_class;
+    struct rp_route_part parts[RP_SNAPSHOT_PARTS];
+    uint32_t part_count;
+};
+
+/* What callers may send and how long they may take. */
+struct rp_caller_limits {
+    uint32_t header_bytes;
+    uint64_t body_bytes;
+    uint32_t header_ms; /* from the first byte of a header to its end */
+    uint32_t idle_ms;   /* of a connection without a request */
+};
+
 /* The configuration in force: immutable and reference counted, so that a
  * task may keep it while another puts a newer one in force. */
 struct rp_snapshot;
@@ -87,8 +125,19 @@
 rp_snapshot_get_service(const struct rp_snapshot *snapshot, uint32_t index);
 const struct rp_service *
 rp_snapshot_find_service(const struct rp_snapshot *snapshot, const char *name);
-const struct rp_service *rp_snapshot_match(const struct rp_snapshot *snapshot,
-                                           const char *host, const char *path);
+struct rp_route *rp_snapshot_add_route(struct rp_snapshot *snapshot,
+                                       const char *name, const char *host,
+                                       const char *path_prefix);
+void rp_route_add_part(struct rp_route *route, const char *service,
+                       uint32_t weight);
+const struct rp_route *rp_snapshot_match(const struct rp_snapshot *snapshot,
+                                         const char *host, const char *path);
+bool rp_snapshot_has_route(const struct rp_snapshot *snapshot,
+                           const char *name);
+void rp_snapshot_set_limits(struct rp_snapshot *snapshot,
+                            const struct rp_caller_limits *limits);
+const struct rp_caller_limits *
+rp_snapshot_limits(const struct rp_snapshot *snapshot);
 
 /* Body of RP_MSG_SNAPSHOT: holds one reference, released by the kernel. */
 struct rp_snapshot_message {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -217,6 +217,7 @@
     struct rp_upstream_attempt *attempt =
         g_new0(struct rp_upstream_attempt, 1);
     attempt->upstream = upstream;
+    attempt->dialect = upstream->config.dialect;
     attempt->easy = take_easy(upstream);
     attempt->started_ns = now_ns;
     int64_t age_s = greatest_age_s(upstream, start->address, now_ns);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -1,12 +1,14 @@
 #ifndef RP_UPSTREAM_H
 #define RP_UPSTREAM_H
 
+#include "dialect.h"
 #include "kernel.h"
 #include "loop.h"
 
 struct rp_upstream;
 
 struct rp_upstream_config {
+    const struct rp_dialect *dialect;
     uint32_t connections_per_target; /* at once, idle ones included */
     uint32_t connect_timeout_ms;     /* 0 for the default */
     uint32_t progress_timeout_ms;    /* without a byte in the answer's body */
--- a/src/upstream_attempt.c
+++ b/src/upstream_attempt.c
@@ -116,28 +116,6 @@
            attempt->status != 101;
 }
 
-static void
-take_own_field(struct rp_upstream_attempt *attempt, const char *name,
-               const char *value)
-{
-    struct rp_answer *answer = attempt->answer;
-    if (g_ascii_strcasecmp(name, "RP-Load") == 0) {
-        answer->has_load = rp_load_parse(value, &answer->load, NULL);
-    }
-    else if (g_ascii_strcasecmp(name, "RP-Outcome") == 0) {
-        answer->refused =
-            answer->status == 503 && strcmp(value, "not-run") == 0;
-        answer->outcome = strcmp(value, "not-run") == 0 ? RP_OUTCOME_NOT_RUN
-                                                        : RP_OUTCOME_UNKNOWN;
-    }
-    else if (g_ascii_strcasecmp(name, "RP-Retry-After-Ms") == 0) {
-        uint64_t number;
-        if (rp_http_parse_number(value, 3600000, &number)) {
-            answer->retry_after_ms = (int64_t)number;
-        }
-    }
-}
-
 static bool
 take_field(struct rp_upstream_attempt *attempt, char *line, size_t bytes)
 {
@@ -159,11 +137,16 @@
     if (attempt->framing.malformed || strlen(value) != value_bytes) {
         return false;
     }
-    if (rp_http_is_own_field(line)) {
-        take_own_field(attempt, line, value);
-    }
-    else {
+    switch (attempt->dialect->take_answer_field(
+        attempt->dialect->data, attempt->call, attempt->answer, line, value))
+    {
+    case RP_FIELD_PASSED:
         rp_fields_add(&attempt->answer->fields, line, value);
+        break;
+    case RP_FIELD_TAKEN:
+        break;
+    case RP_FIELD_BAD:
+        return false;
     }
     return attempt->framing.field_bytes <= RP_HTTP_HEADER_LIMIT_BYTES;
 }
@@ -195,11 +178,18 @@
         return true; /* an interim answer; the final one follows */
     }
     bool head = attempt->call->method_flag == RP_METHOD_HEAD;
-    if (rp_http_judge_answer(&attempt->framing, attempt->status, head) !=
+    const struct rp_dialect *dialect = attempt->dialect;
+    if (rp_http_judge_answer(&attempt->framing, attempt->status, head,
+                             dialect->answers_may_end_with_connection) !=
         RP_HTTP_FINE)
     {
         return false;
     }
+    if (dialect->answers_echo_id && !attempt->answer->echoed &&
+        !attempt->answer->refused)
+    {
+        return false;
+    }
     drop_hop_by_hop(attempt);
     if (attempt->framing.length_count > 0) {
         attempt->answer->body_bytes = (int64_t)attempt->framing.length;
@@ -283,16 +273,16 @@
     return list;
 }
 
-static struct curl_slist *
-add_number(struct curl_slist *list, const char *name, int64_t number)
+static void
+add_own_header(void *data, const char *name, const char *value)
 {
-    char text[32];
-    g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, number);
-    return add_header(list, name, text);
+    struct curl_slist **list = data;
+    *list = add_header(*list, name, value);
 }
 
 static struct curl_slist *
-make_headers(const struct rp_attempt_start *start, int64_t now_ns)
+make_headers(const struct rp_dialect *dialect,
+             const struct rp_attempt_start *start, int64_t now_ns)
 {
     const struct rp_call *call = start->call;
     struct curl_slist *list = NULL;
@@ -317,14 +307,8 @@
     }
     list = curl_slist_append(list, "Expect:");
     int64_t left_ms = (start->deadline_ns - now_ns) / 1000000;
-    list = add_number(list, "RP-Timeout-Ms", MAX(left_ms, 1));
-    list = add_number(list, "RP-Attempts-Left", start->attempts_left);
-    list = add_number(list, "RP-Attempt", start->number);
-    list = add_header(list, "RP-Request-Id", call->request_id);
-    if ((start->flags & RP_ATTEMPT_PASS_ON) != 0 && call->ticket != NULL) {
-        list = add_header(list, "RP-Ticket", call->ticket);
-        list = add_header(list, "RP-Passed-On", "1");
-    }
+    dialect->add_attempt_fields(dialect->data, start, MAX(left_ms, 1),
+                                add_own_header, &list);
     return list;
 }
 
@@ -371,7 +355,7 @@
     attempt->flags = start->flags;
     attempt->reads_request = start->call->request != NULL;
     g_strlcpy(attempt->address, start->address, sizeof(attempt->address));
-    attempt->headers = make_headers(start, now_ns);
+    attempt->headers = make_headers(attempt->dialect, start, now_ns);
     char url[RP_ADDRESS_BYTES + 16];
     g_snprintf(url, sizeof(url), "http://%s/", start->address);
     curl_easy_setopt(easy, CURLOPT_URL, url);
--- a/src/upstream_attempt.h
+++ b/src/upstream_attempt.h
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 
 #include "call.h"
+#include "dialect.h"
 #include "http_rules.h"
 
 struct rp_upstream;
@@ -11,6 +12,7 @@
 /* One attempt as libcurl carries it; internal to the upstream task. */
 struct rp_upstream_attempt {
     struct rp_upstream *upstream;
+    const struct rp_dialect *dialect;
     CURL *easy;
     struct curl_slist *headers;
     struct rp_call *call;
--- a/src/watch.c
+++ b/src/watch.c
@@ -8,6 +8,9 @@
  * the list of VMs. The waits spread the answers of the three evenly over the
  * cycle, so that the freshness is never older than 1.34 s with one watcher. */
 #define CYCLE 4
+/* Without a list of VMs there are only watches of records. A waiting one that
+ * went silent is noticed after this time and the timeout of a read. */
+#define UNLISTED_WAIT_MS 2000
 static const int64_t cycle_wait_ms[CYCLE - 1] = {333, 667, 1000};
 
 /* A promoted VM goes on for this long, and up to twice as long by hash, so
@@ -23,6 +26,7 @@
     enum rp_watch_role role;
     bool chosen;
     bool has_vms;
+    bool unlisted; /* the platform has no list of VMs */
     bool has_records;
     bool more; /* pages of records are left */
     enum rp_watch_read reading;
@@ -158,6 +162,15 @@
         MAX(RP_WATCH_IDLE_NS, entry_vms * RP_WATCH_IDLE_SHARE_NS);
 }
 
+/* Takes note that the platform has no list of VMs: every VM watches. */
+void
+rp_watch_set_unlisted(struct rp_watch *watch)
+{
+    watch->unlisted = true;
+    watch->has_vms = true;
+    watch->chosen = true;
+}
+
 /* Takes note of the freshness that a peer knows of, in own monotonic time. */
 void
 rp_watch_hear_fresh(struct rp_watch *watch, int64_t fresh_ns, int64_t now_ns)
@@ -235,6 +248,10 @@
         return now_ns >= watch->idle_ns ? RP_WATCH_READ_VMS
                                         : RP_WATCH_READ_NONE;
     }
+    if (watch->unlisted) {
+        *wait_ms = UNLISTED_WAIT_MS;
+        return RP_WATCH_READ_RECORDS;
+    }
     uint32_t slot = watch->slot++ % CYCLE;
     if (slot == CYCLE - 1) {
         return RP_WATCH_READ_VMS;
@@ -255,7 +272,11 @@
     }
     watch->reading = choose_read(watch, now_ns, wait_ms);
     if (watch->reading != RP_WATCH_READ_NONE) {
-        watch->next_ns = now_ns + RP_WATCH_READ_INTERVAL_NS;
+        /* The pages of one listing follow each other at once. */
+        watch->next_ns =
+            now_ns + (watch->unlisted && (watch->more || !watch->has_records)
+                          ? 0
+                          : RP_WATCH_READ_INTERVAL_NS);
         watch->idle_ns = now_ns + watch->idle_interval_ns;
     }
     return watch->reading;
--- a/tests/test_path.cc
+++ b/tests/test_path.cc
@@ -111,7 +111,8 @@
             all += std::string(field.first) + ": " + field.second + "; ";
         }
         EXPECT_EQ(rp_http_judge_request(&framing, true), entry.request) << all;
-        EXPECT_EQ(rp_http_judge_answer(&framing, 200, false), entry.answer)
+        EXPECT_EQ(rp_http_judge_answer(&framing, 200, false, false),
+                  entry.answer)
             << all;
     }
 }
