Ask a target right before a call is sent to it

Cause: a call keeps the speed that its target's machine has when it starts; 25 to 35 in 100 starts met a slow machine and took five times as long. That speed changes every 150 ms, so that reports from earlier answers tell little. Change: where targets tell their speed, a call waits some milliseconds for the answer of a probe and goes to a target that is quick now (scout.c, balancer_scout.c). Probes share the connections of calls. Calls whose aim is known are no longer doubled on a fresh connection when they are late.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -37,6 +37,8 @@
     uint32_t deciders =
         config->deciders > 0 ? config->deciders : config->fleet_size;
     rp_route_pool_init(&balancer->pool, MAX(deciders, 1));
+    rp_scout_pool_init(&balancer->scout);
+    balancer->scout_due_ns = INT64_MAX;
     balancer->admission = rp_admission_new(config->queue_limit);
     rp_length_init(&balancer->length);
     rp_retry_budget_init(&balancer->retries);
@@ -71,7 +73,8 @@
 }
 
 static struct balancer_target *
-add_target(struct rp_balancer *balancer, const struct rp_target *source)
+add_target(struct rp_balancer *balancer, const struct rp_target *source,
+           int64_t now_ns)
 {
     struct balancer_target fresh = {
         .address = g_strdup(source->address),
@@ -82,6 +85,7 @@
     /* What joins a service in use has just started, as far as is known. */
     rp_limit_init(&fresh.limit, source->slots, balancer->configured);
     rp_outlier_init(&fresh.outlier);
+    rp_scout_init(&fresh.scout, now_ns);
     g_array_append_val(balancer->targets, fresh);
     return balancer_get(balancer, balancer->targets->len - 1);
 }
@@ -92,7 +96,6 @@
 rp_balancer_set_service(struct rp_balancer *balancer,
                         const struct rp_service *service, int64_t now_ns)
 {
-    (void)now_ns;
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
         balancer_get(balancer, i)->present = false;
     }
@@ -101,7 +104,7 @@
         struct balancer_target *target =
             find_target(balancer, source->address);
         if (target == NULL) {
-            target = add_target(balancer, source);
+            target = add_target(balancer, source, now_ns);
         }
         g_free(target->name);
         g_free(target->estate_name);
@@ -207,6 +210,9 @@
 {
     struct balancer_target *target = balancer_get(balancer, index);
     rp_route_sent(&target->route, is_long, now_ns);
+    rp_scout_sent(&target->scout, now_ns);
+    verdict->slowness =
+        rp_scout_slowness(&target->scout, &balancer->scout, now_ns);
     rp_estate_share_sent(&balancer->shares, target->estate);
     target->sent++;
     balancer->own_total++;
@@ -242,6 +248,58 @@
     return true;
 }
 
+/* Queues a call whose target is asked first. */
+static void
+offer_scouted(struct rp_balancer *balancer,
+              const struct rp_balancer_call *call, int64_t now_ns,
+              struct rp_balancer_verdict *verdict)
+{
+    if (!any_usable(balancer)) {
+        refuse(balancer, RP_REFUSAL_NO_TARGET, false, verdict);
+        return;
+    }
+    struct rp_balancer_call waiting = *call;
+    waiting.offered_ns = now_ns;
+    enum rp_refusal refusal = rp_admission_offer(
+        balancer->admission, &waiting, RP_ADMISSION_SHORT,
+        balancer->scout.usual_ns / fmax(balancer->slots_total, 1),
+        balancer->scout.usual_ns, now_ns);
+    verdict->action = RP_BALANCER_WAIT;
+    if (refusal != RP_REFUSAL_NONE) {
+        refuse(balancer, refusal, false, verdict);
+    }
+}
+
+/* Takes the next step for the calls that wait for a target to be found. */
+static bool
+next_scouted(struct rp_balancer *balancer, int64_t now_ns,
+             struct rp_balancer_verdict *verdict)
+{
+    const struct rp_balancer_call *call =
+        rp_admission_peek(balancer->admission, RP_ADMISSION_SHORT);
+    balancer->scout_due_ns = INT64_MAX;
+    if (call == NULL) {
+        return false;
+    }
+    uint32_t target = RP_BALANCER_NO_TARGET;
+    enum rp_balancer_action action = rp_balancer_scout(
+        balancer, call,
+        rp_admission_count(balancer->admission, RP_ADMISSION_SHORT), now_ns,
+        &target, &balancer->scout_due_ns);
+    if (action == RP_BALANCER_WAIT) {
+        return false;
+    }
+    start_verdict(call, false, verdict);
+    if (action == RP_BALANCER_PROBE) {
+        verdict->action = RP_BALANCER_PROBE;
+        verdict->target = target;
+        return true;
+    }
+    send_to(balancer, target, false, now_ns, verdict);
+    rp_admission_pop(balancer->admission, RP_ADMISSION_SHORT, now_ns);
+    return true;
+}
+
 /* Decides a call: sent to a target, queued, or refused. A hedge is never
  * queued, as it would only wait where the first request waits. */
 void
@@ -258,6 +316,10 @@
         return;
     }
     bool hedge = (call->flags & RP_CALL_HEDGE) != 0;
+    if (balancer->scout.active && !hedge) {
+        offer_scouted(balancer, call, now_ns, verdict);
+        return;
+    }
     if (hedge || rp_admission_count(balancer->admission, queue_class) == 0) {
         uint32_t target = rp_balancer_choose(balancer, call, is_long, now_ns);
         if (target != RP_BALANCER_NO_TARGET) {
@@ -293,6 +355,9 @@
         refuse(balancer, RP_REFUSAL_DEADLINE, is_long, verdict);
         return true;
     }
+    if (balancer->scout.active) {
+        return next_scouted(balancer, now_ns, verdict);
+    }
     for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
         const struct rp_balancer_call *call =
             rp_admission_peek(balancer->admission, i);
@@ -324,7 +389,8 @@
 int64_t
 rp_balancer_due_ns(const struct rp_balancer *balancer)
 {
-    return rp_admission_due_ns(balancer->admission);
+    return MIN(rp_admission_due_ns(balancer->admission),
+               balancer->scout_due_ns);
 }
 
 /* Returns after which time without an answer a hedge is worth while, or
@@ -362,6 +428,8 @@
         return;
     }
     rp_hedge_note_response(&balancer->hedge, response_ns);
+    rp_scout_answered(&target->scout, &balancer->scout, report->slowness,
+                      response_ns, now_ns);
     rp_route_answered(&target->route, &balancer->pool, response_ns, now_ns);
     double used = target->route.in_flight +
                   rp_route_others(&target->route, &balancer->pool, now_ns);
@@ -454,6 +522,8 @@
         return;
     }
     target->reported_draining = load->state == RP_TARGET_DRAINING;
+    rp_scout_reported(&target->scout, &balancer->scout, load, now_ns - age_ns,
+                      now_ns - age_ns);
     rp_route_reported(&target->route, &balancer->pool, load, age_ns, now_ns);
 }
 
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -19,6 +19,7 @@
     uint32_t fleet_size;  /* entry VMs that may share the targets */
     uint32_t deciders;    /* entry VMs that callers are steered to now */
     uint32_t queue_limit; /* calls that may wait */
+    double probes_per_s;  /* of this entry VM to one target, before calls */
     uint64_t seed;
 };
 
@@ -32,6 +33,9 @@
     uint64_t call_id;
     uint64_t kind; /* hash of what tells long from short calls, e.g. path */
     int64_t deadline_ns;
+    int64_t aim_ns;     /* wanted time to the answer; 0 when not known */
+    int64_t offered_ns; /* set by rp_balancer_offer */
+    uint32_t rank;      /* 0 goes first */
     uint32_t flags;
     uint32_t avoid[RP_BALANCER_AVOID]; /* targets tried already */
     uint32_t avoid_count;
@@ -41,6 +45,7 @@
     RP_BALANCER_SEND,
     RP_BALANCER_WAIT, /* queued; rp_balancer_next gives the verdict later */
     RP_BALANCER_REFUSE,
+    RP_BALANCER_PROBE, /* ask the target; rp_balancer_probed takes the end */
 };
 
 enum rp_refusal {
@@ -57,8 +62,9 @@
     enum rp_refusal refusal;
     uint32_t target;        /* stable number of the target, see below */
     int64_t retry_after_ns; /* with REFUSE: when to come back */
-    uint32_t flags; /* of the call, with RP_CALL_LONG when it was found to be
-                     * long; to be handed back in rp_attempt_report */
+    double slowness; /* with SEND: that of the target; to be handed back */
+    uint32_t flags;  /* of the call, with RP_CALL_LONG when it was found to be
+                      * long; to be handed back in rp_attempt_report */
 };
 
 enum rp_attempt_outcome {
@@ -78,6 +84,7 @@
     uint64_t kind;
     int64_t sent_ns;
     int64_t first_byte_ns; /* 0 when there was none */
+    double slowness;       /* of the verdict */
     bool has_load;
     struct rp_load_report load;
 };
@@ -119,6 +126,9 @@
 void rp_balancer_finish(struct rp_balancer *balancer,
                         const struct rp_attempt_report *report,
                         int64_t now_ns);
+void rp_balancer_probed(struct rp_balancer *balancer, uint32_t target,
+                        const struct rp_load_report *load, int64_t sent_ns,
+                        int64_t now_ns);
 void rp_balancer_observe(struct rp_balancer *balancer, const char *address,
                          const struct rp_load_report *load, int64_t age_ns,
                          int64_t now_ns);
--- /dev/null
+++ b/src/balancer_scout.c
@@ -0,0 +1,165 @@
+#include "balancer_private.h"
+
+/* Most probes in progress for one service. */
+#define PROBES_AT_ONCE 8
+/* After this, or an eighth of the aim if that is less, a call takes the best
+ * target that is known. */
+#define SEARCH_NS INT64_C(40000000)
+/* A target that let a probe wait is left alone for this. */
+#define FAILED_REST_NS INT64_C(500000000)
+/* Requests beyond the slots keep a slot from being idle while the next
+ * request is on its way. */
+#define BEYOND_SLOTS 1.0
+/* Between two looks at targets that are all busy. */
+#define RETRY_NS INT64_C(20000000)
+
+struct scan {
+    uint32_t quick; /* fresh, free and at usual speed */
+    double quick_ns;
+    uint32_t any; /* has room, whatever is known of it */
+    double any_ns;
+    uint32_t unknown; /* not fresh and not asked */
+    double unknown_ns;
+};
+
+static bool
+is_avoided(const struct rp_balancer_call *call, uint32_t target)
+{
+    for (uint32_t i = 0; i < call->avoid_count; i++) {
+        if (call->avoid[i] == target) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_candidate(const struct balancer_target *target, int64_t now_ns)
+{
+    return target->present && !target->draining &&
+           !target->reported_draining &&
+           !rp_outlier_is_out(&target->outlier, now_ns) &&
+           !(target->outlier.trial && target->route.in_flight > 0);
+}
+
+static void
+consider(const struct rp_balancer *balancer, uint32_t index, int64_t now_ns,
+         struct scan *scan)
+{
+    const struct balancer_target *target = balancer_get(balancer, index);
+    const struct rp_scout_pool *pool = &balancer->scout;
+    double slots = target->route.slots;
+    double load = rp_scout_load(&target->scout, pool, slots, now_ns);
+    double expected =
+        rp_scout_expected_ns(&target->scout, pool, slots, now_ns) +
+        target->route.domain_ns;
+    bool resting = target->scout.failures > 0 &&
+                   now_ns - target->scout.failed_ns < FAILED_REST_NS;
+    bool fresh = rp_scout_is_fresh(&target->scout, now_ns);
+    if (resting) {
+        return;
+    }
+    if (fresh && load + 1 <= slots &&
+        expected <= RP_SCOUT_QUICK * balancer->scout.usual_ns +
+                        target->route.domain_ns &&
+        expected < scan->quick_ns)
+    {
+        scan->quick = index;
+        scan->quick_ns = expected;
+    }
+    if (load + 1 <= slots + BEYOND_SLOTS && expected < scan->any_ns) {
+        scan->any = index;
+        scan->any_ns = expected;
+    }
+    if (!fresh && target->scout.probe_ns == 0 && expected < scan->unknown_ns) {
+        scan->unknown = index;
+        scan->unknown_ns = expected;
+    }
+}
+
+static bool
+has_untried(const struct rp_balancer *balancer,
+            const struct rp_balancer_call *call, int64_t now_ns)
+{
+    for (uint32_t i = 0; i < balancer->targets->len; i++) {
+        if (is_candidate(balancer_get(balancer, i), now_ns) &&
+            !is_avoided(call, i)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static int64_t
+search_until_ns(const struct rp_balancer_call *call)
+{
+    int64_t search_ns = SEARCH_NS;
+    if (call->aim_ns > 0 && call->aim_ns / 8 < search_ns) {
+        search_ns = call->aim_ns / 8;
+    }
+    return call->offered_ns + search_ns;
+}
+
+/* Decides what is to be done for the call that is next: send it to a target,
+ * ask a target, or wait until due_ns at the latest. */
+enum rp_balancer_action
+rp_balancer_scout(struct rp_balancer *balancer,
+                  const struct rp_balancer_call *call, uint32_t waiting,
+                  int64_t now_ns, uint32_t *target, int64_t *due_ns)
+{
+    struct scan scan = {RP_BALANCER_NO_TARGET, INFINITY,
+                        RP_BALANCER_NO_TARGET, INFINITY,
+                        RP_BALANCER_NO_TARGET, INFINITY};
+    bool avoid = call->avoid_count > 0 && has_untried(balancer, call, now_ns);
+    uint32_t count = balancer->targets->len;
+    uint32_t index = balancer->next < count ? balancer->next : 0;
+    for (uint32_t i = 0; i < count; i++) {
+        if (is_candidate(balancer_get(balancer, index), now_ns) &&
+            !(avoid && is_avoided(call, index)))
+        {
+            consider(balancer, index, now_ns, &scan);
+        }
+        index = index + 1 < count ? index + 1 : 0;
+    }
+    if (scan.quick != RP_BALANCER_NO_TARGET) {
+        *target = scan.quick;
+        return RP_BALANCER_SEND;
+    }
+    int64_t until_ns = search_until_ns(call);
+    if (now_ns >= until_ns && scan.any != RP_BALANCER_NO_TARGET) {
+        *target = scan.any;
+        return RP_BALANCER_SEND;
+    }
+    *due_ns = now_ns < until_ns ? until_ns : now_ns + RETRY_NS;
+    uint32_t most = waiting < PROBES_AT_ONCE ? waiting : PROBES_AT_ONCE;
+    if (scan.unknown != RP_BALANCER_NO_TARGET && balancer->scout.probes < most)
+    {
+        struct balancer_target *asked = balancer_get(balancer, scan.unknown);
+        if (rp_scout_may_probe(&asked->scout, balancer->config.probes_per_s,
+                               now_ns)) {
+            *target = scan.unknown;
+            rp_scout_probe_started(&asked->scout, &balancer->scout, now_ns);
+            return RP_BALANCER_PROBE;
+        }
+        if (balancer->scout.probes == 0 && scan.any != RP_BALANCER_NO_TARGET) {
+            *target = scan.any;
+            return RP_BALANCER_SEND;
+        }
+    }
+    return RP_BALANCER_WAIT;
+}
+
+/* Takes note of the end of a probe. load is NULL when there was no answer. */
+void
+rp_balancer_probed(struct rp_balancer *balancer, uint32_t target,
+                   const struct rp_load_report *load, int64_t sent_ns,
+                   int64_t now_ns)
+{
+    struct balancer_target *entry = balancer_get(balancer, target);
+    rp_scout_probe_ended(&entry->scout, &balancer->scout, load != NULL,
+                         now_ns);
+    if (load != NULL) {
+        rp_scout_reported(&entry->scout, &balancer->scout, load, sent_ns,
+                          now_ns);
+    }
+}
--- a/src/call.h
+++ b/src/call.h
@@ -9,6 +9,7 @@
 #include "context.h"
 #include "load.h"
 #include "stream.h"
+#include "target_hint.h"
 
 /* Names of the tasks that a call passes through. */
 #define RP_TASK_ENTRY "entry"
@@ -158,6 +159,28 @@
     uint64_t body_bytes;
 };
 
+#define RP_PROBE_START_PATH_BYTES 256
+
+/* RP_MSG_PROBE_START, dispatch to upstream: ask a target how it is, over the
+ * connections that calls use. */
+struct rp_probe_start {
+    char service[RP_SERVICE_BYTES];
+    char address[RP_ADDRESS_BYTES];
+    char path[RP_PROBE_START_PATH_BYTES];
+    uint32_t target; /* number at the balancer of the service */
+    int64_t sent_ns;
+};
+
+/* RP_MSG_PROBE_DONE, upstream to dispatch; exactly one for each start. */
+struct rp_probe_done {
+    char service[RP_SERVICE_BYTES];
+    uint32_t target;
+    int64_t sent_ns;
+    bool answered; /* whole, with a status below 500 */
+    bool has_load;
+    struct rp_load_report load;
+};
+
 #ifdef __cplusplus
 extern "C" {
 #endif
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -36,7 +36,8 @@
                                const struct rp_attempt_start *start,
                                int64_t left_ms, rp_field_add *add,
                                void *add_data);
-    /* Takes one field of a target's answer. BAD refuses the answer. */
+    /* Takes one field of a target's answer. BAD refuses the answer. call is
+     * NULL for a probe. */
     enum rp_field_use (*take_answer_field)(void *data,
                                            const struct rp_call *call,
                                            struct rp_answer *answer,
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -77,6 +77,48 @@
     show_open_calls(dispatch);
 }
 
+/* Asks a target how it is. */
+static void
+start_probe(struct rp_dispatch *dispatch, struct dispatch_service *service,
+            uint32_t target, int64_t now_ns)
+{
+    struct rp_probe_start start = {.target = target, .sent_ns = now_ns};
+    struct rp_balancer *balancer = service->balancer;
+    const struct rp_service *record = service->service;
+    g_strlcpy(start.service, service->name, sizeof(start.service));
+    g_strlcpy(start.address, rp_balancer_target_address(balancer, target),
+              sizeof(start.address));
+    g_strlcpy(start.path, record == NULL ? "/" : record->probe_path,
+              sizeof(start.path));
+    struct rp_task *upstream =
+        rp_kernel_find_task(rp_task_kernel(dispatch->task), RP_TASK_UPSTREAM);
+    rp_counter_add(&dispatch->context->counters, RP_COUNTER_PROBES, 1);
+    if (!rp_task_send(dispatch->task, upstream, RP_MSG_PROBE_START, &start,
+                      sizeof(start)))
+    {
+        rp_balancer_probed(balancer, target, NULL, now_ns, now_ns);
+    }
+}
+
+static void
+take_probe(struct rp_dispatch *dispatch, const struct rp_probe_done *done,
+           int64_t now_ns)
+{
+    struct dispatch_service *service =
+        g_hash_table_lookup(dispatch->services, done->service);
+    if (service == NULL) {
+        return;
+    }
+    if (!done->answered) {
+        rp_counter_add(&dispatch->context->counters, RP_COUNTER_PROBES_FAILED,
+                       1);
+    }
+    rp_balancer_probed(service->balancer, done->target,
+                       done->answered && done->has_load ? &done->load : NULL,
+                       done->sent_ns, now_ns);
+    dispatch_touch_service(dispatch, service, now_ns);
+}
+
 /* Takes over the verdicts that a balancer has ready, after anything that may
  * have changed its mind. */
 void
@@ -85,6 +127,10 @@
 {
     struct rp_balancer_verdict verdict;
     while (rp_balancer_next(service->balancer, now_ns, &verdict)) {
+        if (verdict.action == RP_BALANCER_PROBE) {
+            start_probe(dispatch, service, verdict.target, now_ns);
+            continue;
+        }
         struct dispatch_call *call = find_call(dispatch, verdict.call_id);
         if (call != NULL) {
             dispatch_call_verdict(call, &verdict, now_ns);
@@ -278,6 +324,7 @@
         .fleet_size = MAX(identity->fleet_size, 1),
         .deciders = MAX(identity->fleet_size, 1),
         .queue_limit = 1024,
+        .probes_per_s = dispatch->config.probes_per_s,
         .seed =
             XXH3_64bits_withSeed(name, strlen(name), identity->incarnation),
     };
@@ -448,6 +495,9 @@
         update_deciders(dispatch, now_ns);
         break;
     }
+    case RP_MSG_PROBE_DONE:
+        take_probe(dispatch, message->body, now_ns);
+        break;
     case RP_MSG_TARGET_HINT:
         dispatch_hint_take(dispatch, message->body, now_ns);
         break;
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -10,6 +10,7 @@
 struct rp_dispatch_config {
     uint32_t first_byte_ms; /* greatest first-byte limit; 0 for the default */
     uint32_t max_calls;     /* in progress at once; 0 for the most */
+    double probes_per_s;    /* to one target, by this VM, before calls */
     struct rp_ticket_key ticket_key; /* no bytes: no tickets; borrowed */
 };
 
--- a/src/dispatch_attempt.c
+++ b/src/dispatch_attempt.c
@@ -26,6 +26,7 @@
         .flags = attempt->flags,
         .kind = call->kind,
         .sent_ns = attempt->sent_ns,
+        .slowness = attempt->slowness,
         .first_byte_ns = first_byte_ns,
     };
     if (attempt->answer != NULL && attempt->answer->has_load &&
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -111,6 +111,8 @@
         .call_id = call->call->id,
         .kind = call->kind,
         .deadline_ns = call->deadline_ns,
+        .aim_ns = (int64_t)call->route.aim_ms * 1000000,
+        .rank = call->route.rank,
         .flags = call->flags | flags,
     };
     uint32_t first = call->attempt_count > RP_BALANCER_AVOID
@@ -128,7 +130,10 @@
     if (!call->repeatable) {
         return;
     }
-    call->first_byte_at_ns = now_ns + call->first_byte_limit_ns;
+    if (call->route.aim_ms == 0) {
+        /* Where an aim is known, a late call is tried at another target. */
+        call->first_byte_at_ns = now_ns + call->first_byte_limit_ns;
+    }
     if (call->call->request != NULL || call->attempt_count > 1 ||
         (attempt->flags & RP_CALL_LONG) != 0)
     {
@@ -162,6 +167,7 @@
     struct dispatch_attempt *attempt =
         dispatch_attempt_add(call, verdict->target, verdict->flags, now_ns);
     attempt->owns_slot = true;
+    attempt->slowness = verdict->slowness;
     dispatch_drain_sent(
         call->dispatch, call->service,
         rp_balancer_target_address(call->service->balancer, attempt->target),
--- a/src/node.c
+++ b/src/node.c
@@ -261,6 +261,9 @@
             (uint32_t)rp_settings_number(settings, RP_SETTING_MAX_CALLS),
         .first_byte_ms =
             (uint32_t)rp_settings_number(settings, RP_SETTING_FIRST_BYTE_MS),
+        .probes_per_s =
+            (double)rp_settings_number(settings, RP_SETTING_PROBES_PER_S) /
+            node->context->identity.fleet_size,
     };
     uint8_t key[FLEET_KEY_BYTES];
     if (read_fleet_key(settings, key)) {
--- /dev/null
+++ b/src/scout.c
@@ -0,0 +1,207 @@
+#include "scout.h"
+
+#include <math.h>
+#include <string.h>
+
+#define MEAN_WEIGHT (1.0 / 64)
+#define FIRST_STEP 0.3
+#define STEP 0.02
+#define FIRST_SAMPLES 16
+#define UNKNOWN_USUAL_NS 100000000.0
+#define EXCESS_WEIGHT 0.25
+/* An answer without trust in its excess is forgotten after this. */
+#define EXCESS_MEMORY_NS 1000000000.0
+/* Targets slow down when nearly all slots are taken. */
+#define CROWDED_SHARE 0.8
+#define CROWDED_COST 1.5
+/* Probes that may come at once after a quiet time, in seconds of the rate. */
+#define PROBE_BURST_S 4.0
+
+/* Starts without knowledge of the service. */
+void
+rp_scout_pool_init(struct rp_scout_pool *pool)
+{
+    memset(pool, 0, sizeof(*pool));
+    pool->slowness = 1;
+}
+
+/* Starts without knowledge of the target. */
+void
+rp_scout_init(struct rp_scout_target *target, int64_t now_ns)
+{
+    memset(target, 0, sizeof(*target));
+    target->slowness = 1;
+    target->excess = 1;
+    target->token_ns = now_ns;
+}
+
+static double
+smooth(double mean, double sample, double weight)
+{
+    return mean + weight * (sample - mean);
+}
+
+/* Takes over a report that a request sent at sent_ns brought. */
+void
+rp_scout_reported(struct rp_scout_target *target, struct rp_scout_pool *pool,
+                  const struct rp_load_report *load, int64_t sent_ns,
+                  int64_t now_ns)
+{
+    if (load->slowness_percent == 0) {
+        return;
+    }
+    (void)sent_ns;
+    target->reported = true;
+    target->report_ns = now_ns;
+    target->slowness = load->slowness_percent / 100.0;
+    target->at_target = (double)load->in_flight + load->queued;
+    target->failures = 0;
+    if (load->slots > 0) {
+        pool->crowding = smooth(pool->crowding,
+                                target->at_target / load->slots, MEAN_WEIGHT);
+    }
+    pool->slowness = smooth(pool->slowness, target->slowness, MEAN_WEIGHT);
+    pool->active = true;
+}
+
+/* Takes note of a request sent to the target. */
+void
+rp_scout_sent(struct rp_scout_target *target, int64_t now_ns)
+{
+    target->sends_ns[target->send_count++ % RP_SCOUT_SENDS] = now_ns;
+}
+
+/* Takes note of the time of an answer to a request that was sent to a target
+ * of the given slowness. */
+void
+rp_scout_answered(struct rp_scout_target *target, struct rp_scout_pool *pool,
+                  double expected_slowness, int64_t response_ns,
+                  int64_t now_ns)
+{
+    double usual = (double)response_ns / fmax(expected_slowness, 0.1);
+    if (pool->samples == 0) {
+        pool->usual_ns = usual;
+    }
+    pool->samples++;
+    double step = pool->samples < FIRST_SAMPLES ? FIRST_STEP : STEP;
+    pool->usual_ns *= usual > pool->usual_ns ? 1 + step : 1 - step;
+    double excess = fmin(usual / fmax(pool->usual_ns, 1), 10);
+    target->excess = smooth(target->excess, excess, EXCESS_WEIGHT);
+    target->excess_ns = now_ns;
+}
+
+/* Returns whether the report is worth following without asking again. */
+bool
+rp_scout_is_fresh(const struct rp_scout_target *target, int64_t now_ns)
+{
+    return target->reported && now_ns - target->report_ns <= RP_SCOUT_FRESH_NS;
+}
+
+static double
+report_weight(const struct rp_scout_target *target, int64_t now_ns)
+{
+    if (!target->reported) {
+        return 0;
+    }
+    double age_ns = (double)(now_ns - target->report_ns);
+    return exp(-age_ns / (double)RP_SCOUT_MEMORY_NS);
+}
+
+/* Estimates the requests at the target: those of the report, which are
+ * forgotten in favour of the mean of the service, and own ones since. */
+double
+rp_scout_load(const struct rp_scout_target *target,
+              const struct rp_scout_pool *pool, double slots, int64_t now_ns)
+{
+    double weight = report_weight(target, now_ns);
+    uint32_t since = 0;
+    uint32_t count = target->send_count < RP_SCOUT_SENDS ? target->send_count
+                                                         : RP_SCOUT_SENDS;
+    int64_t from_ns =
+        target->reported ? target->report_ns : now_ns - RP_SCOUT_MEMORY_NS;
+    if (now_ns - from_ns > RP_SCOUT_MEMORY_NS) {
+        from_ns = now_ns - RP_SCOUT_MEMORY_NS;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        since += target->sends_ns[i] >= from_ns ? 1 : 0;
+    }
+    return weight * target->at_target + (1 - weight) * pool->crowding * slots +
+           since;
+}
+
+/* Estimates how slow a call would be that started now; 1 is usual. */
+double
+rp_scout_slowness(const struct rp_scout_target *target,
+                  const struct rp_scout_pool *pool, int64_t now_ns)
+{
+    double weight = report_weight(target, now_ns);
+    return weight * target->slowness + (1 - weight) * pool->slowness;
+}
+
+/* Returns the expected time until an answer: the time of a call, longer on a
+ * slow or crowded target, and the wait for a slot. */
+double
+rp_scout_expected_ns(const struct rp_scout_target *target,
+                     const struct rp_scout_pool *pool, double slots,
+                     int64_t now_ns)
+{
+    double usual = pool->samples > 0 ? pool->usual_ns : UNKNOWN_USUAL_NS;
+    double load = rp_scout_load(target, pool, slots, now_ns);
+    double run = usual * rp_scout_slowness(target, pool, now_ns);
+    double trust =
+        exp(-(double)(now_ns - target->excess_ns) / EXCESS_MEMORY_NS);
+    double excess = 1 + trust * (target->excess - 1);
+    if (excess > 1.5) {
+        run *= excess;
+    }
+    if (load + 1 > CROWDED_SHARE * slots) {
+        run *= CROWDED_COST;
+    }
+    double behind = fmax(load + 1 - slots, 0);
+    return run + behind * usual * pool->slowness / fmax(slots, 1);
+}
+
+/* Takes a probe out of the target's budget. */
+bool
+rp_scout_may_probe(struct rp_scout_target *target, double probes_per_s,
+                   int64_t now_ns)
+{
+    if (target->probe_ns != 0) {
+        return false;
+    }
+    double gained = (double)(now_ns - target->token_ns) / 1e9 * probes_per_s;
+    target->token_ns = now_ns;
+    target->probe_tokens =
+        fmin(target->probe_tokens + gained, PROBE_BURST_S * probes_per_s);
+    if (target->probe_tokens < 1) {
+        return false;
+    }
+    target->probe_tokens -= 1;
+    return true;
+}
+
+/* Takes note of a probe on its way. */
+void
+rp_scout_probe_started(struct rp_scout_target *target,
+                       struct rp_scout_pool *pool, int64_t now_ns)
+{
+    target->probe_ns = now_ns;
+    pool->probes++;
+}
+
+/* Takes note of the end of a probe. */
+void
+rp_scout_probe_ended(struct rp_scout_target *target,
+                     struct rp_scout_pool *pool, bool answered, int64_t now_ns)
+{
+    if (target->probe_ns != 0 && pool->probes > 0) {
+        pool->probes--;
+    }
+    target->probe_ns = 0;
+    if (answered) {
+        target->failures = 0;
+        return;
+    }
+    target->failures++;
+    target->failed_ns = now_ns;
+}
--- /dev/null
+++ b/src/scout.h
@@ -0,0 +1,89 @@
+#ifndef RP_SCOUT_H
+#define RP_SCOUT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "load.h"
+
+/* Asking targets right before a call is sent, for services whose targets tell
+ * how slow work is on their machine at the moment. A call that starts there
+ * keeps that speed, and the speed changes several times a second, so that only
+ * a report of some milliseconds is worth following. No clock, socket or log
+ * inside. */
+
+/* A report is followed without asking again up to this age: a speed that
+ * changes every 150 ms has changed by then in 8 of 100 cases. */
+#define RP_SCOUT_FRESH_NS INT64_C(12000000)
+/* A report has lost two thirds of its worth at this age. */
+#define RP_SCOUT_MEMORY_NS INT64_C(100000000)
+/* A target counts as quick up to this multiple of the usual time. */
+#define RP_SCOUT_QUICK 1.6
+/* A probe without an answer for so long counts as failed. Targets answer
+ * within 10 ms. */
+#define RP_SCOUT_TIMEOUT_NS INT64_C(120000000)
+
+/* What the targets of a service have in common. */
+struct rp_scout_pool {
+    bool active;     /* targets tell their speed */
+    double usual_ns; /* median time of a call at usual speed */
+    double slowness; /* mean over the reports; 1 is the usual speed */
+    double crowding; /* mean requests at a target in parts of its slots */
+    uint32_t samples;
+    uint32_t probes; /* in progress */
+};
+
+#define RP_SCOUT_SENDS 8
+
+struct rp_scout_target {
+    bool reported;
+    int64_t report_ns;
+    double slowness;  /* 1 is the usual speed */
+    double at_target; /* requests running and waiting, by the report */
+    int64_t sends_ns[RP_SCOUT_SENDS]; /* own sends of late, a ring */
+    uint32_t send_count;
+    int64_t probe_ns;  /* when the probe in progress was sent; 0 for none */
+    double excess;     /* own times as a multiple of what was expected */
+    int64_t excess_ns; /* when an answer last said so */
+    uint32_t failures; /* probes in a row without an answer */
+    int64_t failed_ns;
+    double probe_tokens;
+    int64_t token_ns;
+};
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+void rp_scout_pool_init(struct rp_scout_pool *pool);
+void rp_scout_init(struct rp_scout_target *target, int64_t now_ns);
+void rp_scout_reported(struct rp_scout_target *target,
+                       struct rp_scout_pool *pool,
+                       const struct rp_load_report *load, int64_t sent_ns,
+                       int64_t now_ns);
+void rp_scout_sent(struct rp_scout_target *target, int64_t now_ns);
+void rp_scout_answered(struct rp_scout_target *target,
+                       struct rp_scout_pool *pool, double expected_slowness,
+                       int64_t response_ns, int64_t now_ns);
+bool rp_scout_is_fresh(const struct rp_scout_target *target, int64_t now_ns);
+double rp_scout_load(const struct rp_scout_target *target,
+                     const struct rp_scout_pool *pool, double slots,
+                     int64_t now_ns);
+double rp_scout_slowness(const struct rp_scout_target *target,
+                         const struct rp_scout_pool *pool, int64_t now_ns);
+double rp_scout_expected_ns(const struct rp_scout_target *target,
+                            const struct rp_scout_pool *pool, double slots,
+                            int64_t now_ns);
+bool rp_scout_may_probe(struct rp_scout_target *target, double probes_per_s,
+                        int64_t now_ns);
+void rp_scout_probe_started(struct rp_scout_target *target,
+                            struct rp_scout_pool *pool, int64_t now_ns);
+void rp_scout_probe_ended(struct rp_scout_target *target,
+                          struct rp_scout_pool *pool, bool answered,
+                          int64_t now_ns);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/setting_list.h
+++ b/src/setting_list.h
@@ -28,3 +28,4 @@
 RP_SETTING(ADAPTER, "adapter", CHOICE("own|gateway"), "own", 0, "protocols of the platform, callers and targets: own or gateway")
 RP_SETTING(DIRECTORY_ADDRESS, "directory-address", ADDRESS, "", 0, "ip:port of the directory; with an adapter")
 RP_SETTING(READY_ADDRESS, "ready-address", ADDRESS, "", 0, "ip:port of the readiness page; with an adapter")
+RP_SETTING(PROBES_PER_S, "probes-per-s", NUMBER(0, 10000), "60", 0, "probes a second to one target before calls, of all entry VMs together")
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -12,6 +12,7 @@
 #include "curl_loop.h"
 #include "error.h"
 #include "upstream_attempt.h"
+#include "upstream_probe.h"
 
 /* Easy handles kept for the next request; each holds about 20 KB. */
 #define MAX_IDLE_EASIES 256
@@ -33,6 +34,7 @@
                              generation */
     GPtrArray *resumable; /* attempts whose paused side may go on */
     GPtrArray *idle_easies;
+    struct rp_upstream_probes probes;
     GHashTable *silent; /* address: when a connection was silent */
 };
 
@@ -141,8 +143,11 @@
 static void
 on_done(CURL *easy, CURLcode result, void *data)
 {
-    (void)data;
+    struct rp_upstream *upstream = data;
     struct rp_upstream_attempt *attempt;
+    if (rp_upstream_probe_take(&upstream->probes, easy, result)) {
+        return;
+    }
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &attempt);
     finish(attempt, rp_upstream_attempt_end(attempt, result));
 }
@@ -263,6 +268,11 @@
     case RP_MSG_ATTEMPT_START:
         start_attempt(data, message->body, now_ns);
         break;
+    case RP_MSG_PROBE_START:
+        rp_upstream_probe_start(&((struct rp_upstream *)data)->probes,
+                                message->body);
+        kick(data);
+        break;
     case RP_MSG_ATTEMPT_CANCEL:
         cancel_attempt(data, message->body);
         break;
@@ -283,6 +293,7 @@
         curl_easy_cleanup(upstream->idle_easies->pdata[i]);
     }
     g_ptr_array_unref(upstream->idle_easies);
+    rp_upstream_probes_clear(&upstream->probes);
     rp_curl_loop_stop(&upstream->curl);
     ev_timer_stop(upstream->ev, &upstream->sweep_timer);
     ev_clear_pending(upstream->ev, &upstream->kick);
@@ -316,6 +327,8 @@
     upstream->resumable = g_ptr_array_new();
     upstream->idle_easies = g_ptr_array_new();
     rp_curl_loop_start(&upstream->curl, upstream->ev, on_done, upstream);
+    rp_upstream_probes_init(&upstream->probes, upstream->task,
+                            upstream->config.dialect, upstream->curl.multi);
     curl_multi_setopt(upstream->curl.multi, CURLMOPT_MAXCONNECTS,
                       MAX_CONNECTIONS);
     curl_multi_setopt(upstream->curl.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
--- /dev/null
+++ b/src/upstream_probe.c
@@ -0,0 +1,155 @@
+#include "upstream_probe.h"
+
+#include <string.h>
+
+#include "scout.h"
+#include "upstream_attempt.h"
+
+/* A probe's answer is its head; more of a body than this fails the probe. */
+#define BODY_LIMIT_BYTES 4096
+
+struct upstream_probe {
+    struct rp_upstream_probes *probes;
+    struct rp_probe_done done;
+    struct rp_answer *answer;
+    uint32_t body_bytes;
+};
+
+static size_t
+take_header(char *bytes, size_t size, size_t count, void *data)
+{
+    struct upstream_probe *probe = data;
+    const struct rp_dialect *dialect = probe->probes->dialect;
+    size_t total = size * count;
+    char line[512];
+    size_t length = total;
+    while (length > 0 &&
+           (bytes[length - 1] == '\n' || bytes[length - 1] == '\r')) {
+        length--;
+    }
+    if (length >= sizeof(line)) {
+        return total; /* no field of the dialect is that long */
+    }
+    memcpy(line, bytes, length);
+    line[length] = '\0';
+    char *colon = strchr(line, ':');
+    if (colon == NULL) {
+        return total;
+    }
+    *colon = '\0';
+    dialect->take_answer_field(dialect->data, NULL, probe->answer, line,
+                               g_strstrip(colon + 1));
+    return total;
+}
+
+static size_t
+take_body(char *bytes, size_t size, size_t count, void *data)
+{
+    (void)bytes;
+    struct upstream_probe *probe = data;
+    size_t total = size * count;
+    probe->body_bytes += (uint32_t)total;
+    return probe->body_bytes > BODY_LIMIT_BYTES ? 0 : total;
+}
+
+static CURL *
+take_easy(struct rp_upstream_probes *probes)
+{
+    if (probes->idle->len > 0) {
+        return g_ptr_array_remove_index_fast(probes->idle,
+                                             probes->idle->len - 1);
+    }
+    CURL *easy = rp_upstream_easy_new(RP_SCOUT_TIMEOUT_NS / 1000000);
+    curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, NULL);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     (long)(RP_SCOUT_TIMEOUT_NS / 1000000));
+    return easy;
+}
+
+static void
+free_probe(gpointer data)
+{
+    struct upstream_probe *probe = data;
+    rp_answer_unref(probe->answer);
+    g_free(probe);
+}
+
+/* Prepares for probes over a multi handle, which is borrowed. */
+void
+rp_upstream_probes_init(struct rp_upstream_probes *probes,
+                        struct rp_task *task, const struct rp_dialect *dialect,
+                        CURLM *multi)
+{
+    probes->task = task;
+    probes->dialect = dialect;
+    probes->multi = multi;
+    probes->running = g_hash_table_new_full(NULL, NULL, NULL, free_probe);
+    probes->idle = g_ptr_array_new();
+}
+
+/* Gives up all probes. The multi handle must still be there. */
+void
+rp_upstream_probes_clear(struct rp_upstream_probes *probes)
+{
+    GHashTableIter iterator;
+    gpointer easy;
+    g_hash_table_iter_init(&iterator, probes->running);
+    while (g_hash_table_iter_next(&iterator, &easy, NULL)) {
+        curl_multi_remove_handle(probes->multi, easy);
+        curl_easy_cleanup(easy);
+    }
+    g_hash_table_unref(probes->running);
+    for (guint i = 0; i < probes->idle->len; i++) {
+        curl_easy_cleanup(probes->idle->pdata[i]);
+    }
+    g_ptr_array_unref(probes->idle);
+}
+
+/* Starts a probe. */
+void
+rp_upstream_probe_start(struct rp_upstream_probes *probes,
+                        const struct rp_probe_start *start)
+{
+    struct upstream_probe *probe = g_new0(struct upstream_probe, 1);
+    CURL *easy = take_easy(probes);
+    probe->probes = probes;
+    probe->answer = rp_answer_new(0);
+    probe->done.target = start->target;
+    probe->done.sent_ns = start->sent_ns;
+    g_strlcpy(probe->done.service, start->service,
+              sizeof(probe->done.service));
+    char url[RP_ADDRESS_BYTES + RP_PROBE_START_PATH_BYTES + 16];
+    g_snprintf(url, sizeof(url), "http://%s%s", start->address, start->path);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, probe);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, probe);
+    g_hash_table_insert(probes->running, easy, probe);
+    curl_multi_add_handle(probes->multi, easy);
+}
+
+/* Takes a transfer that has ended, if it is a probe, and reports it. */
+bool
+rp_upstream_probe_take(struct rp_upstream_probes *probes, CURL *easy,
+                       CURLcode result)
+{
+    struct upstream_probe *probe = g_hash_table_lookup(probes->running, easy);
+    if (probe == NULL) {
+        return false;
+    }
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    probe->done.answered = result == CURLE_OK && status > 0 && status < 500;
+    probe->done.has_load = probe->answer->has_load;
+    probe->done.load = probe->answer->load;
+    struct rp_task *dispatch =
+        rp_kernel_find_task(rp_task_kernel(probes->task), RP_TASK_DISPATCH);
+    rp_task_send(probes->task, dispatch, RP_MSG_PROBE_DONE, &probe->done,
+                 sizeof(probe->done));
+    curl_multi_remove_handle(probes->multi, easy);
+    g_ptr_array_add(probes->idle, easy);
+    g_hash_table_remove(probes->running, easy);
+    return true;
+}
