Notice a cut watch of the store within 3 s

Change: a read may take 1 s beyond its wait, and the first retry comes after 0.5 s, later ones after 1 s at most.

--- a/src/platform.c
+++ b/src/platform.c
@@ -9,6 +9,9 @@
 #include "watch.h"
 
 #define DEFAULT_TIMEOUT_MS 2000
+/* An answer of the store takes 4 ms, and up to 100 times as long at worst. A
+ * watch that was cut is noticed after this and the time it may wait. */
+#define WATCH_TIMEOUT_MS 1000
 #define CONNECT_TIMEOUT_MS 1000
 /* All records of 51 services in one read. */
 #define DEFAULT_PAGE_SIZE 256
@@ -412,6 +415,9 @@
     }
     platform->timeout_ms =
         settings->timeout_ms > 0 ? settings->timeout_ms : DEFAULT_TIMEOUT_MS;
+    if (platform->protocol->vms_path == NULL && settings->timeout_ms == 0) {
+        platform->timeout_ms = WATCH_TIMEOUT_MS;
+    }
     platform->page_size =
         settings->page_size > 0 ? settings->page_size : DEFAULT_PAGE_SIZE;
     platform->page_now = platform->page_size;
--- a/src/watch.c
+++ b/src/watch.c
@@ -11,6 +11,8 @@
 /* Without a list of VMs there are only watches of records. A waiting one that
  * went silent is noticed after this time and the timeout of a read. */
 #define UNLISTED_WAIT_MS 2000
+#define UNLISTED_RETRY_NS INT64_C(500000000)
+#define UNLISTED_BACKOFF_NS INT64_C(1000000000)
 static const int64_t cycle_wait_ms[CYCLE - 1] = {333, 667, 1000};
 
 /* A promoted VM goes on for this long, and up to twice as long by hash, so
@@ -282,6 +284,19 @@
     return watch->reading;
 }
 
+/* A platform without a list of VMs is watched by all, who have to be up to
+ * date again soon after it is back. */
+static int64_t
+longest_delay_ns(const struct rp_watch *watch)
+{
+    if (watch->unlisted) {
+        int64_t delay_ns = UNLISTED_RETRY_NS << MIN(watch->failures - 1, 8);
+        return MIN(delay_ns, UNLISTED_BACKOFF_NS);
+    }
+    return MIN(RP_WATCH_READ_INTERVAL_NS << MIN(watch->failures, 8),
+               RP_WATCH_BACKOFF_NS);
+}
+
 /* Reports the end of a read. fresh says that the answer was not older than
  * what was known already, more that pages are left; jitter is a random number
  * from 0 to 1 for the delay after a failure. */
@@ -293,8 +308,7 @@
     watch->reading = RP_WATCH_READ_NONE;
     if (!succeeded) {
         watch->failures++;
-        int64_t longest = RP_WATCH_READ_INTERVAL_NS << MIN(watch->failures, 8);
-        longest = MIN(longest, RP_WATCH_BACKOFF_NS);
+        int64_t longest = longest_delay_ns(watch);
         /* Between half of it and all of it. */
         int64_t delay = longest / 2 + (int64_t)(jitter * (double)longest / 2);
         watch->next_ns = MAX(watch->next_ns, now_ns + delay);
