Count further attempts in a sliding window; write events as log lines

Change: the budget counts a window in 20 parts; hedges, fresh trials and stale connections take from it; its share and allowance are settings. The store is listed at once after status 410. Each event of the time line is one line of JSON on standard output, bounded in rate and never blocking. Ruled out: a smaller share alone, which leaves bursts of saved tokens.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -23,6 +23,20 @@
     g_free(target->estate_name);
 }
 
+static void
+init_retries(struct rp_balancer *balancer)
+{
+    const struct rp_balancer_config *config = &balancer->config;
+    bool given = config->retry_window_ns > 0;
+    double allowance =
+        given ? config->retry_allowance : RP_BALANCER_RETRY_ALLOWANCE;
+    rp_retry_budget_init(&balancer->retries,
+                         given ? config->retry_share : RP_BALANCER_RETRY_SHARE,
+                         allowance / MAX(config->fleet_size, 1),
+                         given ? config->retry_window_ns
+                               : RP_BALANCER_RETRY_WINDOW_NS);
+}
+
 /* Creates a balancer without targets. Free it with rp_balancer_free. */
 struct rp_balancer *
 rp_balancer_new(const struct rp_balancer_config *config)
@@ -41,7 +55,7 @@
     balancer->scout_due_ns = INT64_MAX;
     balancer->admission = rp_admission_new(config->queue_limit);
     rp_length_init(&balancer->length);
-    rp_retry_budget_init(&balancer->retries);
+    init_retries(balancer);
     rp_hedge_init(&balancer->hedge);
     return balancer;
 }
@@ -210,9 +224,13 @@
 {
     struct balancer_target *target = balancer_get(balancer, index);
     rp_route_sent(&target->route, is_long, now_ns);
-    rp_scout_sent(&target->scout, now_ns);
     verdict->slowness =
         rp_scout_slowness(&target->scout, &balancer->scout, now_ns);
+    verdict->load = rp_scout_load(&target->scout, &balancer->scout,
+                                  target->route.slots, now_ns);
+    verdict->report_age_ns =
+        target->scout.reported ? now_ns - target->scout.report_ns : -1;
+    rp_scout_sent(&target->scout, now_ns);
     rp_estate_share_sent(&balancer->shares, target->estate);
     target->sent++;
     balancer->own_total++;
@@ -235,15 +253,16 @@
 }
 
 static bool
-within_budget(struct rp_balancer *balancer, uint32_t flags)
+within_budget(struct rp_balancer *balancer, uint32_t flags, int64_t now_ns)
 {
     if ((flags & RP_CALL_HEDGE) != 0) {
-        return rp_hedge_take(&balancer->hedge, used_share(balancer));
+        return rp_hedge_take(&balancer->hedge, used_share(balancer)) &&
+               rp_retry_budget_take(&balancer->retries, now_ns);
     }
     if ((flags & RP_CALL_RETRY) != 0) {
-        return rp_retry_budget_take(&balancer->retries);
+        return rp_retry_budget_take(&balancer->retries, now_ns);
     }
-    rp_retry_budget_note_fresh(&balancer->retries);
+    rp_retry_budget_note_fresh(&balancer->retries, now_ns);
     rp_hedge_note_fresh(&balancer->hedge);
     return true;
 }
@@ -311,7 +330,7 @@
     enum rp_admission_class queue_class =
         is_long ? RP_ADMISSION_LONG : RP_ADMISSION_SHORT;
     start_verdict(call, is_long, verdict);
-    if (!within_budget(balancer, call->flags)) {
+    if (!within_budget(balancer, call->flags, now_ns)) {
         refuse(balancer, RP_REFUSAL_BUDGET, is_long, verdict);
         return;
     }
@@ -376,6 +395,14 @@
     return false;
 }
 
+/* Takes a further attempt out of the budget that is not offered, such as one
+ * over a fresh connection to the same target. */
+bool
+rp_balancer_take_retry(struct rp_balancer *balancer, int64_t now_ns)
+{
+    return rp_retry_budget_take(&balancer->retries, now_ns);
+}
+
 /* Removes a queued call whose caller is gone. */
 void
 rp_balancer_withdraw(struct rp_balancer *balancer, uint64_t call_id,
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -19,10 +19,20 @@
     uint32_t fleet_size;  /* entry VMs that may share the targets */
     uint32_t deciders;    /* entry VMs that callers are steered to now */
     uint32_t queue_limit; /* calls that may wait */
-    double probes_per_s;  /* of this entry VM to one target, before calls */
     uint64_t seed;
+    double probes_per_s; /* of this entry VM to one target, before calls */
+    /* Further attempts in a window: a share of the fresh calls of this entry
+     * VM, and an allowance of all entry VMs together. */
+    double retry_share;
+    double retry_allowance;
+    int64_t retry_window_ns; /* 0 for the defaults */
 };
 
+/* What a balancer's configuration has when it sets no bounds of retries. */
+#define RP_BALANCER_RETRY_SHARE 0.1
+#define RP_BALANCER_RETRY_ALLOWANCE 42.0
+#define RP_BALANCER_RETRY_WINDOW_NS INT64_C(10000000000)
+
 /* Flags of a call. */
 #define RP_CALL_REPEATABLE (1u << 0)
 #define RP_CALL_LONG (1u << 1)  /* known to be long */
@@ -63,8 +73,10 @@
     uint32_t target;        /* stable number of the target, see below */
     int64_t retry_after_ns; /* with REFUSE: when to come back */
     double slowness; /* with SEND: that of the target; to be handed back */
-    uint32_t flags;  /* of the call, with RP_CALL_LONG when it was found to be
-                      * long; to be handed back in rp_attempt_report */
+    double load;     /* with SEND: requests that are thought to be there */
+    int64_t report_age_ns; /* with SEND; -1 without a report */
+    uint32_t flags; /* of the call, with RP_CALL_LONG when it was found to be
+                     * long; to be handed back in rp_attempt_report */
 };
 
 enum rp_attempt_outcome {
@@ -117,6 +129,7 @@
                        struct rp_balancer_verdict *verdict);
 bool rp_balancer_next(struct rp_balancer *balancer, int64_t now_ns,
                       struct rp_balancer_verdict *verdict);
+bool rp_balancer_take_retry(struct rp_balancer *balancer, int64_t now_ns);
 void rp_balancer_withdraw(struct rp_balancer *balancer, uint64_t call_id,
                           int64_t now_ns);
 int64_t rp_balancer_due_ns(const struct rp_balancer *balancer);
--- a/src/counter_list.h
+++ b/src/counter_list.h
@@ -5,6 +5,7 @@
 RP_COUNTER(PAUSES, "kernel_pauses_total", COUNTER, "Pauses of the process noticed by the kernel")
 RP_COUNTER(PAUSED_MS, "kernel_paused_ms_total", COUNTER, "Time the process was paused, in milliseconds")
 RP_COUNTER(EVENTS_LOST, "events_overwritten_total", COUNTER, "Time line events overwritten before anyone read them")
+RP_COUNTER(LOG_DROPPED, "log_lines_dropped_total", COUNTER, "Log lines dropped because of their rate or a slow reader")
 RP_COUNTER(INVARIANT_FAILED, "invariant_failures_total", COUNTER, "Failed invariants of all kinds")
 RP_COUNTER(RECORDS_ACCEPTED, "config_records_accepted_total", COUNTER, "Record versions put in force")
 RP_COUNTER(RECORDS_REFUSED, "config_records_refused_total", COUNTER, "Offered values refused as invalid or because a limit is reached")
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -325,6 +325,9 @@
         .deciders = MAX(identity->fleet_size, 1),
         .queue_limit = 1024,
         .probes_per_s = dispatch->config.probes_per_s,
+        .retry_share = dispatch->config.retry_share,
+        .retry_allowance = dispatch->config.retry_allowance,
+        .retry_window_ns = dispatch->config.retry_window_ns,
         .seed =
             XXH3_64bits_withSeed(name, strlen(name), identity->incarnation),
     };
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -10,7 +10,11 @@
 struct rp_dispatch_config {
     uint32_t first_byte_ms; /* greatest first-byte limit; 0 for the default */
     uint32_t max_calls;     /* in progress at once; 0 for the most */
-    double probes_per_s;    /* to one target, by this VM, before calls */
+    /* Bounds of further attempts; see struct rp_balancer_config. */
+    double retry_share;
+    double retry_allowance;
+    int64_t retry_window_ns; /* 0 for the defaults */
+    double probes_per_s;     /* to one target, by this VM, before calls */
     struct rp_ticket_key ticket_key; /* no bytes: no tickets; borrowed */
 };
 
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -52,9 +52,8 @@
     rp_invariant_check(call->dispatch->context, RP_INVARIANT_NOT_RUN_IS_TRUE,
                        !not_run || dispatch_call_not_run(call), now_ns,
                        "a call with a sent attempt is answered as not run");
-    if (call->attempt_count > 0 || !not_run) {
-        add_event(call, RP_EVENT_CALL_FAILED, reason, now_ns);
-    }
+    add_event(call, not_run ? RP_EVENT_CALL_REFUSED : RP_EVENT_CALL_FAILED,
+              reason, now_ns);
     dispatch_refuse(call->dispatch, call->call->id,
                     not_run ? RP_OUTCOME_NOT_RUN : RP_OUTCOME_UNKNOWN, status,
                     not_run ? retry_after_ms : 0, reason);
@@ -148,6 +147,30 @@
     }
 }
 
+/* Says where an attempt goes and what that was decided by. */
+static void
+report_sent(const struct dispatch_call *call,
+            const struct dispatch_attempt *attempt,
+            const struct rp_balancer_verdict *verdict, int64_t now_ns)
+{
+    struct rp_event *event = rp_event_add(
+        call->dispatch->context->events,
+        (attempt->flags & RP_CALL_HEDGE) != 0 ? RP_EVENT_CALL_HEDGED
+                                              : RP_EVENT_CALL_SENT,
+        now_ns,
+        rp_balancer_target_address(call->service->balancer, attempt->target));
+    rp_event_set_request(event, call->call->request_id);
+    rp_event_set_service(event, call->service->name);
+    event->value = call->attempt_count;
+    rp_event_set_detail(
+        event,
+        "waited %.1f ms, %.1f ms left, slowness %.2f, load %.1f, report "
+        "%.1f ms old",
+        (double)(now_ns - call->call->received_ns) / 1e6,
+        (double)(call->deadline_ns - now_ns) / 1e6, verdict->slowness,
+        verdict->load, (double)verdict->report_age_ns / 1e6);
+}
+
 static void
 take_verdict(struct dispatch_call *call, uint32_t flags,
              const struct rp_balancer_verdict *verdict, int64_t now_ns)
@@ -168,6 +191,7 @@
         dispatch_attempt_add(call, verdict->target, verdict->flags, now_ns);
     attempt->owns_slot = true;
     attempt->slowness = verdict->slowness;
+    report_sent(call, attempt, verdict, now_ns);
     dispatch_drain_sent(
         call->dispatch, call->service,
         rp_balancer_target_address(call->service->balancer, attempt->target),
@@ -296,6 +320,22 @@
     call->retry_at_ns = now_ns + delay_ns;
 }
 
+static void
+report_answer(struct dispatch_call *call,
+              const struct dispatch_attempt *winner, int64_t now_ns)
+{
+    struct rp_event *event =
+        rp_event_add(call->dispatch->context->events, RP_EVENT_CALL_ENDED,
+                     now_ns, call->service->name);
+    rp_event_set_request(event, call->call->request_id);
+    rp_event_set_service(event, call->service->name);
+    event->value = winner->answer->status;
+    rp_event_set_detail(event, "attempt %u answered after %.1f ms of %.1f",
+                        winner->generation,
+                        (double)(now_ns - winner->sent_ns) / 1e6,
+                        (double)(now_ns - call->call->received_ns) / 1e6);
+}
+
 /* Passes an attempt's answer on and gives up all others. */
 static void
 win(struct dispatch_call *call, uint32_t index, int64_t now_ns)
@@ -325,6 +365,7 @@
     }
     call->winner = index;
     call->state = CALL_REPLIED;
+    report_answer(call, winner, now_ns);
     call->hedge_at_ns = RP_KERNEL_NEVER_NS;
     call->first_byte_at_ns = RP_KERNEL_NEVER_NS;
     call->retry_at_ns = RP_KERNEL_NEVER_NS;
@@ -356,7 +397,8 @@
         done->end != RP_END_BROKEN || !call->repeatable || call->tried_stale ||
         call->attempts_left == 0 ||
         call->attempt_count == RP_DISPATCH_ATTEMPTS ||
-        (request != NULL && !rp_stream_can_rewind(request)))
+        (request != NULL && !rp_stream_can_rewind(request)) ||
+        !rp_balancer_take_retry(call->service->balancer, now_ns))
     {
         return false;
     }
@@ -609,7 +651,8 @@
         call->attempt_count == RP_DISPATCH_ATTEMPTS ||
         call->service->fresh_trials < 1.0 ||
         (request != NULL && (rp_stream_state(request) != RP_STREAM_ENDED ||
-                             !rp_stream_can_rewind(request))))
+                             !rp_stream_can_rewind(request))) ||
+        !rp_balancer_take_retry(call->service->balancer, now_ns))
     {
         return;
     }
@@ -690,6 +733,7 @@
     else {
         rp_counter_add(&call->dispatch->context->counters,
                        RP_COUNTER_CALLS_GONE, 1);
+        add_event(call, RP_EVENT_CALL_LEFT, "the caller has left", now_ns);
         cancel_all(call, RP_ATTEMPT_CANCELLED, now_ns);
         call->over = true;
     }
--- a/src/event.h
+++ b/src/event.h
@@ -6,7 +6,7 @@
 #include "hlc.h"
 
 #define RP_EVENT_NAME_BYTES 64
-#define RP_EVENT_DETAIL_BYTES 128
+#define RP_EVENT_DETAIL_BYTES 192
 
 enum rp_event_kind {
 #define RP_EVENT(identifier, name) RP_EVENT_##identifier,
--- a/src/event_json.c
+++ b/src/event_json.c
@@ -1,6 +1,7 @@
 #include "event_json.h"
 
 #include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Greatest number of events in one answer: about 1 MB of JSON. */
@@ -75,3 +76,17 @@
         "incarnation", incarnation, "domain", context->identity.domain,
         "first", (json_int_t)first, "end", (json_int_t)end, "events", events);
 }
+
+/* Appends an event as one line of JSON, which also names this VM. */
+void
+rp_event_json_line(const struct rp_context *context,
+                   const struct rp_event *event, GString *out)
+{
+    json_t *object = event_to_json(event);
+    json_object_set_new(object, "id", json_string(context->identity.id));
+    char *text = json_dumps(object, JSON_COMPACT);
+    g_string_append(out, text);
+    g_string_append_c(out, '\n');
+    free(text);
+    json_decref(object);
+}
--- a/src/event_json.h
+++ b/src/event_json.h
@@ -22,6 +22,9 @@
 json_t *rp_event_json_list(const struct rp_context *context,
                            const struct rp_event_filter *filter);
 
+void rp_event_json_line(const struct rp_context *context,
+                        const struct rp_event *event, GString *out);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/log.c
+++ b/src/log.c
@@ -80,14 +80,15 @@
     char *line =
         rp_log_format_line(choices.json ? "json" : "text", level_name(flags),
                            choices.id, time, message);
-    fprintf(stderr, "%s\n", line);
+    fprintf(stdout, "%s\n", line);
+    fflush(stdout);
     g_free(line);
     g_free(time);
     g_date_time_unref(now);
     return G_LOG_WRITER_HANDLED;
 }
 
-/* Sends the log of this process to standard error. format is "text" or
+/* Sends the log of this process to standard output. format is "text" or
  * "json", level the least that is written, id the entry VM's name. Called
  * once, before the first log line. */
 void
--- a/src/loop.c
+++ b/src/loop.c
@@ -10,6 +10,8 @@
     struct rp_kernel *kernel;
     ev_prepare prepare;
     ev_timer timer;
+    void (*before_sleep)(void *data, int64_t now_ns);
+    void *before_sleep_data;
 };
 
 static int64_t
@@ -44,6 +46,9 @@
     int64_t now_ns = rp_loop_now_ns();
     set_wall_offset(loop->kernel, now_ns);
     int64_t due_ns = rp_kernel_run(loop->kernel, now_ns);
+    if (loop->before_sleep != NULL) {
+        loop->before_sleep(loop->before_sleep_data, now_ns);
+    }
     double wait_s = due_ns <= now_ns ? 0.0 : (double)(due_ns - now_ns) / 1e9;
     ev_timer_stop(ev, &loop->timer);
     ev_now_update(ev);
@@ -105,6 +110,15 @@
     return loop->kernel;
 }
 
+/* Sets what is called each time before the loop sleeps; NULL for none. */
+void
+rp_loop_before_sleep(struct rp_loop *loop,
+                     void (*call)(void *data, int64_t now_ns), void *data)
+{
+    loop->before_sleep = call;
+    loop->before_sleep_data = data;
+}
+
 /* Runs until rp_loop_end is called. */
 void
 rp_loop_run(struct rp_loop *loop)
--- a/src/node.c
+++ b/src/node.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/random.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include "admin.h"
 #include "call.h"
@@ -12,6 +13,7 @@
 #include "directory.h"
 #include "dispatch.h"
 #include "entry.h"
+#include "event_log.h"
 #include "gossip.h"
 #include "loop.h"
 #include "platform.h"
@@ -34,6 +36,7 @@
     struct rp_loop *loop;
     struct rp_entry *entry;
     struct rp_prober *prober;
+    struct rp_event_log *event_log; /* NULL when it is off */
     ev_signal terminate;
     ev_signal interrupt;
     ev_timer stop_check;
@@ -261,6 +264,13 @@
             (uint32_t)rp_settings_number(settings, RP_SETTING_MAX_CALLS),
         .first_byte_ms =
             (uint32_t)rp_settings_number(settings, RP_SETTING_FIRST_BYTE_MS),
+        .retry_share =
+            (double)rp_settings_number(settings, RP_SETTING_RETRY_PERMILLE) /
+            1000,
+        .retry_allowance =
+            (double)rp_settings_number(settings, RP_SETTING_RETRY_ALLOWANCE),
+        .retry_window_ns =
+            rp_settings_number(settings, RP_SETTING_RETRY_WINDOW_MS) * 1000000,
         .probes_per_s =
             (double)rp_settings_number(settings, RP_SETTING_PROBES_PER_S) /
             node->context->identity.fleet_size,
@@ -319,6 +329,25 @@
            start_config(node, settings, error);
 }
 
+static void
+write_events(void *data, int64_t now_ns)
+{
+    rp_event_log_write(data, now_ns);
+}
+
+static void
+start_event_log(struct rp_node *node, const struct rp_settings *settings)
+{
+    int64_t lines_per_s =
+        rp_settings_number(settings, RP_SETTING_LOG_LINES_PER_S);
+    if (lines_per_s > 0) {
+        node->event_log =
+            rp_event_log_new(node->context, STDOUT_FILENO,
+                             (uint32_t)lines_per_s, rp_loop_now_ns());
+        rp_loop_before_sleep(node->loop, write_events, node->event_log);
+    }
+}
+
 /* Creates an entry process from checked settings and opens its ports. adapter
  * is NULL for the project's own protocols. Returns NULL with an error set when
  * one cannot be opened. Free it with rp_node_free. */
@@ -335,6 +364,7 @@
     node->stop_timeout_ns =
         rp_settings_number(settings, RP_SETTING_STOP_TIMEOUT_MS) * 1000000;
     watch_signals(node);
+    start_event_log(node, settings);
     if (!start_tasks(node, settings, error)) {
         rp_node_free(node);
         return NULL;
@@ -368,6 +398,7 @@
     }
     rp_prober_free(node->prober);
     rp_loop_free(node->loop);
+    rp_event_log_free(node->event_log);
     rp_context_free(node->context);
     g_free(node);
 }
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -1,37 +1,64 @@
 #include "retry_budget.h"
 
-/* Retries as a share of fresh calls (retry budgets: Site Reliability
- * Engineering, 2016, chapter 21, and Finagle). */
-#define SHARE 0.1
-/* Lets a service with little traffic retry at all. */
-#define INITIAL_TOKENS 3
-/* Bounds the retries that a quiet time saves up for a fault. */
-#define MOST_TOKENS 30
+#include <string.h>
 
-/* Starts a budget. */
+/* Starts a budget that allows share times the fresh calls of the last
+ * window_ns, and allowance besides (retry budgets: Site Reliability
+ * Engineering, 2016, chapter 21, and Finagle). */
 void
-rp_retry_budget_init(struct rp_retry_budget *budget)
+rp_retry_budget_init(struct rp_retry_budget *budget, double share,
+                     double allowance, int64_t window_ns)
 {
-    budget->tokens = INITIAL_TOKENS;
+    memset(budget, 0, sizeof(*budget));
+    budget->share = share;
+    budget->allowance = allowance;
+    /* One part less, so that the parts that are counted cover the window
+     * wherever in the newest one the present is. */
+    budget->part_ns = window_ns / (RP_RETRY_BUDGET_PARTS - 1);
+}
+
+static uint32_t
+move_to(struct rp_retry_budget *budget, int64_t now_ns)
+{
+    int64_t part = now_ns / budget->part_ns;
+    int64_t gone = part - budget->newest;
+    if (gone >= RP_RETRY_BUDGET_PARTS) {
+        memset(budget->fresh, 0, sizeof(budget->fresh));
+        memset(budget->retries, 0, sizeof(budget->retries));
+        budget->newest = part;
+    }
+    while (budget->newest < part) {
+        budget->newest++;
+        budget->fresh[budget->newest % RP_RETRY_BUDGET_PARTS] = 0;
+        budget->retries[budget->newest % RP_RETRY_BUDGET_PARTS] = 0;
+    }
+    return (uint32_t)(budget->newest % RP_RETRY_BUDGET_PARTS);
 }
 
 /* Counts a fresh call. */
 void
-rp_retry_budget_note_fresh(struct rp_retry_budget *budget)
+rp_retry_budget_note_fresh(struct rp_retry_budget *budget, int64_t now_ns)
 {
-    budget->tokens += SHARE;
-    if (budget->tokens > MOST_TOKENS) {
-        budget->tokens = MOST_TOKENS;
-    }
+    budget->fresh[move_to(budget, now_ns)]++;
 }
 
-/* Takes one retry out of the budget; returns false when there is none. */
+/* Takes one further attempt out of the budget; returns false when the window
+ * has none left. */
 bool
-rp_retry_budget_take(struct rp_retry_budget *budget)
+rp_retry_budget_take(struct rp_retry_budget *budget, int64_t now_ns)
 {
-    if (budget->tokens < 1) {
+    uint32_t part = move_to(budget, now_ns);
+    uint32_t fresh = 0;
+    uint32_t retries = 0;
+    uint32_t oldest = (part + 1) % RP_RETRY_BUDGET_PARTS;
+    for (uint32_t i = 0; i < RP_RETRY_BUDGET_PARTS; i++) {
+        /* The parts are longer than the window by up to one. */
+        fresh += i == oldest ? 0 : budget->fresh[i];
+        retries += budget->retries[i];
+    }
+    if (retries + 1 > budget->share * fresh + budget->allowance) {
         return false;
     }
-    budget->tokens -= 1;
+    budget->retries[part]++;
     return true;
 }
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -2,19 +2,31 @@
 #define RP_RETRY_BUDGET_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
-/* Further attempts allowed, as a share of fresh work. */
+#define RP_RETRY_BUDGET_PARTS 20
+
+/* Further attempts allowed in a sliding window, as a share of the fresh calls
+ * of that window. What each entry VM keeps holds for all of them together:
+ * shares add up, and the allowance is divided by their number. */
 struct rp_retry_budget {
-    double tokens;
+    double share;     /* of the fresh calls */
+    double allowance; /* in each window, whatever the calls */
+    int64_t part_ns;  /* the window is counted in parts */
+    int64_t newest;   /* number of the newest part */
+    uint32_t fresh[RP_RETRY_BUDGET_PARTS];
+    uint32_t retries[RP_RETRY_BUDGET_PARTS];
 };
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-void rp_retry_budget_init(struct rp_retry_budget *budget);
-void rp_retry_budget_note_fresh(struct rp_retry_budget *budget);
-bool rp_retry_budget_take(struct rp_retry_budget *budget);
+void rp_retry_budget_init(struct rp_retry_budget *budget, double share,
+                          double allowance, int64_t window_ns);
+void rp_retry_budget_note_fresh(struct rp_retry_budget *budget,
+                                int64_t now_ns);
+bool rp_retry_budget_take(struct rp_retry_budget *budget, int64_t now_ns);
 
 #ifdef __cplusplus
 }
--- a/src/setting_list.h
+++ b/src/setting_list.h
@@ -29,3 +29,7 @@
 RP_SETTING(DIRECTORY_ADDRESS, "directory-address", ADDRESS, "", 0, "ip:port of the directory; with an adapter")
 RP_SETTING(READY_ADDRESS, "ready-address", ADDRESS, "", 0, "ip:port of the readiness page; with an adapter")
 RP_SETTING(PROBES_PER_S, "probes-per-s", NUMBER(0, 10000), "60", 0, "probes a second to one target before calls, of all entry VMs together")
+RP_SETTING(LOG_LINES_PER_S, "log-lines-per-s", NUMBER(0, 100000), "500", 0, "events a second written to standard output; 0 for none")
+RP_SETTING(RETRY_PERMILLE, "retry-permille", NUMBER(0, 1000), "100", 0, "further attempts in parts per thousand of the fresh calls in a window")
+RP_SETTING(RETRY_ALLOWANCE, "retry-allowance", NUMBER(0, 100000), "42", 0, "further attempts in a window besides, of all entry VMs together, for each service")
+RP_SETTING(RETRY_WINDOW_MS, "retry-window-ms", NUMBER(100, 600000), "10000", 0, "window in which further attempts are counted, in ms")
--- a/src/watch.c
+++ b/src/watch.c
@@ -319,6 +319,9 @@
         return;
     }
     watch->more = more;
+    if (more && watch->unlisted) {
+        watch->next_ns = now_ns; /* also after the end of a history */
+    }
     watch->has_records = watch->has_records || !more;
     if (fresh && !more) {
         watch->own_fresh_ns = now_ns;
--- a/tests/test_balancer.cc
+++ b/tests/test_balancer.cc
@@ -17,6 +17,9 @@
     balancer_test()
     {
         struct rp_balancer_config config = {"d0", 1, 1, 100, 1};
+        config.retry_share = 0.1;
+        config.retry_allowance = 3;
+        config.retry_window_ns = 10000 * MS;
         balancer = rp_balancer_new(&config);
         publish({"a", "b", "c", "d"}, {});
     }
--- a/tests/test_limits.cc
+++ b/tests/test_limits.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 extern "C" {
 #include "estate_share.h"
 #include "hedge.h"
@@ -118,17 +121,57 @@
 {
     for (int fresh : {0, 10, 100, 1000}) {
         struct rp_retry_budget budget;
-        rp_retry_budget_init(&budget);
+        rp_retry_budget_init(&budget, 0.1, 3, 10000 * MS);
         int taken = 0;
         for (int i = 0; i < fresh; i++) {
-            rp_retry_budget_note_fresh(&budget);
-            taken += rp_retry_budget_take(&budget);
+            rp_retry_budget_note_fresh(&budget, 0);
+            taken += rp_retry_budget_take(&budget, 0);
         }
         EXPECT_LE(taken, 3 + fresh / 10) << fresh;
         EXPECT_GE(taken, fresh / 10) << fresh;
     }
 }
 
+// Guards against retries that a quiet time saves up, or that two windows
+// each allow: many targets that fail for 20 s, after work of another pace.
+TEST(retry, budget_in_every_window)
+{
+    struct {
+        int calls_per_s[3]; // in 10 s each
+    } cases[] = {{{40, 40, 40}}, {{100, 10, 10}}, {{0, 0, 50}}, {{5, 90, 1}}};
+    for (const auto &entry : cases) {
+        struct rp_retry_budget budget;
+        // The share is set a tenth below the bound, as deploy/ does.
+        rp_retry_budget_init(&budget, 0.18, 4, 10000 * MS);
+        std::vector<int64_t> fresh;
+        std::vector<int64_t> taken;
+        for (int ms = 0; ms < 30000; ms++) {
+            int pace = entry.calls_per_s[ms / 10000];
+            if (pace > 0 && ms % (1000 / pace) == 0) {
+                rp_retry_budget_note_fresh(&budget, ms * MS);
+                fresh.push_back(ms);
+            }
+            if (rp_retry_budget_take(&budget, ms * MS)) {
+                taken.push_back(ms);
+            }
+        }
+        EXPECT_GT(taken.size(), 0u);
+        // The users count fresh calls in a window or in the one before it.
+        for (int from = -10000; from < 30000; from += 100) {
+            auto within = [](const std::vector<int64_t> &times, int start) {
+                return std::count_if(
+                    times.begin(), times.end(), [start](int64_t ms) {
+                        return ms >= start && ms < start + 10000;
+                    });
+            };
+            double calls =
+                std::max({within(fresh, from), within(fresh, from - 5000),
+                          within(fresh, from - 10000)});
+            EXPECT_LE(within(taken, from), 0.2 * calls + 4) << from;
+        }
+    }
+}
+
 // Guards against retries in step with each other or without a bound.
 TEST(retry, backoff)
 {
