--- a/bench/fake_target.c
+++ b/bench/fake_target.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "fake_target.h"
 
 #define SERVICE_WEIGHT (1.0 / 16)
@@ -44,6 +46,7 @@
 static void
 fill_report(const struct fake_target *target, struct rp_load_report *report)
 {
+    memset(report, 0, sizeof(*report));
     report->in_flight = target->running;
     report->slots = FAKE_TARGET_SLOTS;
     report->queued = target->queue.length;
