Hedge calls that take 1.7 times the usual time

Cause: 3 in 100 runs take seven times as long, and some meet a machine that has just turned slow; answers behind them on a pipelined connection wait. Change: where targets are asked first, a late repeatable call is tried at a second target that is quick now, out of the same budget as retries. Ruled out: the quantile of response times, which stayed without hedges since the share of slots in use was summed up and never reset (mended).

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -113,6 +113,8 @@
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
         balancer_get(balancer, i)->present = false;
     }
+    balancer->slots_total = 0;
+    balancer->limit_total = 0;
     for (uint32_t i = 0; i < service->target_count; i++) {
         const struct rp_target *source = &service->targets[i];
         struct balancer_target *target =
@@ -255,6 +257,10 @@
 static bool
 within_budget(struct rp_balancer *balancer, uint32_t flags, int64_t now_ns)
 {
+    if ((flags & RP_CALL_HEDGE) != 0 && balancer->scout.active) {
+        return rp_scout_has_room(&balancer->scout) &&
+               rp_retry_budget_take(&balancer->retries, now_ns);
+    }
     if ((flags & RP_CALL_HEDGE) != 0) {
         return rp_hedge_take(&balancer->hedge, used_share(balancer)) &&
                rp_retry_budget_take(&balancer->retries, now_ns);
@@ -319,8 +325,9 @@
     return true;
 }
 
-/* Decides a call: sent to a target, queued, or refused. A hedge is never
- * queued, as it would only wait where the first request waits. */
+/* Decides a call: sent to a target, queued, or refused. A hedge is queued only
+ * while a target is asked for it; else it would wait where the first request
+ * waits. */
 void
 rp_balancer_offer(struct rp_balancer *balancer,
                   const struct rp_balancer_call *call, int64_t now_ns,
@@ -335,7 +342,7 @@
         return;
     }
     bool hedge = (call->flags & RP_CALL_HEDGE) != 0;
-    if (balancer->scout.active && !hedge) {
+    if (balancer->scout.active) {
         offer_scouted(balancer, call, now_ns, verdict);
         return;
     }
@@ -432,7 +439,9 @@
     {
         return INT64_MAX;
     }
-    return rp_hedge_delay_ns(&balancer->hedge, used_share(balancer));
+    return balancer->scout.active
+               ? rp_scout_hedge_delay_ns(&balancer->scout)
+               : rp_hedge_delay_ns(&balancer->hedge, used_share(balancer));
 }
 
 static void
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -14,6 +14,15 @@
 /* Attempts beside silent connections: a tenth of the calls of a service. */
 #define FRESH_TRIAL_SHARE 0.1
 
+static void
+withdraw_hedge(struct dispatch_call *call, int64_t now_ns)
+{
+    if (call->hedge_waits) {
+        call->hedge_waits = false;
+        rp_balancer_withdraw(call->service->balancer, call->call->id, now_ns);
+    }
+}
+
 static void
 cancel_all(struct dispatch_call *call, enum rp_attempt_outcome outcome,
            int64_t now_ns)
@@ -29,6 +38,7 @@
     if (call->state == CALL_QUEUED) {
         rp_balancer_withdraw(call->service->balancer, call->call->id, now_ns);
     }
+    withdraw_hedge(call, now_ns);
 }
 
 static void
@@ -237,13 +247,31 @@
     settle(call);
 }
 
+static void
+send_hedge(struct dispatch_call *call,
+           const struct rp_balancer_verdict *verdict, int64_t now_ns)
+{
+    call->attempts_left--;
+    rp_counter_add(&call->dispatch->context->counters, RP_COUNTER_HEDGES, 1);
+    take_verdict(call, RP_CALL_HEDGE, verdict, now_ns);
+}
+
 /* Takes the verdict on a call that was queued at its balancer. */
 void
 dispatch_call_verdict(struct dispatch_call *call,
                       const struct rp_balancer_verdict *verdict,
                       int64_t now_ns)
 {
-    take_verdict(call, call->offer_flags, verdict, now_ns);
+    if (!call->hedge_waits) {
+        take_verdict(call, call->offer_flags, verdict, now_ns);
+    }
+    else if (verdict->action == RP_BALANCER_SEND) {
+        call->hedge_waits = false;
+        send_hedge(call, verdict, now_ns);
+    }
+    else {
+        call->hedge_waits = false;
+    }
     settle(call);
 }
 
@@ -363,6 +391,7 @@
         dispatch_attempt_cancel(call, other, silent);
         dispatch_attempt_report(call, other, RP_ATTEMPT_CANCELLED, 0, now_ns);
     }
+    withdraw_hedge(call, now_ns);
     call->winner = index;
     call->state = CALL_REPLIED;
     report_answer(call, winner, now_ns);
@@ -457,6 +486,15 @@
         }
     }
     dispatch_attempt_report(call, attempt, outcome, 0, now_ns);
+    if (!others && call->hedge_waits) {
+        /* The target that is asked for the hedge gets the retry. */
+        call->hedge_waits = false;
+        call->state = CALL_QUEUED;
+        call->offer_flags = RP_CALL_RETRY;
+        call->attempts_left--;
+        call->retries++;
+        return;
+    }
     if (!others) {
         call->hedge_at_ns = RP_KERNEL_NEVER_NS;
         call->first_byte_at_ns = RP_KERNEL_NEVER_NS;
@@ -691,14 +729,11 @@
     fill_offer(call, RP_CALL_HEDGE, &offer);
     rp_balancer_offer(call->service->balancer, &offer, now_ns, &verdict);
     if (verdict.action == RP_BALANCER_WAIT) {
-        rp_balancer_withdraw(call->service->balancer, call->call->id, now_ns);
+        call->hedge_waits = true;
     }
-    if (verdict.action != RP_BALANCER_SEND) {
-        return;
+    else if (verdict.action == RP_BALANCER_SEND) {
+        send_hedge(call, &verdict, now_ns);
     }
-    call->attempts_left--;
-    rp_counter_add(&call->dispatch->context->counters, RP_COUNTER_HEDGES, 1);
-    take_verdict(call, RP_CALL_HEDGE, &verdict, now_ns);
 }
 
 /* Does what is due: the deadline, a retry, a fresh connection or a hedge. */
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -76,6 +76,7 @@
     bool repeatable;
     bool may_have_run;
     bool tried_stale; /* a connection had closed while it was idle */
+    bool hedge_waits; /* for a target, beside the attempt in progress */
     bool over;        /* answered or gone; to be removed */
     uint32_t flags;   /* RP_CALL_... */
     uint64_t kind;
--- a/src/scout.c
+++ b/src/scout.c
@@ -14,6 +14,10 @@
 /* Targets slow down when nearly all slots are taken. */
 #define CROWDED_SHARE 0.8
 #define CROWDED_COST 1.5
+/* A call that has taken this multiple of the usual time is one of the few that
+ * run several times as long, or met a machine that had just become slow. */
+#define HEDGE_LATE 1.7
+#define HEDGE_MOST_CROWDED 0.7
 /* Probes that may come at once after a quiet time, in seconds of the rate. */
 #define PROBE_BURST_S 4.0
 
@@ -161,6 +165,24 @@
     return run + behind * usual * pool->slowness / fmax(slots, 1);
 }
 
+/* Returns whether hedges leave enough slots to fresh calls. */
+bool
+rp_scout_has_room(const struct rp_scout_pool *pool)
+{
+    return pool->crowding < HEDGE_MOST_CROWDED;
+}
+
+/* Returns after how long without an answer a call to a quick target is better
+ * tried at another one, or INT64_MAX when that is not known. */
+int64_t
+rp_scout_hedge_delay_ns(const struct rp_scout_pool *pool)
+{
+    if (pool->samples < FIRST_SAMPLES) {
+        return INT64_MAX;
+    }
+    return (int64_t)(HEDGE_LATE * pool->usual_ns);
+}
+
 /* Takes a probe out of the target's budget. */
 bool
 rp_scout_may_probe(struct rp_scout_target *target, double probes_per_s,
