--- a/src/dispatch_hint.c
+++ b/src/dispatch_hint.c
@@ -111,6 +111,9 @@
     g_strlcpy(hint.service, service->name, sizeof(hint.service));
     g_strlcpy(hint.address, address, sizeof(hint.address));
     struct rp_kernel *kernel = rp_task_kernel(dispatch->task);
+    if (load->slowness_percent > 0) {
+        return; /* it is asked before each call, and old news are no use */
+    }
     for (guint i = 0; i < G_N_ELEMENTS(receivers); i++) {
         rp_task_send(dispatch->task, rp_kernel_find_task(kernel, receivers[i]),
                      RP_MSG_TARGET_HINT, &hint, sizeof(hint));
--- a/src/record_build.c
+++ b/src/record_build.c
@@ -407,6 +407,10 @@
     if (parts->pool != NULL && parts->pool->probe_path != NULL) {
         replace_text(&service->probe_path, parts->pool->probe_path);
     }
+    if (parts->pool != NULL) {
+        /* Its targets are asked before calls, not at intervals. */
+        service->probes_per_10s = 0;
+    }
     if (parts->old != NULL || parts->service != NULL) {
         add_own_route(state->snapshot, service);
     }
