Outlive SIGHUP; test the adapter, the search for targets and pipelining

Change: the signal is logged and changes nothing, since settings are flags. A target counts as quick before the first answer, too (a test of the search failed first: usual time 0). Tables of cases for the adapter, the search and the split of routes; path cases for pipelined requests and SIGHUP.

--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -52,7 +52,7 @@
     "$build/rosemarypulley" serve --id "vm-$peer" --domain Bilbo \
         --caller-address "$address" --peer-address "127.0.0.1:$peer" \
         --admin-address "127.0.0.1:$((peer + 1))" --log-level warning \
-        --fleet-size 1 --address-ttl-ms 500 --first-byte-ms 250 --progress-ms 600 \
+        --log-lines-per-s 0 --fleet-size 1 --address-ttl-ms 500 --first-byte-ms 250 --progress-ms 600 \
         --boot-wait-ms 0 --records "$records" \
         --fleet-key "$(printf '5a%.0s' $(seq 32))" "$@" &
     serve_pids+=($!)
@@ -349,6 +349,26 @@
 raw_case pipelined ' 200 ' \
     "${get}Host: x\r\n@ID\r\n\r\n${get}Host: x\r\n\r\n" 1
 
+# Answers on one connection come in the order of the requests, although the
+# second one is ready long before the first.
+exec 3<>"/dev/tcp/127.0.0.1/$base"
+printf 'GET /two?sleep_ms=300&bytes=3 HTTP/1.1\r\nHost: x\r\nRP-Request-Id: case-order-1\r\n\r\nGET /two?bytes=4 HTTP/1.1\r\nHost: x\r\nRP-Request-Id: case-order-2\r\n\r\nGET /two?sleep_ms=300&bytes=5 HTTP/1.1\r\nHost: x\r\nRP-Request-Id: case-order-3\r\n\r\n' >&3
+began=$(date +%s%N)
+got=$(timeout 2 grep -a -m 3 -o 'case-order-[0-9]' <&3 | tr '\n' ' ')
+took=$((($(date +%s%N) - began) / 1000000))
+exec 3>&- 3<&-
+check pipelined-order "$got" '^case-order-1 case-order-2 case-order-3 $' 0 0 0
+# One after the other they would take 600 ms.
+check pipelined-side-by-side "took=$((took < 550))" '^took=1$' 0 0 0
+
+# A signal that settings have changed ends nothing.
+curl -s -o /dev/null -w '%{http_code}' "http://$entry/two?sleep_ms=300" >"$work/hup" &
+curl_pid=$!
+sleep 0.1
+kill -HUP "${serve_pids[@]}"
+wait "$curl_pid"
+check hangup-cuts-nothing "$(cat "$work/hup")" '^200$' 0 0 0
+
 told=$(mktemp)
 # A stop while a request is at work: it is finished, and the process ends by
 # itself without an error (with sanitizers, without a leak).
--- a/src/balancer_scout.c
+++ b/src/balancer_scout.c
@@ -60,7 +60,7 @@
         return;
     }
     if (fresh && load + 1 <= slots &&
-        expected <= RP_SCOUT_QUICK * balancer->scout.usual_ns +
+        expected <= RP_SCOUT_QUICK * rp_scout_usual_ns(pool) +
                         target->route.domain_ns &&
         expected < scan->quick_ns)
     {
--- a/src/node.c
+++ b/src/node.c
@@ -39,6 +39,7 @@
     struct rp_event_log *event_log; /* NULL when it is off */
     ev_signal terminate;
     ev_signal interrupt;
+    ev_signal hangup;
     ev_timer stop_check;
     int64_t stop_timeout_ns;
     int64_t stop_at_ns;
@@ -118,6 +119,20 @@
     ev_timer_start(ev, &node->stop_check);
 }
 
+/* Settings are flags and environment variables, which do not change while a
+ * process runs. The signal must not end it. */
+static void
+on_hangup_signal(struct ev_loop *ev, ev_signal *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    struct rp_node *node = watcher->data;
+    g_message("SIGHUP received: settings are read at the start only, restart "
+              "the process to change them");
+    rp_event_add(node->context->events, RP_EVENT_RELOADED, rp_loop_now_ns(),
+                 node->context->identity.id);
+}
+
 static void
 watch_signals(struct rp_node *node)
 {
@@ -127,6 +142,9 @@
     ev_signal_init(&node->interrupt, on_stop_signal, SIGINT);
     ev_timer_init(&node->stop_check, on_stop_check, STOP_CHECK_S,
                   STOP_CHECK_S);
+    ev_signal_init(&node->hangup, on_hangup_signal, SIGHUP);
+    node->hangup.data = node;
+    ev_signal_start(ev, &node->hangup);
     node->terminate.data = node;
     node->interrupt.data = node;
     node->stop_check.data = node;
@@ -399,6 +417,7 @@
     struct ev_loop *ev = rp_loop_ev(node->loop);
     ev_signal_stop(ev, &node->terminate);
     ev_signal_stop(ev, &node->interrupt);
+    ev_signal_stop(ev, &node->hangup);
     ev_timer_stop(ev, &node->stop_check);
     rp_kernel_free(node->kernel);
     if (node->protocol != NULL) {
--- a/src/scout.c
+++ b/src/scout.c
@@ -94,6 +94,13 @@
     target->excess_ns = now_ns;
 }
 
+/* Returns the time of a call at usual speed, also before the first answer. */
+double
+rp_scout_usual_ns(const struct rp_scout_pool *pool)
+{
+    return pool->samples > 0 ? pool->usual_ns : UNKNOWN_USUAL_NS;
+}
+
 /* Returns whether the report is worth following without asking again. */
 bool
 rp_scout_is_fresh(const struct rp_scout_target *target, int64_t now_ns)
@@ -149,7 +156,7 @@
                      const struct rp_scout_pool *pool, double slots,
                      int64_t now_ns)
 {
-    double usual = pool->samples > 0 ? pool->usual_ns : UNKNOWN_USUAL_NS;
+    double usual = rp_scout_usual_ns(pool);
     double load = rp_scout_load(target, pool, slots, now_ns);
     double run = usual * rp_scout_slowness(target, pool, now_ns);
     double trust =
--- a/src/scout.h
+++ b/src/scout.h
@@ -65,6 +65,7 @@
 void rp_scout_answered(struct rp_scout_target *target,
                        struct rp_scout_pool *pool, double expected_slowness,
                        int64_t response_ns, int64_t now_ns);
+double rp_scout_usual_ns(const struct rp_scout_pool *pool);
 bool rp_scout_is_fresh(const struct rp_scout_target *target, int64_t now_ns);
 double rp_scout_load(const struct rp_scout_target *target,
                      const struct rp_scout_pool *pool, double slots,
--- /dev/null
+++ b/tests/test_gateway.cc
@@ -0,0 +1,416 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gateway.h"
+#include "record.h"
+
+namespace {
+
+std::string
+take(char *text)
+{
+    std::string copy = text == nullptr ? "" : text;
+    free(text);
+    return copy;
+}
+
+// Guards against a time that is read in the wrong unit or from garbage.
+TEST(gateway, reads_times)
+{
+    struct {
+        const char *text;
+        bool valid;
+        int64_t ms;
+    } cases[] = {
+        {"1500ms", true, 1500}, {"2.5s", true, 2500}, {"0ms", true, 0},
+        {"0.4ms", true, 0},     {"3s", true, 3000},   {"3", false, 0},
+        {"-1s", false, 0},      {"s", false, 0},      {"", false, 0},
+        {"1 s", false, 0},      {"1m", false, 0},     {nullptr, false, 0},
+    };
+    for (const auto &entry : cases) {
+        int64_t ms = 0;
+        EXPECT_EQ(rp_gateway_read_time(entry.text, &ms), entry.valid)
+            << (entry.text == nullptr ? "NULL" : entry.text);
+        if (entry.valid) {
+            EXPECT_EQ(ms, entry.ms) << entry.text;
+        }
+    }
+}
+
+// Guards against an entry of another writer becoming a target, and against a
+// translation that the record parser refuses.
+TEST(gateway, translates_target_entries)
+{
+    struct {
+        const char *value;
+        const char *expected; // "retired" or the state
+    } cases[] = {
+        {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","version":"v1",
+            "slots":6,"state":"ready","coldRemaining":"2.5s","sequence":4})",
+         "serving"},
+        {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","slots":6,
+            "state":"draining"})",
+         "draining"},
+        {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","slots":6,
+            "state":"asleep"})",
+         "retired"},
+        {R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":6,
+            "state":"ready"})",
+         "retired"},
+        {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","slots":"6",
+            "state":"ready"})",
+         "retired"},
+        {R"({"service":"a1","zone":"z","slots":6,"state":"ready"})",
+         "retired"},
+        {"[1,2]", "retired"},
+        {"\xff\x00\x01", "retired"},
+        {"", "retired"},
+    };
+    for (const auto &entry : cases) {
+        std::string text = take(rp_gateway_target_record(
+            "i-1", entry.value, strlen(entry.value), 41));
+        GError *error = nullptr;
+        struct rp_record *record = rp_record_parse(
+            "target/i-1", text.c_str(), text.size(), nullptr, &error);
+        ASSERT_NE(record, nullptr) << text << error->message;
+        EXPECT_EQ(record->version, 41);
+        std::string state = record->retired               ? "retired"
+                            : record->targets[0].draining ? "draining"
+                                                          : "serving";
+        EXPECT_EQ(state, entry.expected) << entry.value;
+        if (!record->retired) {
+            EXPECT_STREQ(record->targets[0].instance, "i-1");
+            EXPECT_STREQ(record->service, "a1");
+        }
+        rp_record_free(record);
+    }
+}
+
+// Guards against a route with the wrong service, kind or time.
+TEST(gateway, translates_a_configuration)
+{
+    const char *value = R"({"version":"r7","limits":{"maxHeaderBytes":16384,
+        "maxBodyBytes":100,"headerTimeout":"3000ms","idleTimeout":"15s"},
+        "listeners":[{"host":"h.example","rules":[
+        {"name":"r-1","kind":"safe","targetLatency":"250ms","priority":2,
+         "match":{"prefix":"/a/"},"action":{"trafficSplit":[
+         {"service":"a1","weight":90},{"service":"b2","weight":10}],
+         "timeout":"1200ms","maxAttempts":2}},
+        {"name":"r-2","kind":"unsafe","match":{"prefix":"/a/b/"},
+         "action":{"service":"b2","timeout":"800ms","maxAttempts":3}},
+        {"name":"r-3","kind":"download","match":{"prefix":"/c/"},
+         "action":{"service":"b2","timeout":"1s","maxAttempts":1}}]}],
+        "clusters":[{"name":"a1","healthPath":"/health","maxConnections":220},
+        {"name":"b2","healthPath":"/health","maxConnections":9}]})";
+    GError *error = nullptr;
+    std::string text =
+        take(rp_gateway_routes_record(value, strlen(value), 9, &error));
+    ASSERT_NE(text, "") << error->message;
+    struct rp_record *record =
+        rp_record_parse("routes", text.c_str(), text.size(), nullptr, &error);
+    ASSERT_NE(record, nullptr) << error->message;
+    ASSERT_EQ(record->route_count, 3u);
+    struct {
+        const char *prefix;
+        bool repeatable;
+        int64_t timeout_ms;
+        int64_t aim_ms;
+        int64_t attempts;
+        uint32_t parts;
+    } expected[] = {{"/a/", true, 1200, 250, 2, 2},
+                    {"/a/b/", false, 800, 0, 3, 1},
+                    {"/c/", true, 1000, 0, 1, 1}};
+    for (uint32_t i = 0; i < 3; i++) {
+        const struct rp_record_route &route = record->routes[i];
+        EXPECT_STREQ(route.host, "h.example");
+        EXPECT_STREQ(route.path_prefix, expected[i].prefix);
+        EXPECT_EQ(route.repeatable, expected[i].repeatable) << i;
+        EXPECT_EQ(route.timeout_ms, expected[i].timeout_ms) << i;
+        EXPECT_EQ(route.aim_ms, expected[i].aim_ms) << i;
+        EXPECT_EQ(route.attempts, expected[i].attempts) << i;
+        EXPECT_EQ(route.part_count, expected[i].parts) << i;
+    }
+    EXPECT_EQ(record->limits.header_bytes, 16384);
+    EXPECT_EQ(record->limits.idle_ms, 15000);
+    EXPECT_EQ(record->pools[1].connections, 9);
+    rp_record_free(record);
+}
+
+// Guards against a broken configuration that takes the place of the one in
+// force.
+TEST(gateway, refuses_broken_configurations)
+{
+    const char *cases[] = {
+        "",
+        "{",
+        "[]",
+        R"({"listeners":7,"clusters":[]})",
+        R"({"listeners":[{"host":"h","rules":[{"name":"r"}]}],"clusters":[]})",
+        R"({"listeners":[{"host":"h","rules":[{"name":"r","kind":"safe",
+            "match":{"prefix":"/"},"action":{"service":"a"}}]}],
+            "clusters":[]})",
+    };
+    for (const char *value : cases) {
+        GError *error = nullptr;
+        EXPECT_EQ(rp_gateway_routes_record(value, strlen(value), 1, &error),
+                  nullptr)
+            << value;
+        ASSERT_NE(error, nullptr) << value;
+        EXPECT_NE(strstr(error->message, "publish it anew"), nullptr);
+        g_clear_error(&error);
+    }
+}
+
+std::string
+item(const char *key, int revision, const std::string &value)
+{
+    gchar *coded = g_base64_encode(
+        reinterpret_cast<const guchar *>(value.data()), value.size());
+    std::string text = std::string(R"({"key":")") + key + R"(","revision":)" +
+                       std::to_string(revision) +
+                       R"(,"created":1,"lease":0,"value":")" + coded + "\"}";
+    g_free(coded);
+    return text;
+}
+
+std::string
+target(const char *state)
+{
+    return std::string(
+               R"({"service":"a1","address":"10.0.0.1:80","zone":"z",)") +
+           R"("slots":6,"state":")" + state + "\"}";
+}
+
+struct step {
+    const char *path; // expected, for after = 50 and a wait of 700 ms
+    uint32_t status;
+    std::string body;
+    bool taken;
+    bool more;
+    std::map<std::string, std::string> records; // key to a part of the value
+};
+
+void
+run_steps(const std::vector<step> &steps)
+{
+    struct rp_platform_protocol *store = rp_gateway_store_new();
+    for (const auto &step : steps) {
+        char *path = store->records_path(store->data, 50, 700, 10);
+        EXPECT_STREQ(path, step.path);
+        g_free(path);
+        struct rp_platform_answer answer;
+        GError *error = nullptr;
+        ASSERT_EQ(store->take_answer(store->data, step.status,
+                                     step.body.c_str(), step.body.size(),
+                                     &answer, &error),
+                  step.taken)
+            << step.body;
+        if (!step.taken) {
+            EXPECT_NE(error->message[0], '\0');
+            g_error_free(error);
+            continue;
+        }
+        EXPECT_EQ(answer.more, step.more) << step.path;
+        EXPECT_EQ(rp_record_batch_count(answer.batch), step.records.size())
+            << step.body;
+        for (uint32_t i = 0; i < rp_record_batch_count(answer.batch); i++) {
+            const struct rp_record_item *record =
+                rp_record_batch_get(answer.batch, i);
+            gsize bytes = 0;
+            const char *value = static_cast<const char *>(
+                g_bytes_get_data(record->value, &bytes));
+            auto found = step.records.find(record->key);
+            ASSERT_NE(found, step.records.end()) << record->key;
+            EXPECT_NE(std::string(value, bytes).find(found->second),
+                      std::string::npos)
+                << std::string(value, bytes);
+        }
+        rp_record_batch_unref(answer.batch);
+    }
+    rp_gateway_store_free(store);
+}
+
+const char *const first_page = "/v1/kv-range?prefix=";
+const char *const watch = "/v1/kv-watch?prefix=&after=50&waitMs=700";
+
+// Guards against changes that are lost between pages, at the end of a
+// history, or when an entry goes away while nobody watches.
+TEST(gateway, lists_then_watches_the_store)
+{
+    std::string page_1 = R"({"items":[)" +
+                         item("servers/i-1", 3, target("ready")) +
+                         R"(],"morePages":true,"storeRevision":50})";
+    std::string page_2 = R"({"items":[)" +
+                         item("servers/i-2", 4, target("ready")) + "," +
+                         item("other/key", 5, "x") +
+                         R"(],"morePages":false,"storeRevision":52})";
+    run_steps({
+        {first_page, 200, page_1, true, true, {{"target/i-1", "serving"}}},
+        {"/v1/kv-range?prefix=&after=servers%2Fi-1",
+         200,
+         page_2,
+         true,
+         false,
+         {{"target/i-2", "serving"}}},
+        {watch,
+         200,
+         R"({"events":[)" + item("servers/i-1", 51, target("draining")) +
+             R"(],"storeRevision":51})",
+         true,
+         false,
+         {{"target/i-1", "draining"}}},
+        {watch,
+         200,
+         R"({"events":[{"key":"servers/i-1","revision":53,"removed":true}],
+             "storeRevision":53})",
+         true,
+         false,
+         {{"target/i-1", "retired"}}},
+        {watch, 410, "", true, true, {}},
+        {first_page,
+         200,
+         R"({"items":[],"morePages":false,"storeRevision":60})",
+         true,
+         false,
+         {{"target/i-2", R"("version":60)"}}},
+        {watch, 200, R"({"events":[],"storeRevision":60})", true, false, {}},
+    });
+}
+
+// Guards against a refusal or garbage that is taken for an empty store.
+TEST(gateway, keeps_what_it_has_when_the_store_refuses)
+{
+    run_steps({
+        {first_page, 503, "", false, false, {}},
+        {first_page, 429, "{}", false, false, {}},
+        {first_page, 200, "not json", false, false, {}},
+        {first_page,
+         200,
+         R"({"items":7,"storeRevision":1})",
+         false,
+         false,
+         {}},
+        {first_page,
+         200,
+         R"({"items":[{"key":"servers/i-1"}],"morePages":false,
+             "storeRevision":50})",
+         true,
+         false,
+         {}},
+        {watch, 503, "", false, false, {}},
+        {watch, 200, R"({"storeRevision":51})", false, false, {}},
+    });
+}
+
+// Guards against a wrong owner of an answer, a false not-run, a lost load
+// report and a field that goes where it does not belong.
+TEST(gateway, takes_answer_fields)
+{
+    struct {
+        uint32_t status;
+        const char *name;
+        const char *value;
+        enum rp_field_use use;
+        bool refused;
+        uint32_t slowness;
+    } cases[] = {
+        {200, "X-Request-Id", "id-1", RP_FIELD_PASSED, false, 0},
+        {200, "x-request-id", "id-2", RP_FIELD_BAD, false, 0},
+        {503, "X-Not-Executed", "1", RP_FIELD_TAKEN, true, 0},
+        {421, "X-Instance-Id", "i-9", RP_FIELD_PASSED, true, 0},
+        {200, "X-Server-Load", "3,0,8", RP_FIELD_TAKEN, false, 0},
+        {200, "X-Server-Load", "3, 1,8,250", RP_FIELD_TAKEN, false, 250},
+        {200, "X-Server-Load", "3,x,8,250", RP_FIELD_TAKEN, false, 0},
+        {200, "Content-Encoding", "gzip", RP_FIELD_BAD, false, 0},
+        {200, "X-Server-Stamp", "a.b", RP_FIELD_PASSED, false, 0},
+    };
+    for (const auto &entry : cases) {
+        struct rp_call *call = rp_call_new(1, "GET", "/", "h");
+        g_strlcpy(call->request_id, "id-1", sizeof(call->request_id));
+        struct rp_answer *answer = rp_answer_new(entry.status);
+        EXPECT_EQ(rp_gateway_dialect.take_answer_field(
+                      nullptr, call, answer, entry.name, entry.value),
+                  entry.use)
+            << entry.name << entry.value;
+        EXPECT_EQ(answer->refused, entry.refused) << entry.name;
+        EXPECT_EQ(answer->load.slowness_percent, entry.slowness)
+            << entry.value;
+        rp_answer_unref(answer);
+        rp_call_unref(call);
+    }
+}
+
+void
+add_field(void *data, const char *name, const char *value)
+{
+    (*static_cast<std::map<std::string, std::string> *>(data))[name] = value;
+}
+
+// Guards against a target that is given more time than is left, or that
+// cannot tell that it is another one.
+TEST(gateway, tells_targets_id_time_and_instance)
+{
+    struct rp_call *call = rp_call_new(1, "GET", "/", "h");
+    EXPECT_EQ(rp_gateway_dialect.take_request_field(nullptr, call,
+                                                    "X-Deadline-Ms", "1200"),
+              RP_FIELD_TAKEN);
+    EXPECT_EQ(call->timeout_ms, 1200u);
+    EXPECT_EQ(rp_gateway_dialect.take_request_field(nullptr, call,
+                                                    "X-Request-Id", "id-1"),
+              RP_FIELD_TAKEN);
+    EXPECT_EQ(rp_gateway_dialect.take_request_field(
+                  nullptr, call, "X-Expect-Instance", "forged"),
+              RP_FIELD_TAKEN);
+    EXPECT_EQ(
+        rp_gateway_dialect.take_request_field(nullptr, call, "Accept", "*/*"),
+        RP_FIELD_PASSED);
+    struct rp_attempt_start start = {};
+    start.call = call;
+    g_strlcpy(start.instance, "i-1", sizeof(start.instance));
+    std::map<std::string, std::string> fields;
+    rp_gateway_dialect.add_attempt_fields(nullptr, &start, 345, add_field,
+                                          &fields);
+    std::map<std::string, std::string> expected = {
+        {"X-Deadline-Ms", "345"},
+        {"X-Request-Id", "id-1"},
+        {"X-Expect-Instance", "i-1"}};
+    EXPECT_EQ(fields, expected);
+    rp_call_unref(call);
+}
+
+// Guards against a promise to come back where the outcome is not known.
+TEST(gateway, tells_callers_when_to_come_back)
+{
+    struct {
+        enum rp_outcome outcome;
+        int64_t retry_after_ms;
+        const char *expected;
+    } cases[] = {{RP_OUTCOME_NOT_RUN, 1250, "1.250"},
+                 {RP_OUTCOME_NOT_RUN, 40, "0.040"},
+                 {RP_OUTCOME_NOT_RUN, 0, ""},
+                 {RP_OUTCOME_UNKNOWN, 100, ""}};
+    for (const auto &entry : cases) {
+        struct rp_call_reply reply = {};
+        reply.outcome = entry.outcome;
+        reply.retry_after_ms = entry.retry_after_ms;
+        std::map<std::string, std::string> fields;
+        rp_gateway_dialect.add_reply_fields(nullptr, nullptr, &reply,
+                                            add_field, &fields);
+        EXPECT_EQ(fields["Retry-After"], entry.expected);
+    }
+}
+
+// Guards against a directory answer that callers cannot read.
+TEST(gateway, formats_addresses)
+{
+    const char *addresses[] = {"10.1.0.15:8641", "10.1.0.16:8641"};
+    EXPECT_EQ(take(rp_gateway_pages.format(addresses, 2, 2000)),
+              R"({"addresses":["10.1.0.15:8641","10.1.0.16:8641"],)"
+              R"("ttl":"2000ms"})");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_scout.cc
@@ -0,0 +1,277 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "balancer.h"
+#include "scout.h"
+#include "split.h"
+
+namespace {
+
+constexpr int64_t MS = 1000000;
+
+struct rp_load_report
+report(uint32_t running, uint32_t slowness_percent)
+{
+    struct rp_load_report load = {};
+    load.in_flight = running;
+    load.slots = 6;
+    load.slowness_percent = slowness_percent;
+    return load;
+}
+
+struct rp_scout_pool
+learned_pool()
+{
+    struct rp_scout_pool pool;
+    rp_scout_pool_init(&pool);
+    pool.active = true;
+    pool.usual_ns = 100.0 * MS;
+    pool.samples = 100;
+    pool.slowness = 2;
+    pool.crowding = 0.3;
+    return pool;
+}
+
+// Guards against work for a target that is slow, crowded or full at the
+// moment when another one is quick.
+TEST(scout, expected_time_orders_targets)
+{
+    struct {
+        const char *what;
+        uint32_t running;
+        uint32_t slowness_percent;
+        int64_t age_ms;
+    } quick_to_slow[] = {
+        {"idle and quick", 0, 100, 0},
+        {"crowded and quick", 5, 100, 0},
+        {"quick, report of 150 ms", 0, 100, 150},
+        {"slow, report of 150 ms", 0, 500, 150},
+        {"idle and slow", 0, 500, 0},
+        {"full and slow", 12, 500, 0},
+    };
+    struct rp_scout_pool pool = learned_pool();
+    double before = 0;
+    for (const auto &entry : quick_to_slow) {
+        struct rp_scout_target target;
+        rp_scout_init(&target, 0);
+        struct rp_load_report load =
+            report(entry.running, entry.slowness_percent);
+        struct rp_scout_pool unused = pool;
+        rp_scout_reported(&target, &unused, &load, 0, 0);
+        double expected =
+            rp_scout_expected_ns(&target, &pool, 6, entry.age_ms * MS);
+        EXPECT_GT(expected, before) << entry.what;
+        before = expected;
+    }
+}
+
+// Guards against a clump of calls that all go to the target that was found
+// idle last: own calls since the report count.
+TEST(scout, own_calls_count_until_the_next_report)
+{
+    struct rp_scout_pool pool = learned_pool();
+    struct rp_scout_target target;
+    rp_scout_init(&target, 0);
+    struct rp_load_report load = report(1, 100);
+    rp_scout_reported(&target, &pool, &load, 0, 10 * MS);
+    EXPECT_NEAR(rp_scout_load(&target, &pool, 6, 10 * MS), 1, 0.01);
+    for (int i = 0; i < 3; i++) {
+        rp_scout_sent(&target, 11 * MS);
+    }
+    EXPECT_NEAR(rp_scout_load(&target, &pool, 6, 11 * MS), 4, 0.1);
+    rp_scout_reported(&target, &pool, &load, 0, 12 * MS);
+    EXPECT_NEAR(rp_scout_load(&target, &pool, 6, 12 * MS), 1, 0.01);
+}
+
+// Guards against a target whose answers take long although it says that it is
+// quick.
+TEST(scout, answers_go_before_reports)
+{
+    struct rp_scout_pool pool = learned_pool();
+    struct rp_scout_target slow;
+    struct rp_scout_target usual;
+    rp_scout_init(&slow, 0);
+    rp_scout_init(&usual, 0);
+    struct rp_load_report load = report(0, 100);
+    for (int i = 0; i < 5; i++) {
+        rp_scout_answered(&slow, &pool, 1, 600 * MS, i * MS);
+        rp_scout_answered(&usual, &pool, 1, 100 * MS, i * MS);
+    }
+    rp_scout_reported(&slow, &pool, &load, 0, 5 * MS);
+    rp_scout_reported(&usual, &pool, &load, 0, 5 * MS);
+    EXPECT_GT(rp_scout_expected_ns(&slow, &pool, 6, 5 * MS),
+              2 * rp_scout_expected_ns(&usual, &pool, 6, 5 * MS));
+    // It is tried again when the answers are old.
+    EXPECT_LT(rp_scout_expected_ns(&slow, &pool, 6, 8000 * MS),
+              1.2 * rp_scout_expected_ns(&usual, &pool, 6, 8000 * MS));
+}
+
+// Guards against more probes of a target than its budget in any time.
+TEST(scout, probes_keep_to_their_rate)
+{
+    for (double rate : {0.5, 4.0, 30.0}) {
+        struct rp_scout_target target;
+        struct rp_scout_pool pool = learned_pool();
+        rp_scout_init(&target, 0);
+        int probes = 0;
+        for (int ms = 0; ms < 60000; ms++) {
+            if (rp_scout_may_probe(&target, rate, ms * MS)) {
+                rp_scout_probe_started(&target, &pool, ms * MS);
+                rp_scout_probe_ended(&target, &pool, true, ms * MS);
+                probes++;
+            }
+        }
+        EXPECT_LE(probes, rate * 60 + 1) << rate;
+        EXPECT_GE(probes, rate * 60 - 2) << rate;
+    }
+}
+
+class scout_balancer : public ::testing::Test {
+  protected:
+    scout_balancer()
+    {
+        struct rp_balancer_config config = {};
+        config.domain = "d0";
+        config.fleet_size = 1;
+        config.deciders = 1;
+        config.queue_limit = 100;
+        config.seed = 1;
+        config.probes_per_s = 1000;
+        config.retry_share = 0.2;
+        config.retry_allowance = 4;
+        config.retry_window_ns = 10000 * MS;
+        balancer = rp_balancer_new(&config);
+        snapshot = rp_snapshot_new();
+        struct rp_service *service = rp_snapshot_add_service(snapshot, "a");
+        for (const char *address : {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+        {
+            rp_service_add_target(service, address, address, "d0", "e");
+        }
+        service->estates[0].share_permille = 1000;
+        rp_balancer_set_service(balancer, service, 0);
+        struct rp_load_report load = report(0, 100);
+        rp_balancer_observe(balancer, "10.0.0.1:1", &load, 0, 0);
+        now_ns = 1000 * MS; // the report is old by now
+    }
+
+    ~scout_balancer() override
+    {
+        rp_balancer_free(balancer);
+        rp_snapshot_unref(snapshot);
+    }
+
+    enum rp_balancer_action offer(uint64_t id, uint32_t flags = 0)
+    {
+        struct rp_balancer_call call = {};
+        struct rp_balancer_verdict verdict;
+        call.call_id = id;
+        call.aim_ns = 300 * MS;
+        call.deadline_ns = now_ns + 1000 * MS;
+        call.flags = RP_CALL_REPEATABLE | flags;
+        rp_balancer_offer(balancer, &call, now_ns, &verdict);
+        return verdict.action;
+    }
+
+    struct rp_balancer *balancer;
+    struct rp_snapshot *snapshot;
+    int64_t now_ns;
+};
+
+// Guards against calls that start on a machine that is slow at the moment:
+// the call goes to the first target that says that it is quick.
+TEST_F(scout_balancer, sends_to_the_first_quick_target)
+{
+    struct rp_balancer_verdict verdict;
+    EXPECT_EQ(offer(1), RP_BALANCER_WAIT);
+    ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
+    ASSERT_EQ(verdict.action, RP_BALANCER_PROBE);
+    EXPECT_FALSE(rp_balancer_next(balancer, now_ns, &verdict))
+        << "one probe for one call";
+    struct rp_load_report slow = report(0, 500);
+    rp_balancer_probed(balancer, verdict.target, &slow, now_ns, now_ns);
+    uint32_t first = verdict.target;
+    ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
+    ASSERT_EQ(verdict.action, RP_BALANCER_PROBE);
+    EXPECT_NE(verdict.target, first);
+    struct rp_load_report quick = report(1, 100);
+    uint32_t second = verdict.target;
+    rp_balancer_probed(balancer, second, &quick, now_ns, now_ns);
+    ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
+    EXPECT_EQ(verdict.action, RP_BALANCER_SEND);
+    EXPECT_EQ(verdict.target, second);
+    EXPECT_EQ(verdict.call_id, 1u);
+}
+
+// Guards against a search that holds a call back when every target is slow or
+// does not answer probes.
+TEST_F(scout_balancer, search_ends_in_time)
+{
+    for (bool answers : {false, true}) {
+        struct rp_balancer_verdict verdict;
+        now_ns += 1000 * MS;
+        int64_t start_ns = now_ns;
+        EXPECT_EQ(offer(answers ? 2 : 1), RP_BALANCER_WAIT);
+        bool sent = false;
+        while (!sent && now_ns < start_ns + 500 * MS) {
+            while (rp_balancer_next(balancer, now_ns, &verdict)) {
+                if (verdict.action == RP_BALANCER_SEND) {
+                    sent = true;
+                    break;
+                }
+                struct rp_load_report slow = report(0, 500);
+                ASSERT_EQ(verdict.action, RP_BALANCER_PROBE);
+                if (answers) {
+                    rp_balancer_probed(balancer, verdict.target, &slow, now_ns,
+                                       now_ns);
+                }
+            }
+            now_ns += 5 * MS;
+        }
+        EXPECT_TRUE(sent) << answers;
+        // An eighth of the aim and one step.
+        EXPECT_LE(now_ns - start_ns, 300 * MS / 8 + 15 * MS) << answers;
+    }
+}
+
+// Guards against hedges beyond the budget of further attempts.
+TEST_F(scout_balancer, hedges_have_a_budget)
+{
+    int taken = 0;
+    for (uint64_t id = 1; id <= 20; id++) {
+        taken += offer(id, RP_CALL_HEDGE) == RP_BALANCER_WAIT;
+        rp_balancer_withdraw(balancer, id, now_ns);
+    }
+    EXPECT_EQ(taken, 4);
+}
+
+// Guards against shares of a route that drift from their weights, and against
+// a part that is starved for long.
+TEST(split, keeps_to_its_weights)
+{
+    struct {
+        std::vector<uint32_t> weights;
+    } cases[] = {{{90, 10}}, {{1, 1, 1}}, {{0, 5}}, {{997, 2, 1}}};
+    for (const auto &entry : cases) {
+        struct rp_snapshot *snapshot = rp_snapshot_new();
+        struct rp_route *route = rp_snapshot_add_route(snapshot, "r", "", "/");
+        uint32_t total = 0;
+        for (size_t i = 0; i < entry.weights.size(); i++) {
+            rp_route_add_part(route, std::to_string(i).c_str(),
+                              entry.weights[i]);
+            total += entry.weights[i];
+        }
+        struct rp_split split = {};
+        std::vector<uint32_t> counts(entry.weights.size());
+        for (uint32_t i = 1; i <= total * 3; i++) {
+            counts[rp_split_choose(&split, route)]++;
+            for (size_t part = 0; part < counts.size(); part++) {
+                double share = (double)entry.weights[part] / total * i;
+                EXPECT_NEAR(counts[part], share, counts.size()) << i;
+            }
+        }
+        rp_snapshot_unref(snapshot);
+    }
+}
+
+} // namespace
