Let five nodes watch the store for all

Change: five of the living nodes watch, records spread between nodes, and the others ask for the revision once a second by a cheap stale read; one that is behind for 0.4 s, or without news of the watchers for 3.5 s, reads for itself. A peer with a later revision is asked at once. What a listing lacks is retired by the config task, and removals within 2 s of an outage wait, since lapsed entries come back. Ruled out: longer waits, which hide a cut watch.

--- a/src/config_task.c
+++ b/src/config_task.c
@@ -82,6 +82,14 @@
     return false;
 }
 
+/* Releases the reference in the body of RP_MSG_PLATFORM_LISTED. */
+void
+rp_config_listing_release(void *body)
+{
+    struct rp_config_listing *listing = body;
+    g_hash_table_unref(listing->keys);
+}
+
 static void
 count(struct rp_config_task *config, enum rp_counter counter)
 {
@@ -413,7 +421,10 @@
     publish(config, false, false, now_ns);
     bool asking = config->want_peer[0] != '\0' &&
                   now_ns - config->want_ns < WANT_TIMEOUT_NS;
+    /* A peer with a later revision is ahead; digests that differ otherwise may
+     * agree in a moment. */
     bool settling = config->phase != RP_CONFIG_STARTING &&
+                    peer->revision <= rp_record_set_revision(config->set) &&
                     now_ns - config->changed_ns < SETTLE_NS;
     if (!equal && !asking && !settling && peer->phase != RP_CONFIG_STARTING) {
         send_want(config, peer->id, now_ns);
@@ -510,6 +521,43 @@
     }
 }
 
+struct missing_targets {
+    const struct rp_config_listing *listing;
+    struct rp_record_batch *retired;
+};
+
+static void
+retire_missing(const struct rp_record *record,
+               const struct rp_record_order *order, void *data)
+{
+    struct missing_targets *missing = data;
+    if (record->kind != RP_RECORD_TARGET || record->retired ||
+        order->revision > missing->listing->revision ||
+        g_hash_table_contains(missing->listing->keys, record->key))
+    {
+        return;
+    }
+    char *text = rp_record_format_retired(record, missing->listing->revision);
+    GBytes *value = g_bytes_new_take(text, strlen(text));
+    rp_record_batch_add(missing->retired, record->key,
+                        missing->listing->revision, value);
+    g_bytes_unref(value);
+}
+
+/* Retires the targets that are not in a listing of all there is. */
+static void
+take_listing(struct rp_config_task *config,
+             const struct rp_config_listing *listing, int64_t now_ns)
+{
+    struct missing_targets missing = {listing, rp_record_batch_new()};
+    rp_record_set_foreach(config->set, retire_missing, &missing);
+    if (rp_record_batch_count(missing.retired) > 0) {
+        struct rp_config_records records = {.batch = missing.retired};
+        take_records(config, &records, true, now_ns);
+    }
+    rp_record_batch_unref(missing.retired);
+}
+
 static void
 answer_status(struct rp_config_task *config, const struct rp_message *want)
 {
@@ -530,6 +578,9 @@
     case RP_MSG_PLATFORM_RECORDS:
         take_records(config, message->body, true, now_ns);
         break;
+    case RP_MSG_PLATFORM_LISTED:
+        take_listing(config, message->body, now_ns);
+        break;
     case RP_MSG_CONFIG_RECORDS:
         take_records(config, message->body, false, now_ns);
         break;
--- a/src/config_task.h
+++ b/src/config_task.h
@@ -35,6 +35,7 @@
     char id[RP_ID_BYTES];
     enum rp_config_phase phase;
     uint64_t digest;
+    uint64_t revision; /* greatest one of its records */
 };
 
 /* Body of RP_MSG_CONFIG_WANT. config to gossip: send the peer a CONFIG_WANT
@@ -64,6 +65,14 @@
     bool last;
 };
 
+/* Body of RP_MSG_PLATFORM_LISTED (platform to config): the keys of all records
+ * that the platform held at a revision. Targets of earlier revisions that are
+ * not among them are gone. It holds one reference of the keys. */
+struct rp_config_listing {
+    GHashTable *keys; /* set of strings */
+    uint64_t revision;
+};
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -74,6 +83,8 @@
                             struct rp_record_batch *batch, const char *peer,
                             uint32_t part, bool last);
 
+void rp_config_listing_release(void *body);
+
 struct rp_config_task;
 struct rp_config_task *rp_config_task_add(struct rp_kernel *kernel,
                                           int64_t boot_wait_ns, int64_t now_ns,
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -21,8 +21,8 @@
 
 #define QUIET_NS (2 * RP_MEMBER_HEARTBEAT_NS)
 
-static const char *const view_readers[] = {"entry",  "directory", "dispatch",
-                                           "config", "prober",    "admin"};
+static const char *const view_readers[] = {
+    "platform", "entry", "directory", "dispatch", "config", "prober", "admin"};
 
 static void
 publish_members(struct rp_gossip *gossip)
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -35,7 +35,7 @@
  * for a booting VM, and answers while a partition heals. */
 #define RP_GOSSIP_ANSWER_BURST_BYTES 32768u
 #define RP_GOSSIP_PUSH_BURST_BYTES 65536u
-#define RP_GOSSIP_REPAIR_BURST_BYTES 262144u
+#define RP_GOSSIP_REPAIR_BURST_BYTES 1048576u
 /* Larger batches are not pushed but announced, and sent to who asks. */
 #define RP_GOSSIP_PUSH_MAX_BYTES 4096u
 
--- a/src/gossip_receive.c
+++ b/src/gossip_receive.c
@@ -156,7 +156,8 @@
             int64_t now_ns)
 {
     struct rp_config_peer peer = {.phase = config->phase,
-                                  .digest = config->digest};
+                                  .digest = config->digest,
+                                  .revision = config->revision};
     g_strlcpy(peer.id, id, sizeof(peer.id));
     rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
                  RP_MSG_CONFIG_PEER, &peer, sizeof(peer));
--- a/src/platform.c
+++ b/src/platform.c
@@ -5,6 +5,8 @@
 #include "config_task.h"
 #include "curl_loop.h"
 #include "error.h"
+#include "lapse.h"
+#include "member.h"
 #include "platform_answer.h"
 #include "watch.h"
 
@@ -41,14 +43,37 @@
     bool answer_too_large;
     bool fresh_connection; /* for the next read */
     bool lost;
-    uint64_t after;       /* all records up to here were read */
-    uint64_t known;       /* greatest revision anyone told */
+    uint64_t after;     /* all records up to here were read */
+    uint64_t known;     /* greatest revision anyone told */
+    uint64_t held;      /* greatest revision of the records in force */
+    GHashTable *listed; /* keys of the listing in progress; else NULL */
+    struct rp_lapse lapse;
+    GPtrArray *held_back; /* of struct held_message, oldest first */
     uint32_t stale_count; /* answers in a row */
     int64_t list_as_of_ms;
     int64_t list_ns;
     uint32_t role;
 };
 
+/* A message to the config task that waits, see lapse.h. */
+struct held_message {
+    int64_t due_ns;
+    struct rp_record_batch *removed; /* NULL for a listing */
+    GHashTable *listed;
+    uint64_t revision;
+};
+
+static void
+free_held(gpointer data)
+{
+    struct held_message *held = data;
+    rp_record_batch_unref(held->removed);
+    if (held->listed != NULL) {
+        g_hash_table_unref(held->listed);
+    }
+    g_free(held);
+}
+
 static void
 count(struct rp_platform *platform, enum rp_counter counter)
 {
@@ -75,10 +100,19 @@
            int64_t wait_ms)
 {
     const struct rp_platform_protocol *protocol = platform->protocol;
-    char *path = read == RP_WATCH_READ_VMS
-                     ? g_strdup(protocol->vms_path)
-                     : protocol->records_path(protocol->data, platform->after,
-                                              wait_ms, platform->page_now);
+    char *path = NULL;
+    switch (read) {
+    case RP_WATCH_READ_VMS:
+        path = g_strdup(protocol->vms_path);
+        break;
+    case RP_WATCH_READ_REVISION:
+        path = g_strdup(protocol->revision_path);
+        break;
+    default:
+        path = protocol->records_path(protocol->data, platform->after, wait_ms,
+                                      platform->page_now);
+        break;
+    }
     char *url = g_strconcat(platform->url, path, NULL);
     g_free(path);
     CURL *easy = platform->easy;
@@ -135,7 +169,12 @@
         start_read(platform, read, wait_ms);
     }
     report_role(platform, now_ns);
-    rp_task_set_timer(platform->task, 0, rp_watch_due_ns(platform->watch));
+    int64_t due_ns = rp_watch_due_ns(platform->watch);
+    if (platform->held_back->len > 0) {
+        const struct held_message *first = platform->held_back->pdata[0];
+        due_ns = MIN(due_ns, first->due_ns);
+    }
+    rp_task_set_timer(platform->task, 0, due_ns);
 }
 
 static bool
@@ -158,12 +197,81 @@
     return true;
 }
 
+static void
+send_held(struct rp_platform *platform, const struct held_message *held)
+{
+    struct rp_task *config =
+        rp_kernel_find_task(rp_task_kernel(platform->task), "config");
+    if (held->removed != NULL) {
+        rp_config_records_send(platform->task, config, RP_MSG_PLATFORM_RECORDS,
+                               held->removed, "", 0, false);
+        return;
+    }
+    struct rp_config_listing body = {g_hash_table_ref(held->listed),
+                                     held->revision};
+    if (!rp_task_send_owned(platform->task, config, RP_MSG_PLATFORM_LISTED,
+                            &body, sizeof(body), rp_config_listing_release))
+    {
+        rp_config_listing_release(&body);
+    }
+}
+
+static void
+send_due(struct rp_platform *platform, int64_t now_ns)
+{
+    while (platform->held_back->len > 0) {
+        struct held_message *first = platform->held_back->pdata[0];
+        if (first->due_ns > now_ns) {
+            return;
+        }
+        send_held(platform, first);
+        g_ptr_array_remove_index(platform->held_back, 0);
+    }
+}
+
+/* Sends what says that targets are gone, at once or when entries that lapsed
+ * have had time to come back. */
+static void
+hold_back(struct rp_platform *platform, struct rp_record_batch *removed,
+          GHashTable *listed, uint64_t revision, int64_t now_ns)
+{
+    struct held_message *held = g_new0(struct held_message, 1);
+    held->due_ns = rp_lapse_due_ns(&platform->lapse, now_ns);
+    held->removed = removed;
+    held->listed = listed;
+    held->revision = revision;
+    g_ptr_array_add(platform->held_back, held);
+    send_due(platform, now_ns);
+}
+
+static void
+take_listing(struct rp_platform *platform,
+             const struct rp_platform_answer *answer, int64_t now_ns)
+{
+    if (answer->listing_begins || platform->listed == NULL) {
+        if (platform->listed != NULL) {
+            g_hash_table_unref(platform->listed);
+        }
+        platform->listed =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    }
+    for (uint32_t i = 0; i < rp_record_batch_count(answer->batch); i++) {
+        g_hash_table_add(platform->listed,
+                         g_strdup(rp_record_batch_get(answer->batch, i)->key));
+    }
+    if (!answer->more) {
+        hold_back(platform, NULL, g_steal_pointer(&platform->listed),
+                  answer->revision, now_ns);
+    }
+}
+
 /* Hands over the records of an answer. An answer of a lower revision than
  * anyone has seen is older: its records are offered, since they can do no
  * harm, but it does not count as fresh. */
 static void
 take_records(struct rp_platform *platform,
-             const struct rp_platform_answer *answer, bool *fresh)
+             const struct rp_platform_answer *answer, bool *fresh,
+             int64_t now_ns)
 {
     *fresh = answer->revision >= platform->known &&
              answer->revision >= platform->after;
@@ -189,6 +297,13 @@
         platform->task,
         rp_kernel_find_task(rp_task_kernel(platform->task), "config"),
         RP_MSG_PLATFORM_RECORDS, answer->batch, "", 0, !answer->more);
+    if (answer->listing) {
+        take_listing(platform, answer, now_ns);
+    }
+    if (answer->removed != NULL) {
+        hold_back(platform, rp_record_batch_ref(answer->removed), NULL, 0,
+                  now_ns);
+    }
 }
 
 static void
@@ -223,6 +338,13 @@
     const char *text = (const char *)platform->answer->data;
     long status = 0;
     curl_easy_getinfo(platform->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (platform->reading == RP_WATCH_READ_REVISION) {
+        const struct rp_platform_protocol *protocol = platform->protocol;
+        uint64_t revision = protocol->take_revision(
+            protocol->data, (uint32_t)status, text, platform->answer->len);
+        platform->known = MAX(platform->known, revision);
+        return true;
+    }
     if (platform->reading == RP_WATCH_READ_VMS) {
         if (status != 200) {
             g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
@@ -246,9 +368,10 @@
     {
         return false;
     }
-    take_records(platform, &answer, fresh);
+    take_records(platform, &answer, fresh, now_ns);
     *more = answer.more;
     rp_record_batch_unref(answer.batch);
+    rp_record_batch_unref(answer.removed);
     return true;
 }
 
@@ -274,6 +397,36 @@
     }
 }
 
+static void
+note_revisions(struct rp_platform *platform, int64_t now_ns)
+{
+    rp_watch_set_revisions(platform->watch,
+                           MAX(platform->after, platform->held),
+                           platform->known, now_ns);
+}
+
+/* Without a list of VMs, the members that serve take turns at watching. */
+static void
+take_members(struct rp_platform *platform, const struct rp_member_view *view)
+{
+    if (platform->protocol->vms_path != NULL) {
+        return;
+    }
+    struct rp_vm_list *list = rp_vm_list_new(0);
+    for (uint32_t i = 0; i < view->count; i++) {
+        const struct rp_member *member = &view->members[i];
+        if (member->info.state != RP_MEMBER_ALIVE) {
+            continue;
+        }
+        struct rp_vm vm = {.entry = true};
+        g_strlcpy(vm.id, member->info.id, sizeof(vm.id));
+        g_strlcpy(vm.domain, member->info.domain, sizeof(vm.domain));
+        rp_vm_list_add(list, &vm);
+    }
+    rp_watch_set_vms(platform->watch, list);
+    rp_vm_list_unref(list);
+}
+
 static void
 finish_read(struct rp_platform *platform, CURLcode code, int64_t now_ns)
 {
@@ -282,15 +435,21 @@
     bool more = false;
     bool ok = check_answer(platform, code, &error) &&
               parse_and_take(platform, &fresh, &more, now_ns, &error);
+    bool asked_revision = platform->reading == RP_WATCH_READ_REVISION;
     platform->reading = RP_WATCH_READ_NONE;
     platform->fresh_connection = code != CURLE_OK;
+    if (!asked_revision) {
+        rp_lapse_note_read(&platform->lapse, ok, now_ns);
+    }
     if (platform->answer_too_large) {
         platform->page_now = MAX(platform->page_now / 2, 1);
     }
     else if (ok && !more) {
         platform->page_now = platform->page_size;
     }
-    report_reachable(platform, error, now_ns);
+    if (!asked_revision) {
+        report_reachable(platform, error, now_ns);
+    }
     g_clear_error(&error);
     rp_watch_finish(platform->watch, ok, fresh, more,
                     g_rand_double(platform->context->random), now_ns);
@@ -299,6 +458,7 @@
         rp_task_broadcast(platform->task, RP_MSG_PLATFORM_FRESHNESS, &body,
                           sizeof(body));
     }
+    note_revisions(platform, now_ns);
     advance(platform, now_ns);
 }
 
@@ -323,6 +483,11 @@
     else if (message->kind == RP_MSG_CONFIG_STATE) {
         const struct rp_config_state *body = message->body;
         platform->known = MAX(platform->known, body->revision);
+        platform->held = MAX(platform->held, body->revision);
+    }
+    else if (message->kind == RP_MSG_MEMBERS) {
+        const struct rp_member_message *body = message->body;
+        take_members(platform, body->view);
     }
     else if (message->kind == RP_MSG_PAUSE_NOTICED) {
         const struct rp_pause *pause = message->body;
@@ -331,12 +496,14 @@
     else {
         return;
     }
+    note_revisions(platform, now_ns);
     advance(platform, now_ns);
 }
 
 static void
 on_timer(struct rp_task *task, uint32_t timer, int64_t now_ns, void *data)
 {
+    send_due(data, now_ns);
     advance(data, now_ns);
 }
 
@@ -351,6 +518,10 @@
     rp_curl_loop_stop(&platform->curl);
     rp_watch_free(platform->watch);
     g_byte_array_unref(platform->answer);
+    g_ptr_array_unref(platform->held_back);
+    if (platform->listed != NULL) {
+        g_hash_table_unref(platform->listed);
+    }
     g_free(platform->url);
     g_free(platform);
 }
@@ -425,6 +596,7 @@
                                      ? settings->answer_max_bytes
                                      : DEFAULT_ANSWER_MAX_BYTES;
     platform->answer = g_byte_array_new();
+    platform->held_back = g_ptr_array_new_with_free_func(free_held);
     set_up_curl(platform, rp_loop_ev(loop));
     rp_task_set_timer(task, 0, now_ns);
     return platform;
--- a/src/platform_answer.h
+++ b/src/platform_answer.h
@@ -14,6 +14,13 @@
     bool more;
     uint32_t malformed;            /* entries left out */
     struct rp_record_batch *batch; /* one reference, of the caller */
+    /* Records that retire what the platform removed; NULL for none. One
+     * reference, of the caller. */
+    struct rp_record_batch *removed;
+    /* The answer is a page of a listing of all that there is: what is in none
+     * of its pages, the first one to the one without more, is gone. */
+    bool listing;
+    bool listing_begins;
 };
 
 #ifdef __cplusplus
--- a/src/platform_protocol.h
+++ b/src/platform_protocol.h
@@ -17,6 +17,12 @@
      * which the platform may wait. The caller frees it. */
     char *(*records_path)(void *data, uint64_t after, int64_t wait_ms,
                           uint32_t limit);
+    /* Path of a cheap read that tells only the revision and may lag; NULL when
+     * the platform has none, and always when it lists VMs. */
+    const char *revision_path;
+    /* Returns the revision that its answer tells, 0 for none. */
+    uint64_t (*take_revision)(void *data, uint32_t status, const char *text,
+                              size_t text_bytes);
     /* Takes the answer to a read. Returns false with an error set when it
      * brings nothing. */
     bool (*take_answer)(void *data, uint32_t status, const char *text,
--- a/src/record.c
+++ b/src/record.c
@@ -32,6 +32,17 @@
     return kind_names[kind];
 }
 
+/* Returns a record that retires a target of schema 3, which the caller frees
+ * with g_free. */
+char *
+rp_record_format_retired(const struct rp_record *target, uint64_t version)
+{
+    return g_strdup_printf("{\"schema\":3,\"kind\":\"target\","
+                           "\"version\":%" G_GUINT64_FORMAT
+                           ",\"name\":\"%s\",\"retired\":true}",
+                           version, target->targets[0].name);
+}
+
 static void
 free_target(struct rp_record_target *target)
 {
--- a/src/record.h
+++ b/src/record.h
@@ -131,6 +131,8 @@
                                   size_t text_bytes, GPtrArray *faults,
                                   GError **error);
 void rp_record_free(struct rp_record *record);
+char *rp_record_format_retired(const struct rp_record *target,
+                               uint64_t version);
 const char *rp_record_kind_name(enum rp_record_kind kind);
 
 #ifdef __cplusplus
--- a/src/watch.c
+++ b/src/watch.c
@@ -11,6 +11,19 @@
 /* Without a list of VMs there are only watches of records. A waiting one that
  * went silent is noticed after this time and the timeout of a read. */
 #define UNLISTED_WAIT_MS 2000
+/* Watchers without a list of VMs. All of five being lost at once is rare, and
+ * what the others then do is in the lines below. */
+#define UNLISTED_WATCHERS 5u
+/* A VM that does not watch asks for the revision at this interval, and reads
+ * what peers have not brought after the delay; the delay is longer by up to
+ * the spread, so that not all read at once. */
+#define CHECK_NS INT64_C(1000000000)
+#define BEHIND_NS INT64_C(400000000)
+#define BEHIND_SPREAD_NS INT64_C(300000000)
+/* News of the watchers' freshness are at most a wait and two hops old. */
+#define UNLISTED_STALE_NS INT64_C(3500000000)
+#define UNLISTED_STALE_SPREAD_NS INT64_C(500000000)
+#define UNLISTED_PROMOTED_NS INT64_C(5000000000)
 #define UNLISTED_RETRY_NS INT64_C(500000000)
 #define UNLISTED_BACKOFF_NS INT64_C(1000000000)
 static const int64_t cycle_wait_ms[CYCLE - 1] = {333, 667, 1000};
@@ -41,6 +54,8 @@
     int64_t own_fresh_ns; /* by own reads */
     int64_t others_ns;    /* last time that others were fresher */
     int64_t promoted_ns;
+    int64_t check_ns;  /* next read of the revision while idle */
+    int64_t behind_ns; /* since when a later revision is known; 0 for none */
 };
 
 struct candidate {
@@ -149,6 +164,9 @@
 {
     const struct rp_vm *chosen[RP_WATCH_MAX];
     uint32_t count = rp_watch_choose(list, chosen);
+    if (watch->unlisted) {
+        count = MIN(count, UNLISTED_WATCHERS);
+    }
     watch->chosen = false;
     for (uint32_t i = 0; i < count; i++) {
         if (strcmp(chosen[i]->id, watch->own_id) == 0) {
@@ -164,7 +182,8 @@
         MAX(RP_WATCH_IDLE_NS, entry_vms * RP_WATCH_IDLE_SHARE_NS);
 }
 
-/* Takes note that the platform has no list of VMs: every VM watches. */
+/* Takes note that the platform has no list of VMs. Every VM watches until it
+ * is told of the others by rp_watch_set_vms. */
 void
 rp_watch_set_unlisted(struct rp_watch *watch)
 {
@@ -173,6 +192,20 @@
     watch->chosen = true;
 }
 
+/* Takes note of the revision up to which records are held, and of the greatest
+ * one that anyone told. */
+void
+rp_watch_set_revisions(struct rp_watch *watch, uint64_t held, uint64_t known,
+                       int64_t now_ns)
+{
+    if (known <= held) {
+        watch->behind_ns = 0;
+    }
+    else if (watch->behind_ns == 0) {
+        watch->behind_ns = now_ns;
+    }
+}
+
 /* Takes note of the freshness that a peer knows of, in own monotonic time. */
 void
 rp_watch_hear_fresh(struct rp_watch *watch, int64_t fresh_ns, int64_t now_ns)
@@ -195,6 +228,10 @@
 static int64_t
 promotion_ns(const struct rp_watch *watch)
 {
+    if (watch->unlisted) {
+        return watch->fresh_ns + UNLISTED_STALE_NS +
+               (int64_t)(watch->hash * (double)UNLISTED_STALE_SPREAD_NS);
+    }
     return watch->fresh_ns + RP_WATCH_STALE_NS +
            (int64_t)(watch->hash * (double)RP_WATCH_DELAY_NS);
 }
@@ -202,6 +239,9 @@
 static int64_t
 promotion_end_ns(const struct rp_watch *watch)
 {
+    if (watch->unlisted) {
+        return watch->promoted_ns + UNLISTED_PROMOTED_NS;
+    }
     return watch->promoted_ns + PROMOTED_NS +
            (int64_t)(watch->hash * (double)PROMOTED_NS);
 }
@@ -229,6 +269,31 @@
     }
 }
 
+static int64_t
+behind_due_ns(const struct rp_watch *watch)
+{
+    if (watch->behind_ns == 0) {
+        return INT64_MAX;
+    }
+    return watch->behind_ns + BEHIND_NS +
+           (int64_t)(watch->hash * (double)BEHIND_SPREAD_NS);
+}
+
+/* What a VM that has records and does not watch reads. */
+static enum rp_watch_read
+choose_idle_read(struct rp_watch *watch, int64_t now_ns)
+{
+    if (now_ns >= behind_due_ns(watch)) {
+        watch->behind_ns = now_ns;
+        return RP_WATCH_READ_RECORDS;
+    }
+    if (now_ns < watch->check_ns) {
+        return RP_WATCH_READ_NONE;
+    }
+    watch->check_ns = now_ns + CHECK_NS;
+    return RP_WATCH_READ_REVISION;
+}
+
 static enum rp_watch_read
 choose_read(struct rp_watch *watch, int64_t now_ns, int64_t *wait_ms)
 {
@@ -246,6 +311,9 @@
     if (!watch->has_vms) {
         return RP_WATCH_READ_VMS;
     }
+    if (watch->unlisted && watch->role == RP_WATCH_IDLE) {
+        return choose_idle_read(watch, now_ns);
+    }
     if (watch->role == RP_WATCH_IDLE) {
         return now_ns >= watch->idle_ns ? RP_WATCH_READ_VMS
                                         : RP_WATCH_READ_NONE;
@@ -275,10 +343,11 @@
     watch->reading = choose_read(watch, now_ns, wait_ms);
     if (watch->reading != RP_WATCH_READ_NONE) {
         /* The pages of one listing follow each other at once. */
+        bool at_once = watch->more || !watch->has_records ||
+                       watch->reading == RP_WATCH_READ_REVISION;
         watch->next_ns =
-            now_ns + (watch->unlisted && (watch->more || !watch->has_records)
-                          ? 0
-                          : RP_WATCH_READ_INTERVAL_NS);
+            now_ns +
+            (watch->unlisted && at_once ? 0 : RP_WATCH_READ_INTERVAL_NS);
         watch->idle_ns = now_ns + watch->idle_interval_ns;
     }
     return watch->reading;
@@ -306,6 +375,9 @@
 {
     enum rp_watch_read reading = watch->reading;
     watch->reading = RP_WATCH_READ_NONE;
+    if (reading == RP_WATCH_READ_REVISION) {
+        return;
+    }
     if (!succeeded) {
         watch->failures++;
         int64_t longest = longest_delay_ns(watch);
@@ -341,7 +413,10 @@
     if (!idle) {
         return watch->next_ns;
     }
-    int64_t due_ns = MIN(watch->idle_ns, promotion_ns(watch));
+    int64_t idle_ns = watch->unlisted
+                          ? MIN(watch->check_ns, behind_due_ns(watch))
+                          : watch->idle_ns;
+    int64_t due_ns = MIN(idle_ns, promotion_ns(watch));
     return MAX(watch->next_ns, due_ns);
 }
 
--- a/src/watch.h
+++ b/src/watch.h
@@ -33,6 +33,7 @@
     RP_WATCH_READ_NONE,
     RP_WATCH_READ_VMS,
     RP_WATCH_READ_RECORDS,
+    RP_WATCH_READ_REVISION, /* cheap: whether there is anything new */
 };
 
 /* Which VM reads the platform, what and when. No clock, socket or log. */
@@ -49,6 +50,8 @@
 void rp_watch_free(struct rp_watch *watch);
 void rp_watch_set_vms(struct rp_watch *watch, const struct rp_vm_list *list);
 void rp_watch_set_unlisted(struct rp_watch *watch);
+void rp_watch_set_revisions(struct rp_watch *watch, uint64_t held,
+                            uint64_t known, int64_t now_ns);
 void rp_watch_hear_fresh(struct rp_watch *watch, int64_t fresh_ns,
                          int64_t now_ns);
 void rp_watch_notice_pause(struct rp_watch *watch, int64_t gap_ns);
