Compare with peers by the last time that one agreed

Change: a node compares 0.3 s after the last peer that held the same, and reads the store after 0.7 s. Watches of one node start 0.7 s apart. Ruled out: pushing large records, which costs their bytes four times.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,4 +8,5 @@
 git ls-files '*.c' '*.h' '*.cc' | xargs -r clang-format --dry-run -Werror
 git ls-files '*.c' | grep -v '^fuzz/' |
     xargs -r -n 4 -P 4 clang-tidy -p "$build" --quiet
+scripts/names.sh
 echo "lint: clean"
--- /dev/null
+++ b/scripts/names.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Fails when a name that only the gateway platform uses stands outside of
+# platform/, deploy/ and the tests of the adapter, which alone translate it.
+set -eu
+names='X-Server-Stamp|X-Server-Load|X-Not-Executed|X-Expect-Instance'
+names="$names|X-Deadline-Ms|X-Instance-Id|kv-(key|range|watch)|op/config"
+names="$names|trafficSplit|coldRemaining|storeRevision|staleOk|morePages"
+names="$names|targetLatency|maxAttempts|healthPath"
+if git grep -nE "$names" -- src cli bench fuzz standin tests scripts \
+    ':!tests/test_gateway.cc' ':!tests/test_gateway_path.sh' \
+    ':!fuzz/fuzz_gateway.c' ':!standin/gateway*' ':!scripts/names.sh'
+then
+    echo "names: the lines above belong into platform/" >&2
+    exit 1
+fi
+echo "names: clean"
--- a/src/config_task.c
+++ b/src/config_task.c
@@ -20,8 +20,12 @@
 #define ANSWER_MAX_BATCHES 32u
 /* Refusals and conflicts already reported. */
 #define REPORTED_LIMIT 256u
-/* Digests differ for a moment while a new record spreads. */
-#define SETTLE_NS INT64_C(1000000000)
+/* Digests differ for a moment while a new record spreads: small records are
+ * known everywhere within some milliseconds, and a peer is heard at least
+ * twice a second. */
+#define SETTLE_NS INT64_C(300000000)
+/* After so long without a peer that agrees, the platform is read as well. */
+#define DIFFER_NS INT64_C(700000000)
 #define WANT_TIMEOUT_NS INT64_C(2000000000)
 #define RESEND_NS INT64_C(100000000)
 /* Hints sent for one list of VMs; a heartbeat holds 16. */
@@ -40,7 +44,8 @@
     struct rp_config_refusals *refusals;
     GHashTable *leaving;         /* addresses of targets, by the list of VMs */
     GPtrArray *warnings;         /* about the snapshot in force; may be NULL */
-    int64_t changed_ns;          /* last time that the records changed */
+    int64_t agreed_ns;           /* last time that a peer held the same */
+    bool differs;                /* as told to the platform task */
     char want_peer[RP_ID_BYTES]; /* of the comparison that is under way */
     uint32_t want_part;
     int64_t want_ns;
@@ -334,9 +339,6 @@
     bool phase_changed = update_phase(config, now_ns);
     bool first =
         config->snapshot == NULL && config->phase != RP_CONFIG_STARTING;
-    if (records_changed || revision_changed) {
-        config->changed_ns = now_ns;
-    }
     if (records_changed || revision_changed || first) {
         build_snapshot(config, now_ns);
     }
@@ -406,6 +408,21 @@
                  RP_MSG_CONFIG_WANT, &want, sizeof(want));
 }
 
+/* Tells the platform task when no peer has held the same for a while, so that
+ * it reads for itself, and when one does again. */
+static void
+tell_platform(struct rp_config_task *config, int64_t now_ns)
+{
+    struct rp_config_differs body = {now_ns - config->agreed_ns > DIFFER_NS};
+    if (body.differs == config->differs) {
+        return;
+    }
+    config->differs = body.differs;
+    rp_task_send(config->task,
+                 rp_kernel_find_task(rp_task_kernel(config->task), "platform"),
+                 RP_MSG_CONFIG_DIFFERS, &body, sizeof(body));
+}
+
 /* A peer told its phase and digest. An equal digest means that its state is
  * held; else one comparison at a time is asked for. A starting peer has
  * nothing in force yet, and is asked later if that differs. */
@@ -415,6 +432,10 @@
 {
     rp_readiness_hear(config->readiness, peer->id, peer->phase, now_ns);
     bool equal = peer->digest == rp_record_set_digest(config->set);
+    if (equal || config->agreed_ns == 0) {
+        config->agreed_ns = now_ns;
+    }
+    tell_platform(config, now_ns);
     if (equal && peer->phase == RP_CONFIG_IN_FORCE) {
         rp_readiness_join(config->readiness, peer->id);
     }
@@ -422,10 +443,11 @@
     bool asking = config->want_peer[0] != '\0' &&
                   now_ns - config->want_ns < WANT_TIMEOUT_NS;
     /* A peer with a later revision is ahead; digests that differ otherwise may
-     * agree in a moment. */
+     * agree in a moment. Later small records may overtake a large one, so that
+     * a revision that is not later proves nothing. */
     bool settling = config->phase != RP_CONFIG_STARTING &&
                     peer->revision <= rp_record_set_revision(config->set) &&
-                    now_ns - config->changed_ns < SETTLE_NS;
+                    now_ns - config->agreed_ns < SETTLE_NS;
     if (!equal && !asking && !settling && peer->phase != RP_CONFIG_STARTING) {
         send_want(config, peer->id, now_ns);
     }
--- a/src/config_task.h
+++ b/src/config_task.h
@@ -27,6 +27,12 @@
     uint32_t refused; /* values refused so far */
 };
 
+/* Body of RP_MSG_CONFIG_DIFFERS (config to platform): whether no peer has held
+ * the same records for a while. */
+struct rp_config_differs {
+    bool differs;
+};
+
 /* Body of RP_MSG_CONFIG_PEER (gossip to config): what a peer says of itself.
  * Sent for each heartbeat or other message of a peer that carries it. While
  * this VM is STARTING, gossip asks every live entry VM of the platform's
--- a/src/platform.c
+++ b/src/platform.c
@@ -46,6 +46,7 @@
     uint64_t after;     /* all records up to here were read */
     uint64_t known;     /* greatest revision anyone told */
     uint64_t held;      /* greatest revision of the records in force */
+    bool differs;       /* no peer holds the same records */
     GHashTable *listed; /* keys of the listing in progress; else NULL */
     struct rp_lapse lapse;
     GPtrArray *held_back; /* of struct held_message, oldest first */
@@ -400,9 +401,9 @@
 static void
 note_revisions(struct rp_platform *platform, int64_t now_ns)
 {
-    rp_watch_set_revisions(platform->watch,
-                           MAX(platform->after, platform->held),
-                           platform->known, now_ns);
+    bool behind = platform->differs ||
+                  platform->known > MAX(platform->after, platform->held);
+    rp_watch_set_behind(platform->watch, behind, now_ns);
 }
 
 /* Without a list of VMs, the members that serve take turns at watching. */
@@ -485,6 +486,10 @@
         platform->known = MAX(platform->known, body->revision);
         platform->held = MAX(platform->held, body->revision);
     }
+    else if (message->kind == RP_MSG_CONFIG_DIFFERS) {
+        const struct rp_config_differs *body = message->body;
+        platform->differs = body->differs;
+    }
     else if (message->kind == RP_MSG_MEMBERS) {
         const struct rp_member_message *body = message->body;
         take_members(platform, body->view);
--- a/src/scout.c
+++ b/src/scout.c
@@ -18,6 +18,8 @@
  * run several times as long, or met a machine that had just become slow. */
 #define HEDGE_LATE 1.7
 #define HEDGE_MOST_CROWDED 0.7
+/* For the first calls of a process that knows no target yet. */
+#define FIRST_PROBES 2.0
 /* Probes that may come at once after a quiet time, in seconds of the rate. */
 #define PROBE_BURST_S 4.0
 
@@ -37,6 +39,7 @@
     target->slowness = 1;
     target->excess = 1;
     target->token_ns = now_ns;
+    target->probe_tokens = FIRST_PROBES;
 }
 
 static double
--- a/src/watch.c
+++ b/src/watch.c
@@ -17,6 +17,7 @@
 /* A VM that does not watch asks for the revision at this interval, and reads
  * what peers have not brought after the delay; the delay is longer by up to
  * the spread, so that not all read at once. */
+#define UNLISTED_INTERVAL_NS INT64_C(700000000)
 #define CHECK_NS INT64_C(1000000000)
 #define BEHIND_NS INT64_C(400000000)
 #define BEHIND_SPREAD_NS INT64_C(300000000)
@@ -192,13 +193,11 @@
     watch->chosen = true;
 }
 
-/* Takes note of the revision up to which records are held, and of the greatest
- * one that anyone told. */
+/* Takes note of whether others know of more than this VM holds. */
 void
-rp_watch_set_revisions(struct rp_watch *watch, uint64_t held, uint64_t known,
-                       int64_t now_ns)
+rp_watch_set_behind(struct rp_watch *watch, bool behind, int64_t now_ns)
 {
-    if (known <= held) {
+    if (!behind) {
         watch->behind_ns = 0;
     }
     else if (watch->behind_ns == 0) {
@@ -345,9 +344,9 @@
         /* The pages of one listing follow each other at once. */
         bool at_once = watch->more || !watch->has_records ||
                        watch->reading == RP_WATCH_READ_REVISION;
-        watch->next_ns =
-            now_ns +
-            (watch->unlisted && at_once ? 0 : RP_WATCH_READ_INTERVAL_NS);
+        watch->next_ns = now_ns + (!watch->unlisted ? RP_WATCH_READ_INTERVAL_NS
+                                   : at_once        ? 0
+                                                    : UNLISTED_INTERVAL_NS);
         watch->idle_ns = now_ns + watch->idle_interval_ns;
     }
     return watch->reading;
--- a/src/watch.h
+++ b/src/watch.h
@@ -50,8 +50,7 @@
 void rp_watch_free(struct rp_watch *watch);
 void rp_watch_set_vms(struct rp_watch *watch, const struct rp_vm_list *list);
 void rp_watch_set_unlisted(struct rp_watch *watch);
-void rp_watch_set_revisions(struct rp_watch *watch, uint64_t held,
-                            uint64_t known, int64_t now_ns);
+void rp_watch_set_behind(struct rp_watch *watch, bool behind, int64_t now_ns);
 void rp_watch_hear_fresh(struct rp_watch *watch, int64_t fresh_ns,
                          int64_t now_ns);
 void rp_watch_notice_pause(struct rp_watch *watch, int64_t gap_ns);
--- /dev/null
+++ b/tests/test_watch_unlisted.cc
@@ -0,0 +1,184 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "lapse.h"
+#include "watch.h"
+}
+
+namespace {
+
+constexpr int64_t MS = 1000000;
+constexpr int64_t SECOND = 1000 * MS;
+
+struct rp_vm_list *
+make_list(int count, int domains)
+{
+    struct rp_vm_list *list = rp_vm_list_new(0);
+    for (int i = 0; i < count; i++) {
+        struct rp_vm vm = {};
+        vm.entry = true;
+        g_snprintf(vm.id, sizeof(vm.id), "vm-%d", i);
+        g_snprintf(vm.domain, sizeof(vm.domain), "d%d", i % domains);
+        rp_vm_list_add(list, &vm);
+    }
+    return list;
+}
+
+// A VM that knows its peers, and reads that end after 4 ms.
+struct reader {
+    struct rp_watch *watch;
+    int64_t now_ns = 0;
+    int reads = 0;
+    int checks = 0;
+    bool platform_up = true;
+
+    reader(const char *id, struct rp_vm_list *list)
+    {
+        watch = rp_watch_new(id, 0);
+        rp_watch_set_unlisted(watch);
+        step(10 * MS); // the first listing
+        rp_watch_set_vms(watch, list);
+        reads = checks = 0;
+    }
+
+    ~reader()
+    {
+        rp_watch_free(watch);
+    }
+
+    void step(int64_t until_ns)
+    {
+        for (; now_ns < until_ns; now_ns += 5 * MS) {
+            int64_t wait_ms = 0;
+            enum rp_watch_read read = rp_watch_next(watch, now_ns, &wait_ms);
+            if (read == RP_WATCH_READ_NONE) {
+                continue;
+            }
+            (read == RP_WATCH_READ_REVISION ? checks : reads)++;
+            now_ns += (wait_ms + 4) * MS;
+            rp_watch_finish(watch, platform_up, true, false, 0.5, now_ns);
+        }
+    }
+};
+
+// Guards against calls to the store that grow with the fleet, and against a
+// fleet without watchers.
+TEST(watch_unlisted, five_watch)
+{
+    struct {
+        int vms, domains, watchers;
+    } cases[] = {{1, 1, 1}, {3, 3, 3}, {14, 4, 5}, {14, 3, 5}, {98, 4, 5}};
+    for (const auto &entry : cases) {
+        struct rp_vm_list *list = make_list(entry.vms, entry.domains);
+        int watchers = 0;
+        for (int i = 0; i < entry.vms; i++) {
+            reader each(("vm-" + std::to_string(i)).c_str(), list);
+            int64_t wait_ms;
+            rp_watch_next(each.watch, 3 * SECOND, &wait_ms);
+            watchers += rp_watch_role(each.watch) == RP_WATCH_CHOSEN;
+        }
+        EXPECT_EQ(watchers, entry.watchers) << entry.vms;
+        rp_vm_list_unref(list);
+    }
+}
+
+std::string
+find_idle(struct rp_vm_list *list, int count)
+{
+    for (int i = 0; i < count; i++) {
+        std::string id = "vm-" + std::to_string(i);
+        reader each(id.c_str(), list);
+        int64_t wait_ms;
+        rp_watch_next(each.watch, 1 * SECOND, &wait_ms);
+        if (rp_watch_role(each.watch) == RP_WATCH_IDLE) {
+            return id;
+        }
+    }
+    return "";
+}
+
+// Guards against a VM that stays behind when peers do not bring what is new:
+// it has to read it well before two seconds are over.
+TEST(watch_unlisted, reads_when_behind)
+{
+    struct rp_vm_list *list = make_list(14, 4);
+    reader each(find_idle(list, 14).c_str(), list);
+    for (int i = 0; i < 40; i++) { // watchers are heard every half second
+        each.step(each.now_ns + SECOND / 2);
+        rp_watch_hear_fresh(each.watch, each.now_ns, each.now_ns);
+    }
+    EXPECT_EQ(each.reads, 0);
+    EXPECT_NEAR(each.checks, 20, 1);
+    rp_watch_set_behind(each.watch, true, each.now_ns);
+    each.step(each.now_ns + 300 * MS);
+    EXPECT_EQ(each.reads, 0) << "peers have a moment to bring it";
+    each.step(each.now_ns + 700 * MS);
+    EXPECT_EQ(each.reads, 1);
+    rp_watch_set_behind(each.watch, false, each.now_ns);
+    each.step(each.now_ns + SECOND);
+    EXPECT_EQ(each.reads, 1);
+    rp_vm_list_unref(list);
+}
+
+// Guards against a fleet that hears nothing when all watchers are lost, and
+// against a VM that takes over while the watchers are only silent for a wait.
+TEST(watch_unlisted, takes_over_from_lost_watchers)
+{
+    struct rp_vm_list *list = make_list(14, 4);
+    reader each(find_idle(list, 14).c_str(), list);
+    rp_watch_hear_fresh(each.watch, each.now_ns, each.now_ns);
+    int64_t heard_ns = each.now_ns;
+    each.step(heard_ns + 3400 * MS);
+    EXPECT_EQ(each.reads, 0);
+    each.step(heard_ns + 4200 * MS);
+    EXPECT_GE(each.reads, 1);
+    EXPECT_EQ(rp_watch_role(each.watch), RP_WATCH_PROMOTED);
+    rp_vm_list_unref(list);
+}
+
+// Guards against a store that is back and not read for long.
+TEST(watch_unlisted, first_retries_are_quick)
+{
+    struct rp_vm_list *list = make_list(1, 1);
+    reader each("vm-0", list);
+    each.platform_up = false;
+    each.step(10 * SECOND);
+    // Of up to 3 s each, the first failure; then at least one in a second.
+    EXPECT_GE(each.reads, 3);
+    rp_vm_list_unref(list);
+}
+
+// Guards against targets that are given up while their entries come back after
+// an outage, and against removals that are held back without one.
+TEST(lapse, holds_removals_after_an_outage)
+{
+    struct {
+        const char *what;
+        std::vector<bool> reads; // one each second
+        int64_t heard_ms;
+        int64_t due_ms;
+    } cases[] = {
+        {"no outage", {true, true, true}, 2500, 2500},
+        {"one watch was cut", {true, false, true}, 2500, 2500},
+        {"just back", {true, false, false, true}, 3000, 5000},
+        {"back for a second", {true, false, false, true}, 4000, 5000},
+        {"back for long", {true, false, false, true, true}, 6000, 6000},
+        {"still down", {true, false, false, false}, 3000, 3000},
+    };
+    for (const auto &entry : cases) {
+        struct rp_lapse lapse = {};
+        for (size_t i = 0; i < entry.reads.size(); i++) {
+            rp_lapse_note_read(&lapse, entry.reads[i], (int64_t)i * SECOND);
+        }
+        EXPECT_EQ(rp_lapse_due_ns(&lapse, entry.heard_ms * MS),
+                  entry.due_ms * MS)
+            << entry.what;
+    }
+}
+
+} // namespace
