--- a/tests/test_config_task.cc
+++ b/tests/test_config_task.cc
@@ -190,6 +190,8 @@
         g_strlcpy(peer.id, from->id.c_str(), sizeof(peer.id));
         peer.phase = rp_config_task_phase(from->config);
         peer.digest = rp_record_set_digest(rp_config_task_set(from->config));
+        peer.revision =
+            rp_record_set_revision(rp_config_task_set(from->config));
         rp_task_send(to->gossip, rp_kernel_find_task(to->kernel, "config"),
                      RP_MSG_CONFIG_PEER, &peer, sizeof(peer));
     }
@@ -290,6 +292,82 @@
     EXPECT_EQ(timeout(b), 500u);
 }
 
+// Guards against a large record that small later ones overtake: releases that
+// change a target every 200 ms beside a new configuration. The VM's revision
+// is as late as its peers' then, and records change all the time.
+TEST_F(config_task, large_record_is_fetched_while_small_ones_come)
+{
+    vm *a = start("a");
+    vm *b = start("b");
+    for (vm *each : {a, b}) {
+        list(each, {"a", "b"});
+    }
+    answer(a, {{service(1, 100), 1}});
+    run(1000);
+    ASSERT_EQ(timeout(b), 100u);
+    answer(a, {{service(2, 200, 70000), 2}}); // too large to be pushed
+    int64_t known_ns = now_ns;
+    for (int revision = 3; timeout(b) != 200 && revision < 20; revision++) {
+        std::string target =
+            R"({"schema":3,"kind":"target","name":"t","service":"a",)"
+            R"("address":"10.0.0.1:80","domain":"d","version":)" +
+            std::to_string(revision) + "}";
+        for (vm *each : {a, b}) {
+            answer(each, {{target, revision}}, "target/t");
+        }
+        run(200);
+    }
+    EXPECT_EQ(timeout(b), 200u);
+    EXPECT_LE(now_ns - known_ns, 1000 * MS);
+}
+
+// Guards against targets that stay in force although a listing of all there is
+// lacks them, and against a listing that retires what is newer than it.
+TEST_F(config_task, listing_retires_missing_targets)
+{
+    vm *a = start("a");
+    list(a, {"a"});
+    answer(a, {{service(1, 100), 1}});
+    struct {
+        const char *name;
+        int revision;
+        bool listed;
+        bool expected;
+    } cases[] = {{"t1", 5, true, true},
+                 {"t2", 5, false, false},
+                 {"t3", 9, false, true}}; // came after the listing
+    GHashTable *keys =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, nullptr);
+    for (const auto &entry : cases) {
+        std::string name = entry.name;
+        answer(a,
+               {{R"({"schema":3,"kind":"target","service":"a","name":")" +
+                     name + R"(","address":"10.0.0.)" + name.substr(1) +
+                     R"(:80","domain":"d","version":)" +
+                     std::to_string(entry.revision) + "}",
+                 entry.revision}},
+               ("target/" + name).c_str());
+        if (entry.listed) {
+            g_hash_table_add(keys, g_strdup(("target/" + name).c_str()));
+        }
+    }
+    run(200);
+    struct rp_config_listing listing = {keys, 7};
+    rp_task_send_owned(nullptr, rp_kernel_find_task(a->kernel, "config"),
+                       RP_MSG_PLATFORM_LISTED, &listing, sizeof(listing),
+                       rp_config_listing_release);
+    run(200);
+    const struct rp_service *service =
+        rp_snapshot_find_service(a->snapshot, "a");
+    for (const auto &entry : cases) {
+        bool present = false;
+        for (uint32_t i = 0; i < service->target_count; i++) {
+            present |= std::string(service->targets[i].name) == entry.name;
+        }
+        EXPECT_EQ(present, entry.expected) << entry.name;
+    }
+}
+
 // Guards against a VM without platform that ignores its peers.
 TEST_F(config_task, peers_replace_a_dead_platform)
 {
