Serve first what can still meet its aim

Change: where targets are asked, calls wait in a backlog by rank, then those that can still meet their aim, then the others, and are refused after a third of their time, or at once when their turn would come later than that. Ruled out: none tried.

--- /dev/null
+++ b/src/backlog.c
@@ -0,0 +1,205 @@
+#include "backlog.h"
+
+#include <glib.h>
+
+#define TURN_WEIGHT (1.0 / 16)
+/* A pause between two calls that leave, above which nobody was waiting for
+ * room. */
+#define IDLE_NS INT64_C(500000000)
+/* Of the time that a call has, the part that it may wait. A caller that is
+ * refused after that can still come back in time. */
+#define WAIT_SHARE 0.35
+/* The way of an answer to the caller, which its aim includes. */
+#define WAY_NS INT64_C(20000000)
+
+struct waiting_call {
+    struct rp_balancer_call call;
+    int64_t aim_start_ns; /* latest start that meets the aim */
+    int64_t end_ns;       /* refused when it still waits then */
+};
+
+struct rp_backlog {
+    GQueue calls; /* of struct waiting_call, in order of arrival */
+    uint32_t limit;
+    double turn_ns; /* time between two calls leaving under load; 0 unknown */
+    int64_t last_pop_ns;
+};
+
+/* Creates an empty backlog for up to limit calls. Free it with
+ * rp_backlog_free. */
+struct rp_backlog *
+rp_backlog_new(uint32_t limit)
+{
+    struct rp_backlog *backlog = g_new0(struct rp_backlog, 1);
+    g_queue_init(&backlog->calls);
+    backlog->limit = limit;
+    return backlog;
+}
+
+/* Frees a backlog with the calls in it; NULL is allowed. */
+void
+rp_backlog_free(struct rp_backlog *backlog)
+{
+    if (backlog == NULL) {
+        return;
+    }
+    g_queue_clear_full(&backlog->calls, g_free);
+    g_free(backlog);
+}
+
+static uint32_t
+count_ahead(const struct rp_backlog *backlog,
+            const struct rp_balancer_call *call)
+{
+    uint32_t ahead = 0;
+    for (const GList *link = backlog->calls.head; link != NULL;
+         link = link->next) {
+        const struct waiting_call *waiting = link->data;
+        ahead += waiting->call.rank <= call->rank;
+    }
+    return ahead;
+}
+
+/* Adds a call, or returns why it is refused: there is no room, or its turn
+ * would come too late. run_ns is the usual time of a call. */
+enum rp_refusal
+rp_backlog_offer(struct rp_backlog *backlog,
+                 const struct rp_balancer_call *call, double run_ns,
+                 int64_t now_ns)
+{
+    if (backlog->calls.length >= backlog->limit) {
+        return RP_REFUSAL_QUEUE_FULL;
+    }
+    int64_t left_ns = call->deadline_ns - now_ns;
+    int64_t latest_ns = call->deadline_ns - (int64_t)run_ns;
+    int64_t end_ns = now_ns + (int64_t)(WAIT_SHARE * (double)left_ns);
+    end_ns = MIN(end_ns, latest_ns);
+    double turn = backlog->turn_ns * count_ahead(backlog, call);
+    if (latest_ns <= now_ns) {
+        return RP_REFUSAL_DEADLINE;
+    }
+    if ((double)now_ns + turn > (double)end_ns) {
+        return RP_REFUSAL_QUEUE_FULL;
+    }
+    struct waiting_call *waiting = g_new(struct waiting_call, 1);
+    waiting->call = *call;
+    waiting->end_ns = end_ns;
+    waiting->aim_start_ns =
+        call->aim_ns > 0 ? now_ns + call->aim_ns - WAY_NS - (int64_t)run_ns
+                         : end_ns;
+    g_queue_push_tail(&backlog->calls, waiting);
+    return RP_REFUSAL_NONE;
+}
+
+static bool
+goes_before(const struct waiting_call *a, const struct waiting_call *b,
+            int64_t now_ns)
+{
+    if (a->call.rank != b->call.rank) {
+        return a->call.rank < b->call.rank;
+    }
+    bool a_late = a->aim_start_ns < now_ns;
+    bool b_late = b->aim_start_ns < now_ns;
+    return a_late != b_late && b_late;
+}
+
+/* Returns the call whose turn is next, or NULL. It belongs to the backlog. */
+const struct rp_balancer_call *
+rp_backlog_peek(struct rp_backlog *backlog, int64_t now_ns)
+{
+    const struct waiting_call *best = NULL;
+    for (const GList *link = backlog->calls.head; link != NULL;
+         link = link->next) {
+        const struct waiting_call *waiting = link->data;
+        if (best == NULL || goes_before(waiting, best, now_ns)) {
+            best = waiting;
+        }
+    }
+    return best == NULL ? NULL : &best->call;
+}
+
+static GList *
+find(struct rp_backlog *backlog, uint64_t call_id)
+{
+    for (GList *link = backlog->calls.head; link != NULL; link = link->next) {
+        const struct waiting_call *waiting = link->data;
+        if (waiting->call.call_id == call_id) {
+            return link;
+        }
+    }
+    return NULL;
+}
+
+/* Removes a call because it has been sent. */
+void
+rp_backlog_pop(struct rp_backlog *backlog, uint64_t call_id, int64_t now_ns)
+{
+    int64_t pause_ns = now_ns - backlog->last_pop_ns;
+    if (backlog->last_pop_ns != 0 && pause_ns < IDLE_NS) {
+        backlog->turn_ns +=
+            TURN_WEIGHT * ((double)pause_ns - backlog->turn_ns);
+    }
+    else {
+        backlog->turn_ns = 0;
+    }
+    backlog->last_pop_ns = now_ns;
+    rp_backlog_withdraw(backlog, call_id);
+}
+
+/* Removes one call that has waited too long and copies it to *call; returns
+ * false when there is none. */
+bool
+rp_backlog_expire(struct rp_backlog *backlog, int64_t now_ns,
+                  struct rp_balancer_call *call)
+{
+    for (GList *link = backlog->calls.head; link != NULL; link = link->next) {
+        struct waiting_call *waiting = link->data;
+        if (waiting->end_ns <= now_ns) {
+            *call = waiting->call;
+            g_free(waiting);
+            g_queue_delete_link(&backlog->calls, link);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Removes a call; returns false when it does not wait here. */
+bool
+rp_backlog_withdraw(struct rp_backlog *backlog, uint64_t call_id)
+{
+    GList *link = find(backlog, call_id);
+    if (link == NULL) {
+        return false;
+    }
+    g_free(link->data);
+    g_queue_delete_link(&backlog->calls, link);
+    return true;
+}
+
+/* Returns when rp_backlog_expire has to be called, or INT64_MAX. */
+int64_t
+rp_backlog_due_ns(const struct rp_backlog *backlog)
+{
+    int64_t due_ns = INT64_MAX;
+    for (const GList *link = backlog->calls.head; link != NULL;
+         link = link->next) {
+        const struct waiting_call *waiting = link->data;
+        due_ns = MIN(due_ns, waiting->end_ns);
+    }
+    return due_ns;
+}
+
+/* Returns how long the calls now waiting will take to leave. */
+int64_t
+rp_backlog_wait_ns(const struct rp_backlog *backlog)
+{
+    return (int64_t)(backlog->turn_ns * backlog->calls.length);
+}
+
+/* Returns how many calls wait. */
+uint32_t
+rp_backlog_count(const struct rp_backlog *backlog)
+{
+    return backlog->calls.length;
+}
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -54,6 +54,7 @@
     rp_scout_pool_init(&balancer->scout);
     balancer->scout_due_ns = INT64_MAX;
     balancer->admission = rp_admission_new(config->queue_limit);
+    balancer->backlog = rp_backlog_new(config->queue_limit);
     rp_length_init(&balancer->length);
     init_retries(balancer);
     rp_hedge_init(&balancer->hedge);
@@ -69,6 +70,7 @@
     }
     g_array_unref(balancer->targets);
     rp_admission_free(balancer->admission);
+    rp_backlog_free(balancer->backlog);
     g_rand_free(balancer->random);
     g_free((char *)balancer->config.domain);
     g_free(balancer);
@@ -190,11 +192,15 @@
 retry_after_ns(struct rp_balancer *balancer, enum rp_refusal refusal,
                bool is_long)
 {
-    int64_t base_ns = refusal == RP_REFUSAL_NO_TARGET
-                          ? NO_TARGET_RETRY_NS
-                          : rp_admission_wait_ns(balancer->admission,
-                                                 is_long ? RP_ADMISSION_LONG
-                                                         : RP_ADMISSION_SHORT);
+    int64_t base_ns = NO_TARGET_RETRY_NS;
+    if (refusal != RP_REFUSAL_NO_TARGET && balancer->scout.active) {
+        base_ns = rp_backlog_wait_ns(balancer->backlog);
+    }
+    else if (refusal != RP_REFUSAL_NO_TARGET) {
+        base_ns = rp_admission_wait_ns(balancer->admission,
+                                       is_long ? RP_ADMISSION_LONG
+                                               : RP_ADMISSION_SHORT);
+    }
     base_ns = CLAMP(base_ns, LEAST_RETRY_NS, MOST_RETRY_NS);
     return base_ns +
            (int64_t)(g_rand_double(balancer->random) * (double)base_ns);
@@ -285,10 +291,9 @@
     }
     struct rp_balancer_call waiting = *call;
     waiting.offered_ns = now_ns;
-    enum rp_refusal refusal = rp_admission_offer(
-        balancer->admission, &waiting, RP_ADMISSION_SHORT,
-        balancer->scout.usual_ns / fmax(balancer->slots_total, 1),
-        balancer->scout.usual_ns, now_ns);
+    enum rp_refusal refusal =
+        rp_backlog_offer(balancer->backlog, &waiting,
+                         rp_scout_usual_ns(&balancer->scout), now_ns);
     verdict->action = RP_BALANCER_WAIT;
     if (refusal != RP_REFUSAL_NONE) {
         refuse(balancer, refusal, false, verdict);
@@ -301,16 +306,15 @@
              struct rp_balancer_verdict *verdict)
 {
     const struct rp_balancer_call *call =
-        rp_admission_peek(balancer->admission, RP_ADMISSION_SHORT);
+        rp_backlog_peek(balancer->backlog, now_ns);
     balancer->scout_due_ns = INT64_MAX;
     if (call == NULL) {
         return false;
     }
     uint32_t target = RP_BALANCER_NO_TARGET;
-    enum rp_balancer_action action = rp_balancer_scout(
-        balancer, call,
-        rp_admission_count(balancer->admission, RP_ADMISSION_SHORT), now_ns,
-        &target, &balancer->scout_due_ns);
+    enum rp_balancer_action action =
+        rp_balancer_scout(balancer, call, rp_backlog_count(balancer->backlog),
+                          now_ns, &target, &balancer->scout_due_ns);
     if (action == RP_BALANCER_WAIT) {
         return false;
     }
@@ -321,7 +325,7 @@
         return true;
     }
     send_to(balancer, target, false, now_ns, verdict);
-    rp_admission_pop(balancer->admission, RP_ADMISSION_SHORT, now_ns);
+    rp_backlog_pop(balancer->backlog, call->call_id, now_ns);
     return true;
 }
 
@@ -375,7 +379,9 @@
                  struct rp_balancer_verdict *verdict)
 {
     struct rp_balancer_call expired;
-    if (rp_admission_expire(balancer->admission, now_ns, &expired)) {
+    if (rp_backlog_expire(balancer->backlog, now_ns, &expired) ||
+        rp_admission_expire(balancer->admission, now_ns, &expired))
+    {
         bool is_long = is_long_call(balancer, expired.kind, expired.flags);
         start_verdict(&expired, is_long, verdict);
         refuse(balancer, RP_REFUSAL_DEADLINE, is_long, verdict);
@@ -416,15 +422,18 @@
                      int64_t now_ns)
 {
     (void)now_ns;
-    rp_admission_withdraw(balancer->admission, call_id);
+    if (!rp_backlog_withdraw(balancer->backlog, call_id)) {
+        rp_admission_withdraw(balancer->admission, call_id);
+    }
 }
 
 /* Returns when rp_balancer_next must be called even if nothing happens. */
 int64_t
 rp_balancer_due_ns(const struct rp_balancer *balancer)
 {
-    return MIN(rp_admission_due_ns(balancer->admission),
-               balancer->scout_due_ns);
+    int64_t due_ns = MIN(rp_admission_due_ns(balancer->admission),
+                         rp_backlog_due_ns(balancer->backlog));
+    return MIN(due_ns, balancer->scout_due_ns);
 }
 
 /* Returns after which time without an answer a hedge is worth while, or
@@ -684,6 +693,7 @@
 uint32_t
 rp_balancer_queued(const struct rp_balancer *balancer)
 {
-    return rp_admission_count(balancer->admission, RP_ADMISSION_SHORT) +
+    return rp_backlog_count(balancer->backlog) +
+           rp_admission_count(balancer->admission, RP_ADMISSION_SHORT) +
            rp_admission_count(balancer->admission, RP_ADMISSION_LONG);
 }
--- a/src/balancer_private.h
+++ b/src/balancer_private.h
@@ -6,6 +6,7 @@
 #include <math.h>
 
 #include "admission.h"
+#include "backlog.h"
 #include "balancer.h"
 #include "estate_share.h"
 #include "hedge.h"
@@ -47,8 +48,9 @@
     struct rp_retry_budget retries;
     struct rp_hedge hedge;
     struct rp_admission *admission;
-    double failure_rate; /* of all targets, smoothed */
-    double long_ns;      /* usual response time of long calls */
+    struct rp_backlog *backlog; /* in place of it where targets are asked */
+    double failure_rate;        /* of all targets, smoothed */
+    double long_ns;             /* usual response time of long calls */
     /* Sums over the usable targets, as of the latest choice. */
     double slots_total;
     double limit_total;
