Learn what crowding costs, and fill targets only below it

Change: the time of answers from crowded targets is learned for each service; where it costs more than the further slots bring, a target gets 80% of its slots at most. Ruled out: a fixed limit, which wastes slots where crowding costs nothing.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -236,6 +236,7 @@
         rp_scout_slowness(&target->scout, &balancer->scout, now_ns);
     verdict->load = rp_scout_load(&target->scout, &balancer->scout,
                                   target->route.slots, now_ns);
+    verdict->crowded = rp_scout_is_crowded(verdict->load, target->route.slots);
     verdict->report_age_ns =
         target->scout.reported ? now_ns - target->scout.report_ns : -1;
     rp_scout_sent(&target->scout, now_ns);
@@ -474,7 +475,7 @@
     }
     rp_hedge_note_response(&balancer->hedge, response_ns);
     rp_scout_answered(&target->scout, &balancer->scout, report->slowness,
-                      response_ns, now_ns);
+                      report->crowded, response_ns, now_ns);
     rp_route_answered(&target->route, &balancer->pool, response_ns, now_ns);
     double used = target->route.in_flight +
                   rp_route_others(&target->route, &balancer->pool, now_ns);
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -73,6 +73,7 @@
     uint32_t target;        /* stable number of the target, see below */
     int64_t retry_after_ns; /* with REFUSE: when to come back */
     double slowness; /* with SEND: that of the target; to be handed back */
+    bool crowded;    /* with SEND; to be handed back */
     double load;     /* with SEND: requests that are thought to be there */
     int64_t report_age_ns; /* with SEND; -1 without a report */
     uint32_t flags; /* of the call, with RP_CALL_LONG when it was found to be
@@ -97,6 +98,7 @@
     int64_t sent_ns;
     int64_t first_byte_ns; /* 0 when there was none */
     double slowness;       /* of the verdict */
+    bool crowded;          /* of the verdict */
     bool has_load;
     struct rp_load_report load;
 };
--- a/src/balancer_scout.c
+++ b/src/balancer_scout.c
@@ -7,9 +7,6 @@
 #define SEARCH_NS INT64_C(40000000)
 /* A target that let a probe wait is left alone for this. */
 #define FAILED_REST_NS INT64_C(500000000)
-/* Requests beyond the slots keep a slot from being idle while the next
- * request is on its way. */
-#define BEYOND_SLOTS 1.0
 /* Between two looks at targets that are all busy. */
 #define RETRY_NS INT64_C(20000000)
 
@@ -67,7 +64,8 @@
         scan->quick = index;
         scan->quick_ns = expected;
     }
-    if (load + 1 <= slots + BEYOND_SLOTS && expected < scan->any_ns) {
+    if (load + 1 <= rp_scout_most_load(pool, slots) && expected < scan->any_ns)
+    {
         scan->any = index;
         scan->any_ns = expected;
     }
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -201,6 +201,7 @@
         dispatch_attempt_add(call, verdict->target, verdict->flags, now_ns);
     attempt->owns_slot = true;
     attempt->slowness = verdict->slowness;
+    attempt->crowded = verdict->crowded;
     report_sent(call, attempt, verdict, now_ns);
     dispatch_drain_sent(
         call->dispatch, call->service,
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -53,6 +53,7 @@
     bool not_run;       /* it is certain that the target did not run it */
     bool beside_silent; /* it answered while its partner was silent */
     double slowness;    /* of the verdict */
+    bool crowded;       /* of the verdict */
     int64_t sent_ns;
     int64_t head_ns; /* when head_seen was set */
     struct rp_answer *answer;
--- a/src/scout.c
+++ b/src/scout.c
@@ -13,7 +13,12 @@
 #define EXCESS_MEMORY_NS 1000000000.0
 /* Targets slow down when nearly all slots are taken. */
 #define CROWDED_SHARE 0.8
-#define CROWDED_COST 1.5
+#define FIRST_CROWDED_COST 1.2
+#define MOST_CROWDED_COST 3.0
+#define CROWDED_WEIGHT (1.0 / 32)
+/* Requests beyond the slots keep a slot from being idle while the next
+ * request is on its way. */
+#define BEYOND_SLOTS 1.0
 /* A call that has taken this multiple of the usual time is one of the few that
  * run several times as long, or met a machine that had just become slow. */
 #define HEDGE_LATE 1.7
@@ -29,6 +34,7 @@
 {
     memset(pool, 0, sizeof(*pool));
     pool->slowness = 1;
+    pool->crowded_cost = FIRST_CROWDED_COST;
 }
 
 /* Starts without knowledge of the target. */
@@ -82,10 +88,17 @@
  * of the given slowness. */
 void
 rp_scout_answered(struct rp_scout_target *target, struct rp_scout_pool *pool,
-                  double expected_slowness, int64_t response_ns,
+                  double expected_slowness, bool crowded, int64_t response_ns,
                   int64_t now_ns)
 {
     double usual = (double)response_ns / fmax(expected_slowness, 0.1);
+    if (crowded && pool->samples >= FIRST_SAMPLES) {
+        double cost = fmin(usual / pool->usual_ns, 2 * MOST_CROWDED_COST);
+        pool->crowded_cost = smooth(pool->crowded_cost, cost, CROWDED_WEIGHT);
+        pool->crowded_cost =
+            fmax(1, fmin(pool->crowded_cost, MOST_CROWDED_COST));
+        usual /= pool->crowded_cost;
+    }
     if (pool->samples == 0) {
         pool->usual_ns = usual;
     }
@@ -97,6 +110,26 @@
     target->excess_ns = now_ns;
 }
 
+/* Returns whether one more request crowds a target with that load. */
+bool
+rp_scout_is_crowded(double load, double slots)
+{
+    return load + 1 > CROWDED_SHARE * slots;
+}
+
+/* Returns how many requests a target is given at most: one more than its
+ * slots, or fewer where a crowded target does less work in all than one that
+ * is not. */
+double
+rp_scout_most_load(const struct rp_scout_pool *pool, double slots)
+{
+    double uncrowded = floor(CROWDED_SHARE * slots);
+    if (uncrowded >= 1 && pool->crowded_cost * uncrowded > slots) {
+        return uncrowded;
+    }
+    return slots + BEYOND_SLOTS;
+}
+
 /* Returns the time of a call at usual speed, also before the first answer. */
 double
 rp_scout_usual_ns(const struct rp_scout_pool *pool)
@@ -168,8 +201,8 @@
     if (excess > 1.5) {
         run *= excess;
     }
-    if (load + 1 > CROWDED_SHARE * slots) {
-        run *= CROWDED_COST;
+    if (rp_scout_is_crowded(load, slots)) {
+        run *= pool->crowded_cost;
     }
     double behind = fmax(load + 1 - slots, 0);
     return run + behind * usual * pool->slowness / fmax(slots, 1);
--- a/src/scout.h
+++ b/src/scout.h
@@ -25,10 +25,11 @@
 
 /* What the targets of a service have in common. */
 struct rp_scout_pool {
-    bool active;     /* targets tell their speed */
-    double usual_ns; /* median time of a call at usual speed */
-    double slowness; /* mean over the reports; 1 is the usual speed */
-    double crowding; /* mean requests at a target in parts of its slots */
+    bool active;         /* targets tell their speed */
+    double usual_ns;     /* median time of a call at usual speed */
+    double slowness;     /* mean over the reports; 1 is the usual speed */
+    double crowded_cost; /* time on a crowded target, 1 is usual */
+    double crowding;     /* mean requests at a target in parts of its slots */
     uint32_t samples;
     uint32_t probes; /* in progress */
 };
@@ -64,7 +65,9 @@
 void rp_scout_sent(struct rp_scout_target *target, int64_t now_ns);
 void rp_scout_answered(struct rp_scout_target *target,
                        struct rp_scout_pool *pool, double expected_slowness,
-                       int64_t response_ns, int64_t now_ns);
+                       bool crowded, int64_t response_ns, int64_t now_ns);
+bool rp_scout_is_crowded(double load, double slots);
+double rp_scout_most_load(const struct rp_scout_pool *pool, double slots);
 double rp_scout_usual_ns(const struct rp_scout_pool *pool);
 bool rp_scout_is_fresh(const struct rp_scout_target *target, int64_t now_ns);
 double rp_scout_load(const struct rp_scout_target *target,
--- a/tests/test_scout.cc
+++ b/tests/test_scout.cc
@@ -95,8 +95,8 @@
     rp_scout_init(&usual, 0);
     struct rp_load_report load = report(0, 100);
     for (int i = 0; i < 5; i++) {
-        rp_scout_answered(&slow, &pool, 1, 600 * MS, i * MS);
-        rp_scout_answered(&usual, &pool, 1, 100 * MS, i * MS);
+        rp_scout_answered(&slow, &pool, 1, false, 600 * MS, i * MS);
+        rp_scout_answered(&usual, &pool, 1, false, 100 * MS, i * MS);
     }
     rp_scout_reported(&slow, &pool, &load, 0, 5 * MS);
     rp_scout_reported(&usual, &pool, &load, 0, 5 * MS);
@@ -107,6 +107,30 @@
               1.2 * rp_scout_expected_ns(&usual, &pool, 6, 8000 * MS));
 }
 
+// Guards against targets that are filled although they do less then: above
+// four of six requests each takes twice as long.
+TEST(scout, learns_what_crowding_costs)
+{
+    struct {
+        double cost;
+        double most; // requests to a target of six slots
+    } cases[] = {{1.0, 7}, {1.3, 7}, {1.8, 4}, {2.5, 4}};
+    for (const auto &entry : cases) {
+        struct rp_scout_pool pool = learned_pool();
+        struct rp_scout_target target;
+        rp_scout_init(&target, 0);
+        for (int i = 0; i < 300; i++) {
+            bool crowded = i % 3 == 0;
+            int64_t usual_ms = 90 + i % 20;
+            rp_scout_answered(
+                &target, &pool, 1, crowded,
+                (int64_t)((crowded ? entry.cost : 1) * usual_ms * MS), i * MS);
+        }
+        EXPECT_EQ(rp_scout_most_load(&pool, 6), entry.most) << entry.cost;
+        EXPECT_NEAR(pool.usual_ns / MS, 100, 15) << entry.cost;
+    }
+}
+
 // Guards against more probes of a target than its budget in any time.
 TEST(scout, probes_keep_to_their_rate)
 {
