Divide budgets by the fleet that is known; ask another target when one's probes are used up

Change: budgets are divided by the known members, the setting at least; only targets with a probe left are asked. Ruled out: a larger burst of probes, which only moves the point.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -28,13 +28,24 @@
 {
     const struct rp_balancer_config *config = &balancer->config;
     bool given = config->retry_window_ns > 0;
-    double allowance =
-        given ? config->retry_allowance : RP_BALANCER_RETRY_ALLOWANCE;
-    rp_retry_budget_init(&balancer->retries,
-                         given ? config->retry_share : RP_BALANCER_RETRY_SHARE,
-                         allowance / MAX(config->fleet_size, 1),
-                         given ? config->retry_window_ns
-                               : RP_BALANCER_RETRY_WINDOW_NS);
+    rp_retry_budget_init(
+        &balancer->retries,
+        given ? config->retry_share : RP_BALANCER_RETRY_SHARE, 0,
+        given ? config->retry_window_ns : RP_BALANCER_RETRY_WINDOW_NS);
+}
+
+/* Sets among how many entry VMs the budgets of probes and of further attempts
+ * are divided. */
+void
+rp_balancer_set_fleet(struct rp_balancer *balancer, uint32_t fleet_size)
+{
+    const struct rp_balancer_config *config = &balancer->config;
+    double members = MAX(fleet_size, 1);
+    double allowance = config->retry_window_ns > 0
+                           ? config->retry_allowance
+                           : RP_BALANCER_RETRY_ALLOWANCE;
+    balancer->retries.allowance = allowance / members;
+    balancer->own_probes_per_s = config->probes_per_s / members;
 }
 
 /* Creates a balancer without targets. Free it with rp_balancer_free. */
@@ -57,6 +68,7 @@
     balancer->backlog = rp_backlog_new(config->queue_limit);
     rp_length_init(&balancer->length);
     init_retries(balancer);
+    rp_balancer_set_fleet(balancer, config->fleet_size);
     rp_hedge_init(&balancer->hedge);
     return balancer;
 }
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -20,7 +20,7 @@
     uint32_t deciders;    /* entry VMs that callers are steered to now */
     uint32_t queue_limit; /* calls that may wait */
     uint64_t seed;
-    double probes_per_s; /* of this entry VM to one target, before calls */
+    double probes_per_s; /* to one target before calls, of all entry VMs */
     /* Further attempts in a window: a share of the fresh calls of this entry
      * VM, and an allowance of all entry VMs together. */
     double retry_share;
@@ -123,6 +123,7 @@
 void rp_balancer_free(struct rp_balancer *balancer);
 void rp_balancer_set_service(struct rp_balancer *balancer,
                              const struct rp_service *service, int64_t now_ns);
+void rp_balancer_set_fleet(struct rp_balancer *balancer, uint32_t fleet_size);
 void rp_balancer_set_deciders(struct rp_balancer *balancer, uint32_t deciders,
                               int64_t now_ns);
 
--- a/src/balancer_private.h
+++ b/src/balancer_private.h
@@ -42,7 +42,8 @@
     GRand *random;
     struct rp_route_pool pool;
     struct rp_scout_pool scout;
-    int64_t scout_due_ns; /* when the search for a target goes on */
+    double own_probes_per_s; /* share of the budget of one target */
+    int64_t scout_due_ns;    /* when the search for a target goes on */
     struct rp_estate_share shares;
     struct rp_length length;
     struct rp_retry_budget retries;
--- a/src/balancer_scout.c
+++ b/src/balancer_scout.c
@@ -69,7 +69,9 @@
         scan->any = index;
         scan->any_ns = expected;
     }
-    if (!fresh && target->scout.probe_ns == 0 && expected < scan->unknown_ns) {
+    if (!fresh && expected < scan->unknown_ns &&
+        rp_scout_may_probe(&target->scout, balancer->own_probes_per_s, now_ns))
+    {
         scan->unknown = index;
         scan->unknown_ns = expected;
     }
@@ -133,16 +135,14 @@
     if (scan.unknown != RP_BALANCER_NO_TARGET && balancer->scout.probes < most)
     {
         struct balancer_target *asked = balancer_get(balancer, scan.unknown);
-        if (rp_scout_may_probe(&asked->scout, balancer->config.probes_per_s,
-                               now_ns)) {
-            *target = scan.unknown;
-            rp_scout_probe_started(&asked->scout, &balancer->scout, now_ns);
-            return RP_BALANCER_PROBE;
-        }
-        if (balancer->scout.probes == 0 && scan.any != RP_BALANCER_NO_TARGET) {
-            *target = scan.any;
-            return RP_BALANCER_SEND;
-        }
+        rp_scout_probe_started(&asked->scout, &balancer->scout,
+                               balancer->own_probes_per_s, now_ns);
+        *target = scan.unknown;
+        return RP_BALANCER_PROBE;
+    }
+    if (balancer->scout.probes == 0 && scan.any != RP_BALANCER_NO_TARGET) {
+        *target = scan.any; /* nobody is left to be asked */
+        return RP_BALANCER_SEND;
     }
     return RP_BALANCER_WAIT;
 }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -369,6 +369,9 @@
         uint32_t deciders = rp_steering_deciders(
             &choice, dispatch->context->identity.fleet_size);
         rp_balancer_set_deciders(service->balancer, deciders, now_ns);
+        rp_balancer_set_fleet(service->balancer,
+                              MAX(dispatch->context->identity.fleet_size,
+                                  dispatch->members->count));
     }
 }
 
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -14,7 +14,7 @@
     double retry_share;
     double retry_allowance;
     int64_t retry_window_ns; /* 0 for the defaults */
-    double probes_per_s;     /* to one target, by this VM, before calls */
+    double probes_per_s;     /* to one target before calls, of all entry VMs */
     struct rp_ticket_key ticket_key; /* no bytes: no tickets; borrowed */
 };
 
--- a/src/node.c
+++ b/src/node.c
@@ -290,8 +290,7 @@
         .retry_window_ns =
             rp_settings_number(settings, RP_SETTING_RETRY_WINDOW_MS) * 1000000,
         .probes_per_s =
-            (double)rp_settings_number(settings, RP_SETTING_PROBES_PER_S) /
-            node->context->identity.fleet_size,
+            (double)rp_settings_number(settings, RP_SETTING_PROBES_PER_S),
     };
     uint8_t key[FLEET_KEY_BYTES];
     if (read_fleet_key(settings, key)) {
--- a/src/scout.c
+++ b/src/scout.c
@@ -226,30 +226,25 @@
     return (int64_t)(HEDGE_LATE * pool->usual_ns);
 }
 
-/* Takes a probe out of the target's budget. */
+/* Returns whether the target's budget has a probe. */
 bool
-rp_scout_may_probe(struct rp_scout_target *target, double probes_per_s,
+rp_scout_may_probe(const struct rp_scout_target *target, double probes_per_s,
                    int64_t now_ns)
 {
-    if (target->probe_ns != 0) {
-        return false;
-    }
     double gained = (double)(now_ns - target->token_ns) / 1e9 * probes_per_s;
-    target->token_ns = now_ns;
-    target->probe_tokens =
-        fmin(target->probe_tokens + gained, PROBE_BURST_S * probes_per_s);
-    if (target->probe_tokens < 1) {
-        return false;
-    }
-    target->probe_tokens -= 1;
-    return true;
+    return target->probe_ns == 0 && target->probe_tokens + gained >= 1;
 }
 
-/* Takes note of a probe on its way. */
+/* Takes a probe out of the target's budget and notes that it is on its way. */
 void
 rp_scout_probe_started(struct rp_scout_target *target,
-                       struct rp_scout_pool *pool, int64_t now_ns)
+                       struct rp_scout_pool *pool, double probes_per_s,
+                       int64_t now_ns)
 {
+    double gained = (double)(now_ns - target->token_ns) / 1e9 * probes_per_s;
+    double most = fmax(PROBE_BURST_S * probes_per_s, FIRST_PROBES);
+    target->token_ns = now_ns;
+    target->probe_tokens = fmin(target->probe_tokens + gained, most) - 1;
     target->probe_ns = now_ns;
     pool->probes++;
 }
--- a/src/scout.h
+++ b/src/scout.h
@@ -80,10 +80,11 @@
                             int64_t now_ns);
 bool rp_scout_has_room(const struct rp_scout_pool *pool);
 int64_t rp_scout_hedge_delay_ns(const struct rp_scout_pool *pool);
-bool rp_scout_may_probe(struct rp_scout_target *target, double probes_per_s,
-                        int64_t now_ns);
+bool rp_scout_may_probe(const struct rp_scout_target *target,
+                        double probes_per_s, int64_t now_ns);
 void rp_scout_probe_started(struct rp_scout_target *target,
-                            struct rp_scout_pool *pool, int64_t now_ns);
+                            struct rp_scout_pool *pool, double probes_per_s,
+                            int64_t now_ns);
 void rp_scout_probe_ended(struct rp_scout_target *target,
                           struct rp_scout_pool *pool, bool answered,
                           int64_t now_ns);
--- a/tests/test_scout.cc
+++ b/tests/test_scout.cc
@@ -141,7 +141,7 @@
         int probes = 0;
         for (int ms = 0; ms < 60000; ms++) {
             if (rp_scout_may_probe(&target, rate, ms * MS)) {
-                rp_scout_probe_started(&target, &pool, ms * MS);
+                rp_scout_probe_started(&target, &pool, rate, ms * MS);
                 rp_scout_probe_ended(&target, &pool, true, ms * MS);
                 probes++;
             }
@@ -258,6 +258,27 @@
     }
 }
 
+// Guards against calls that are sent blindly because the target that is best
+// by old news has no probe left, although others have.
+TEST_F(scout_balancer, asks_another_when_a_budget_is_used_up)
+{
+    rp_balancer_set_fleet(balancer, 2000); // two probes a target, then none
+    struct rp_balancer_verdict verdict;
+    std::vector<int> asked(3);
+    for (uint64_t id = 1; id <= 6; id++) {
+        ASSERT_EQ(offer(id), RP_BALANCER_WAIT);
+        ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
+        ASSERT_EQ(verdict.action, RP_BALANCER_PROBE) << id;
+        asked[verdict.target]++;
+        struct rp_load_report quick = report(0, 100);
+        rp_balancer_probed(balancer, verdict.target, &quick, now_ns, now_ns);
+        ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
+        EXPECT_EQ(verdict.action, RP_BALANCER_SEND);
+        now_ns += 20 * MS;
+    }
+    EXPECT_EQ(asked, std::vector<int>({2, 2, 2}));
+}
+
 // Guards against hedges beyond the budget of further attempts.
 TEST_F(scout_balancer, hedges_have_a_budget)
 {
@@ -269,6 +290,19 @@
     EXPECT_EQ(taken, 4);
 }
 
+// Guards against budgets that grow with the fleet: a hundred entry VMs have
+// the same allowance as one.
+TEST_F(scout_balancer, allowance_is_divided_by_the_fleet)
+{
+    rp_balancer_set_fleet(balancer, 100);
+    int taken = 0;
+    for (uint64_t id = 1; id <= 20; id++) {
+        taken += offer(id, RP_CALL_HEDGE) == RP_BALANCER_WAIT;
+        rp_balancer_withdraw(balancer, id, now_ns);
+    }
+    EXPECT_EQ(taken, 0); // 4 / 100 of one
+}
+
 // Guards against shares of a route that drift from their weights, and against
 // a part that is starved for long.
 TEST(split, keeps_to_its_weights)
