Send the callers of a name to five nodes of their zone

Change: a directory answer names five nodes by rendezvous hashing of name and id, those of the caller's failure domain first. Unequal machines are not weighed yet.

--- a/src/adapter.h
+++ b/src/adapter.h
@@ -8,6 +8,7 @@
  * is ready. */
 struct rp_directory_pages {
     const char *addresses_path;
+    const char *name_argument;   /* query argument: what is asked for */
     const char *domain_argument; /* query argument: the caller's own domain */
     const char *ready_path;
     /* Returns the body of an answer, which the caller frees with free. */
--- a/src/address_answer.c
+++ b/src/address_answer.c
@@ -192,3 +192,61 @@
     free(dumped);
     return text;
 }
+
+struct near_candidate {
+    uint32_t index;
+    uint32_t rank; /* smaller is better */
+    uint64_t hash;
+};
+
+static int
+compare_near(gconstpointer a, gconstpointer b)
+{
+    const struct near_candidate *left = a;
+    const struct near_candidate *right = b;
+    if (left->rank != right->rank) {
+        return left->rank < right->rank ? -1 : 1;
+    }
+    if (left->hash != right->hash) {
+        return left->hash < right->hash ? -1 : 1;
+    }
+    return 0;
+}
+
+/* Picks up to most members for callers of a name, those of their failure
+ * domain first, and returns their number. Every entry VM picks the same ones
+ * by rendezvous hashing, so that few decide for a name and know its targets
+ * well. Suspect members are picked only when there are no others. */
+uint32_t
+rp_address_nearest(const struct rp_address_member *members,
+                   uint32_t member_count, const char *name, const char *domain,
+                   uint32_t *picked, uint32_t most)
+{
+    GArray *found = g_array_new(FALSE, FALSE, sizeof(struct near_candidate));
+    uint64_t seed = XXH3_64bits(name, strlen(name));
+    for (uint32_t i = 0; i < member_count; i++) {
+        const struct rp_address_member *member = &members[i];
+        if (member->state == RP_ADDRESS_UNUSABLE) {
+            continue;
+        }
+        struct near_candidate candidate = {
+            .index = i,
+            .rank = (member->state == RP_ADDRESS_SUSPECT ? 2u : 0u) +
+                    (strcmp(member->domain, domain) != 0 ? 1u : 0u),
+            .hash = XXH3_64bits_withSeed(member->id, strlen(member->id), seed),
+        };
+        g_array_append_val(found, candidate);
+    }
+    g_array_sort(found, compare_near);
+    uint32_t count = 0;
+    for (guint i = 0; i < found->len && count < most; i++) {
+        const struct near_candidate *candidate =
+            &g_array_index(found, struct near_candidate, i);
+        if (candidate->rank >= 2 && count > 0) {
+            break;
+        }
+        picked[count++] = candidate->index;
+    }
+    g_array_unref(found);
+    return count;
+}
--- a/src/address_answer.h
+++ b/src/address_answer.h
@@ -44,6 +44,10 @@
 
 uint32_t rp_address_answer_pick(const struct rp_address_question *question,
                                 uint32_t picked[RP_ADDRESS_ANSWER_COUNT]);
+uint32_t rp_address_nearest(const struct rp_address_member *members,
+                            uint32_t member_count, const char *name,
+                            const char *domain, uint32_t *picked,
+                            uint32_t most);
 char *rp_address_answer_format(const struct rp_address_question *question);
 
 #ifdef __cplusplus
--- a/src/address_book.c
+++ b/src/address_book.c
@@ -136,32 +136,25 @@
     return list;
 }
 
-/* Lists up to most addresses of entry VMs that can serve, those of the domain
- * first, and returns their number. Suspect VMs are listed only when there are
- * no others. The strings are valid until the next message. */
+/* Lists up to most addresses of entry VMs for callers of a name, those of the
+ * domain first, and returns their number. The strings are valid until the next
+ * message. */
 uint32_t
-rp_address_book_list(struct rp_address_book *book, const char *domain,
-                     const char **addresses, uint32_t most, int64_t now_ns)
+rp_address_book_list(struct rp_address_book *book, const char *name,
+                     const char *domain, const char **addresses, uint32_t most,
+                     int64_t now_ns)
 {
     GArray *members = list_members(book, now_ns);
-    uint32_t count = 0;
-    for (int state = RP_ADDRESS_SERVING; state <= RP_ADDRESS_SUSPECT; state++)
-    {
-        if (state == RP_ADDRESS_SUSPECT && count > 0) {
-            break;
-        }
-        for (uint32_t near = 0; near < 2; near++) {
-            for (guint i = 0; i < members->len && count < most; i++) {
-                const struct rp_address_member *member =
-                    &g_array_index(members, struct rp_address_member, i);
-                bool far = strcmp(member->domain, domain) != 0;
-                if (member->state == (enum rp_address_state)state &&
-                    far == (near == 1)) {
-                    addresses[count++] = member->address;
-                }
-            }
-        }
+    uint32_t *picked = g_new(uint32_t, most);
+    uint32_t count =
+        rp_address_nearest((const struct rp_address_member *)members->data,
+                           members->len, name, domain, picked, most);
+    for (uint32_t i = 0; i < count; i++) {
+        addresses[i] =
+            g_array_index(members, struct rp_address_member, picked[i])
+                .address;
     }
+    g_free(picked);
     g_array_unref(members);
     return count;
 }
--- a/src/address_book.h
+++ b/src/address_book.h
@@ -30,9 +30,9 @@
 void rp_address_book_take(struct rp_address_book *book,
                           const struct rp_message *message);
 bool rp_address_book_ready(const struct rp_address_book *book);
-uint32_t rp_address_book_list(struct rp_address_book *book, const char *domain,
-                              const char **addresses, uint32_t most,
-                              int64_t now_ns);
+uint32_t rp_address_book_list(struct rp_address_book *book, const char *name,
+                              const char *domain, const char **addresses,
+                              uint32_t most, int64_t now_ns);
 void rp_address_book_answer(struct rp_address_book *book, const char *target,
                             int64_t now_ns, struct rp_address_reply *reply);
 
--- a/src/directory.c
+++ b/src/directory.c
@@ -5,8 +5,9 @@
 #include "address_book.h"
 #include "page_server.h"
 
-/* Addresses in one answer; callers take no more. */
-#define ADDRESSES 64
+/* Entry VMs that callers of one name and failure domain are sent to. With all
+ * of 98, each knew too little of the targets: docs/decisions.md. */
+#define ADDRESSES 5
 
 struct rp_directory {
     struct rp_task *task;
@@ -17,13 +18,13 @@
 };
 
 static void
-answer_addresses(struct rp_directory *directory, const char *domain,
-                 struct rp_page *page)
+answer_addresses(struct rp_directory *directory, const char *name,
+                 const char *domain, struct rp_page *page)
 {
     const char *addresses[ADDRESSES];
-    uint32_t count =
-        rp_address_book_list(directory->book, domain == NULL ? "" : domain,
-                             addresses, ADDRESSES, rp_loop_now_ns());
+    uint32_t count = rp_address_book_list(
+        directory->book, name == NULL ? "" : name,
+        domain == NULL ? "" : domain, addresses, ADDRESSES, rp_loop_now_ns());
     if (count == 0) {
         page->status = 503;
         return;
@@ -42,7 +43,7 @@
     struct rp_directory *directory = data;
     const struct rp_directory_pages *pages = directory->config.pages;
     if (strcmp(path, pages->addresses_path) == 0) {
-        answer_addresses(directory,
+        answer_addresses(directory, argument(connection, pages->name_argument),
                          argument(connection, pages->domain_argument), page);
     }
     else if (strcmp(path, pages->ready_path) == 0) {
--- a/src/entry.c
+++ b/src/entry.c
@@ -245,7 +245,7 @@
     int listener =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     int on = 1;
-    struct sockaddr_in bound;
+    struct sockaddr_in bound = {0};
     socklen_t bytes = sizeof(bound);
     if (listener < 0) {
         return -1;
--- a/src/record.c
+++ b/src/record.c
@@ -14,7 +14,7 @@
 #define MAX_WEIGHT 1000000
 #define MAX_ATTEMPTS 100
 #define MAX_RANK 1000
-#define MAX_HEADER_BYTES (1024 * 1024)
+#define MAX_HEADER_BYTES INT64_C(1048576)
 /* The one estate of targets that are published one by one. */
 #define SINGLE_ESTATE "published"
 
