--- a/scripts/names.sh
+++ b/scripts/names.sh
@@ -8,7 +8,7 @@
 names="$names|targetLatency|maxAttempts|healthPath"
 if git grep -nE "$names" -- src cli bench fuzz standin tests scripts \
     ':!tests/test_gateway.cc' ':!scripts/gateway_path.sh' \
-    ':!fuzz/fuzz_gateway.c' ':!standin/gateway*' ':!scripts/names.sh'
+    ':!fuzz/fuzz_gateway.c' ':!fuzz/seeds/fuzz_gateway' ':!standin/gateway*' ':!scripts/names.sh'
 then
     echo "names: the lines above belong into platform/" >&2
     exit 1
