--- a/src/balancer.c
+++ b/src/balancer.c
@@ -62,8 +62,8 @@
     uint32_t deciders =
         config->deciders > 0 ? config->deciders : config->fleet_size;
     rp_route_pool_init(&balancer->pool, MAX(deciders, 1));
-    rp_scout_pool_init(&balancer->scout);
-    balancer->scout_due_ns = INT64_MAX;
+    rp_sync_probe_pool_init(&balancer->sync_probe);
+    balancer->probe_due_ns = INT64_MAX;
     balancer->admission = rp_admission_new(config->queue_limit);
     balancer->backlog = rp_backlog_new(config->queue_limit);
     rp_length_init(&balancer->length);
@@ -113,7 +113,7 @@
     /* What joins a service in use has just started, as far as is known. */
     rp_limit_init(&fresh.limit, source->slots, balancer->configured);
     rp_outlier_init(&fresh.outlier);
-    rp_scout_init(&fresh.scout, now_ns);
+    rp_sync_probe_init(&fresh.sync_probe, now_ns);
     g_array_append_val(balancer->targets, fresh);
     return balancer_get(balancer, balancer->targets->len - 1);
 }
@@ -124,13 +124,14 @@
 replace_instance(struct rp_balancer *balancer, struct balancer_target *target,
                  const struct rp_target *source, int64_t now_ns)
 {
-    rp_scout_probe_ended(&target->scout, &balancer->scout, false, now_ns);
+    rp_sync_probe_ended(&target->sync_probe, &balancer->sync_probe, false,
+                        now_ns);
     g_free(target->instance);
     target->instance = g_strdup(source->instance);
     target->reported_draining = false;
     rp_limit_init(&target->limit, source->slots, true);
     rp_outlier_init(&target->outlier);
-    rp_scout_init(&target->scout, now_ns);
+    rp_sync_probe_init(&target->sync_probe, now_ns);
 }
 
 /* Takes over the targets of a service; those known by address keep their
@@ -223,7 +224,7 @@
                bool is_long)
 {
     int64_t base_ns = NO_TARGET_RETRY_NS;
-    if (refusal != RP_REFUSAL_NO_TARGET && balancer->scout.active) {
+    if (refusal != RP_REFUSAL_NO_TARGET && balancer->sync_probe.active) {
         base_ns = rp_backlog_wait_ns(balancer->backlog);
     }
     else if (refusal != RP_REFUSAL_NO_TARGET) {
@@ -262,14 +263,17 @@
 {
     struct balancer_target *target = balancer_get(balancer, index);
     rp_route_sent(&target->route, is_long, now_ns);
-    verdict->slowness =
-        rp_scout_slowness(&target->scout, &balancer->scout, now_ns);
-    verdict->load = rp_scout_load(&target->scout, &balancer->scout,
-                                  target->route.slots, now_ns);
-    verdict->crowded = rp_scout_is_crowded(verdict->load, target->route.slots);
-    verdict->report_age_ns =
-        target->scout.reported ? now_ns - target->scout.report_ns : -1;
-    rp_scout_sent(&target->scout, now_ns);
+    verdict->slowness = rp_sync_probe_slowness(&target->sync_probe,
+                                               &balancer->sync_probe, now_ns);
+    verdict->load =
+        rp_sync_probe_load(&target->sync_probe, &balancer->sync_probe,
+                           target->route.slots, now_ns);
+    verdict->crowded =
+        rp_sync_probe_is_crowded(verdict->load, target->route.slots);
+    verdict->report_age_ns = target->sync_probe.reported
+                                 ? now_ns - target->sync_probe.report_ns
+                                 : -1;
+    rp_sync_probe_sent(&target->sync_probe, now_ns);
     rp_estate_share_sent(&balancer->shares, target->estate);
     target->sent++;
     balancer->own_total++;
@@ -294,8 +298,8 @@
 static bool
 within_budget(struct rp_balancer *balancer, uint32_t flags, int64_t now_ns)
 {
-    if ((flags & RP_CALL_HEDGE) != 0 && balancer->scout.active) {
-        return rp_scout_has_room(&balancer->scout) &&
+    if ((flags & RP_CALL_HEDGE) != 0 && balancer->sync_probe.active) {
+        return rp_sync_probe_has_room(&balancer->sync_probe) &&
                rp_retry_budget_take(&balancer->retries, now_ns);
     }
     if ((flags & RP_CALL_HEDGE) != 0) {
@@ -312,9 +316,8 @@
 
 /* Queues a call whose target is asked first. */
 static void
-offer_scouted(struct rp_balancer *balancer,
-              const struct rp_balancer_call *call, int64_t now_ns,
-              struct rp_balancer_verdict *verdict)
+offer_probed(struct rp_balancer *balancer, const struct rp_balancer_call *call,
+             int64_t now_ns, struct rp_balancer_verdict *verdict)
 {
     if (!any_usable(balancer)) {
         refuse(balancer, RP_REFUSAL_NO_TARGET, false, verdict);
@@ -322,9 +325,9 @@
     }
     struct rp_balancer_call waiting = *call;
     waiting.offered_ns = now_ns;
-    enum rp_refusal refusal =
-        rp_backlog_offer(balancer->backlog, &waiting,
-                         rp_scout_usual_ns(&balancer->scout), now_ns);
+    enum rp_refusal refusal = rp_backlog_offer(
+        balancer->backlog, &waiting,
+        rp_sync_probe_usual_ns(&balancer->sync_probe), now_ns);
     verdict->action = RP_BALANCER_WAIT;
     if (refusal != RP_REFUSAL_NONE) {
         refuse(balancer, refusal, false, verdict);
@@ -333,19 +336,19 @@
 
 /* Takes the next step for the calls that wait for a target to be found. */
 static bool
-next_scouted(struct rp_balancer *balancer, int64_t now_ns,
-             struct rp_balancer_verdict *verdict)
+next_probed(struct rp_balancer *balancer, int64_t now_ns,
+            struct rp_balancer_verdict *verdict)
 {
     const struct rp_balancer_call *call =
         rp_backlog_peek(balancer->backlog, now_ns);
-    balancer->scout_due_ns = INT64_MAX;
+    balancer->probe_due_ns = INT64_MAX;
     if (call == NULL) {
         return false;
     }
     uint32_t target = RP_BALANCER_NO_TARGET;
-    enum rp_balancer_action action =
-        rp_balancer_scout(balancer, call, rp_backlog_count(balancer->backlog),
-                          now_ns, &target, &balancer->scout_due_ns);
+    enum rp_balancer_action action = rp_balancer_sync_probe(
+        balancer, call, rp_backlog_count(balancer->backlog), now_ns, &target,
+        &balancer->probe_due_ns);
     if (action == RP_BALANCER_WAIT) {
         return false;
     }
@@ -377,8 +380,8 @@
         return;
     }
     bool hedge = (call->flags & RP_CALL_HEDGE) != 0;
-    if (balancer->scout.active) {
-        offer_scouted(balancer, call, now_ns, verdict);
+    if (balancer->sync_probe.active) {
+        offer_probed(balancer, call, now_ns, verdict);
         return;
     }
     if (hedge || rp_admission_count(balancer->admission, queue_class) == 0) {
@@ -418,8 +421,8 @@
         refuse(balancer, RP_REFUSAL_DEADLINE, is_long, verdict);
         return true;
     }
-    if (balancer->scout.active) {
-        return next_scouted(balancer, now_ns, verdict);
+    if (balancer->sync_probe.active) {
+        return next_probed(balancer, now_ns, verdict);
     }
     for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
         const struct rp_balancer_call *call =
@@ -464,7 +467,7 @@
 {
     int64_t due_ns = MIN(rp_admission_due_ns(balancer->admission),
                          rp_backlog_due_ns(balancer->backlog));
-    return MIN(due_ns, balancer->scout_due_ns);
+    return MIN(due_ns, balancer->probe_due_ns);
 }
 
 /* Returns after which time without an answer a hedge is worth while, or
@@ -479,8 +482,8 @@
     {
         return INT64_MAX;
     }
-    return balancer->scout.active
-               ? rp_scout_hedge_delay_ns(&balancer->scout)
+    return balancer->sync_probe.active
+               ? rp_sync_probe_hedge_delay_ns(&balancer->sync_probe)
                : rp_hedge_delay_ns(&balancer->hedge, used_share(balancer));
 }
 
@@ -504,8 +507,9 @@
         return;
     }
     rp_hedge_note_response(&balancer->hedge, response_ns);
-    rp_scout_answered(&target->scout, &balancer->scout, report->slowness,
-                      report->crowded, response_ns, now_ns);
+    rp_sync_probe_answered(&target->sync_probe, &balancer->sync_probe,
+                           report->slowness, report->crowded, response_ns,
+                           now_ns);
     rp_route_answered(&target->route, &balancer->pool, response_ns, now_ns);
     double used = target->route.in_flight +
                   rp_route_others(&target->route, &balancer->pool, now_ns);
@@ -598,8 +602,8 @@
         return;
     }
     target->reported_draining = load->state == RP_TARGET_DRAINING;
-    rp_scout_reported(&target->scout, &balancer->scout, load, now_ns - age_ns,
-                      now_ns - age_ns);
+    rp_sync_probe_reported(&target->sync_probe, &balancer->sync_probe, load,
+                           now_ns - age_ns, now_ns - age_ns);
     rp_route_reported(&target->route, &balancer->pool, load, age_ns, now_ns);
 }
 
--- a/src/balancer_private.h
+++ b/src/balancer_private.h
@@ -15,11 +15,11 @@
 #include "outlier.h"
 #include "retry_budget.h"
 #include "route.h"
-#include "scout.h"
+#include "sync_probe.h"
 
 struct balancer_target {
     struct rp_route_target route;
-    struct rp_scout_target scout;
+    struct rp_sync_probe_target sync_probe;
     struct rp_limit limit;
     struct rp_outlier outlier;
     uint32_t estate; /* index in the shares in force */
@@ -41,9 +41,9 @@
     enum rp_length_class length_class;
     GRand *random;
     struct rp_route_pool pool;
-    struct rp_scout_pool scout;
+    struct rp_sync_probe_pool sync_probe;
     double own_probes_per_s; /* share of the budget of one target */
-    int64_t scout_due_ns;    /* when the search for a target goes on */
+    int64_t probe_due_ns;    /* when the search for a target goes on */
     struct rp_estate_share shares;
     struct rp_length length;
     struct rp_retry_budget retries;
@@ -71,9 +71,9 @@
                             const struct rp_balancer_call *call, bool is_long,
                             int64_t now_ns);
 
-enum rp_balancer_action rp_balancer_scout(struct rp_balancer *balancer,
-                                          const struct rp_balancer_call *call,
-                                          uint32_t waiting, int64_t now_ns,
-                                          uint32_t *target, int64_t *due_ns);
+enum rp_balancer_action
+rp_balancer_sync_probe(struct rp_balancer *balancer,
+                       const struct rp_balancer_call *call, uint32_t waiting,
+                       int64_t now_ns, uint32_t *target, int64_t *due_ns);
 
 #endif
--- a/src/balancer_scout.c
+++ b/src/balancer_sync_probe.c
@@ -44,33 +44,35 @@
          struct scan *scan)
 {
     const struct balancer_target *target = balancer_get(balancer, index);
-    const struct rp_scout_pool *pool = &balancer->scout;
+    const struct rp_sync_probe_pool *pool = &balancer->sync_probe;
     double slots = target->route.slots;
-    double load = rp_scout_load(&target->scout, pool, slots, now_ns);
+    double load = rp_sync_probe_load(&target->sync_probe, pool, slots, now_ns);
     double expected =
-        rp_scout_expected_ns(&target->scout, pool, slots, now_ns) +
+        rp_sync_probe_expected_ns(&target->sync_probe, pool, slots, now_ns) +
         target->route.domain_ns;
-    bool resting = target->scout.failures > 0 &&
-                   now_ns - target->scout.failed_ns < FAILED_REST_NS;
-    bool fresh = rp_scout_is_fresh(&target->scout, now_ns);
+    bool resting = target->sync_probe.failures > 0 &&
+                   now_ns - target->sync_probe.failed_ns < FAILED_REST_NS;
+    bool fresh = rp_sync_probe_is_fresh(&target->sync_probe, now_ns);
     if (resting) {
         return;
     }
     if (fresh && load + 1 <= slots &&
-        expected <= RP_SCOUT_QUICK * rp_scout_usual_ns(pool) +
+        expected <= RP_SYNC_PROBE_QUICK * rp_sync_probe_usual_ns(pool) +
                         target->route.domain_ns &&
         expected < scan->quick_ns)
     {
         scan->quick = index;
         scan->quick_ns = expected;
     }
-    if (load + 1 <= rp_scout_most_load(pool, slots) && expected < scan->any_ns)
+    if (load + 1 <= rp_sync_probe_most_load(pool, slots) &&
+        expected < scan->any_ns)
     {
         scan->any = index;
         scan->any_ns = expected;
     }
     if (!fresh && expected < scan->unknown_ns &&
-        rp_scout_may_probe(&target->scout, balancer->own_probes_per_s, now_ns))
+        rp_sync_probe_may_probe(&target->sync_probe,
+                                balancer->own_probes_per_s, now_ns))
     {
         scan->unknown = index;
         scan->unknown_ns = expected;
@@ -103,9 +105,9 @@
 /* Decides what is to be done for the call that is next: send it to a target,
  * ask a target, or wait until due_ns at the latest. */
 enum rp_balancer_action
-rp_balancer_scout(struct rp_balancer *balancer,
-                  const struct rp_balancer_call *call, uint32_t waiting,
-                  int64_t now_ns, uint32_t *target, int64_t *due_ns)
+rp_balancer_sync_probe(struct rp_balancer *balancer,
+                       const struct rp_balancer_call *call, uint32_t waiting,
+                       int64_t now_ns, uint32_t *target, int64_t *due_ns)
 {
     struct scan scan = {RP_BALANCER_NO_TARGET, INFINITY,
                         RP_BALANCER_NO_TARGET, INFINITY,
@@ -132,15 +134,17 @@
     }
     *due_ns = now_ns < until_ns ? until_ns : now_ns + RETRY_NS;
     uint32_t most = waiting < PROBES_AT_ONCE ? waiting : PROBES_AT_ONCE;
-    if (scan.unknown != RP_BALANCER_NO_TARGET && balancer->scout.probes < most)
+    if (scan.unknown != RP_BALANCER_NO_TARGET &&
+        balancer->sync_probe.probes < most)
     {
         struct balancer_target *asked = balancer_get(balancer, scan.unknown);
-        rp_scout_probe_started(&asked->scout, &balancer->scout,
-                               balancer->own_probes_per_s, now_ns);
+        rp_sync_probe_started(&asked->sync_probe, &balancer->sync_probe,
+                              balancer->own_probes_per_s, now_ns);
         *target = scan.unknown;
         return RP_BALANCER_PROBE;
     }
-    if (balancer->scout.probes == 0 && scan.any != RP_BALANCER_NO_TARGET) {
+    if (balancer->sync_probe.probes == 0 && scan.any != RP_BALANCER_NO_TARGET)
+    {
         *target = scan.any; /* nobody is left to be asked */
         return RP_BALANCER_SEND;
     }
@@ -154,10 +158,10 @@
                    int64_t now_ns)
 {
     struct balancer_target *entry = balancer_get(balancer, target);
-    rp_scout_probe_ended(&entry->scout, &balancer->scout, load != NULL,
-                         now_ns);
+    rp_sync_probe_ended(&entry->sync_probe, &balancer->sync_probe,
+                        load != NULL, now_ns);
     if (load != NULL) {
-        rp_scout_reported(&entry->scout, &balancer->scout, load, sent_ns,
-                          now_ns);
+        rp_sync_probe_reported(&entry->sync_probe, &balancer->sync_probe, load,
+                               sent_ns, now_ns);
     }
 }
--- a/src/scout.c
+++ b/src/sync_probe.c
@@ -1,4 +1,4 @@
-#include "scout.h"
+#include "sync_probe.h"
 
 #include <math.h>
 #include <string.h>
@@ -30,7 +30,7 @@
 
 /* Starts without knowledge of the service. */
 void
-rp_scout_pool_init(struct rp_scout_pool *pool)
+rp_sync_probe_pool_init(struct rp_sync_probe_pool *pool)
 {
     memset(pool, 0, sizeof(*pool));
     pool->slowness = 1;
@@ -39,7 +39,7 @@
 
 /* Starts without knowledge of the target. */
 void
-rp_scout_init(struct rp_scout_target *target, int64_t now_ns)
+rp_sync_probe_init(struct rp_sync_probe_target *target, int64_t now_ns)
 {
     memset(target, 0, sizeof(*target));
     target->slowness = 1;
@@ -56,9 +56,10 @@
 
 /* Takes over a report that a request sent at sent_ns brought. */
 void
-rp_scout_reported(struct rp_scout_target *target, struct rp_scout_pool *pool,
-                  const struct rp_load_report *load, int64_t sent_ns,
-                  int64_t now_ns)
+rp_sync_probe_reported(struct rp_sync_probe_target *target,
+                       struct rp_sync_probe_pool *pool,
+                       const struct rp_load_report *load, int64_t sent_ns,
+                       int64_t now_ns)
 {
     if (load->slowness_percent == 0) {
         return;
@@ -79,17 +80,18 @@
 
 /* Takes note of a request sent to the target. */
 void
-rp_scout_sent(struct rp_scout_target *target, int64_t now_ns)
+rp_sync_probe_sent(struct rp_sync_probe_target *target, int64_t now_ns)
 {
-    target->sends_ns[target->send_count++ % RP_SCOUT_SENDS] = now_ns;
+    target->sends_ns[target->send_count++ % RP_SYNC_PROBE_SENDS] = now_ns;
 }
 
 /* Takes note of the time of an answer to a request that was sent to a target
  * of the given slowness. */
 void
-rp_scout_answered(struct rp_scout_target *target, struct rp_scout_pool *pool,
-                  double expected_slowness, bool crowded, int64_t response_ns,
-                  int64_t now_ns)
+rp_sync_probe_answered(struct rp_sync_probe_target *target,
+                       struct rp_sync_probe_pool *pool,
+                       double expected_slowness, bool crowded,
+                       int64_t response_ns, int64_t now_ns)
 {
     double usual = (double)response_ns / fmax(expected_slowness, 0.1);
     if (crowded && pool->samples >= FIRST_SAMPLES) {
@@ -112,7 +114,7 @@
 
 /* Returns whether one more request crowds a target with that load. */
 bool
-rp_scout_is_crowded(double load, double slots)
+rp_sync_probe_is_crowded(double load, double slots)
 {
     return load + 1 > CROWDED_SHARE * slots;
 }
@@ -121,7 +123,7 @@
  * slots, or fewer where a crowded target does less work in all than one that
  * is not. */
 double
-rp_scout_most_load(const struct rp_scout_pool *pool, double slots)
+rp_sync_probe_most_load(const struct rp_sync_probe_pool *pool, double slots)
 {
     double uncrowded = floor(CROWDED_SHARE * slots);
     if (uncrowded >= 1 && pool->crowded_cost * uncrowded > slots) {
@@ -132,42 +134,46 @@
 
 /* Returns the time of a call at usual speed, also before the first answer. */
 double
-rp_scout_usual_ns(const struct rp_scout_pool *pool)
+rp_sync_probe_usual_ns(const struct rp_sync_probe_pool *pool)
 {
     return pool->samples > 0 ? pool->usual_ns : UNKNOWN_USUAL_NS;
 }
 
 /* Returns whether the report is worth following without asking again. */
 bool
-rp_scout_is_fresh(const struct rp_scout_target *target, int64_t now_ns)
+rp_sync_probe_is_fresh(const struct rp_sync_probe_target *target,
+                       int64_t now_ns)
 {
-    return target->reported && now_ns - target->report_ns <= RP_SCOUT_FRESH_NS;
+    return target->reported &&
+           now_ns - target->report_ns <= RP_SYNC_PROBE_FRESH_NS;
 }
 
 static double
-report_weight(const struct rp_scout_target *target, int64_t now_ns)
+report_weight(const struct rp_sync_probe_target *target, int64_t now_ns)
 {
     if (!target->reported) {
         return 0;
     }
     double age_ns = (double)(now_ns - target->report_ns);
-    return exp(-age_ns / (double)RP_SCOUT_MEMORY_NS);
+    return exp(-age_ns / (double)RP_SYNC_PROBE_MEMORY_NS);
 }
 
 /* Estimates the requests at the target: those of the report, which are
  * forgotten in favour of the mean of the service, and own ones since. */
 double
-rp_scout_load(const struct rp_scout_target *target,
-              const struct rp_scout_pool *pool, double slots, int64_t now_ns)
+rp_sync_probe_load(const struct rp_sync_probe_target *target,
+                   const struct rp_sync_probe_pool *pool, double slots,
+                   int64_t now_ns)
 {
     double weight = report_weight(target, now_ns);
     uint32_t since = 0;
-    uint32_t count = target->send_count < RP_SCOUT_SENDS ? target->send_count
-                                                         : RP_SCOUT_SENDS;
-    int64_t from_ns =
-        target->reported ? target->report_ns : now_ns - RP_SCOUT_MEMORY_NS;
-    if (now_ns - from_ns > RP_SCOUT_MEMORY_NS) {
-        from_ns = now_ns - RP_SCOUT_MEMORY_NS;
+    uint32_t count = target->send_count < RP_SYNC_PROBE_SENDS
+                         ? target->send_count
+                         : RP_SYNC_PROBE_SENDS;
+    int64_t from_ns = target->reported ? target->report_ns
+                                       : now_ns - RP_SYNC_PROBE_MEMORY_NS;
+    if (now_ns - from_ns > RP_SYNC_PROBE_MEMORY_NS) {
+        from_ns = now_ns - RP_SYNC_PROBE_MEMORY_NS;
     }
     for (uint32_t i = 0; i < count; i++) {
         since += target->sends_ns[i] >= from_ns ? 1 : 0;
@@ -178,8 +184,8 @@
 
 /* Estimates how slow a call would be that started now; 1 is usual. */
 double
-rp_scout_slowness(const struct rp_scout_target *target,
-                  const struct rp_scout_pool *pool, int64_t now_ns)
+rp_sync_probe_slowness(const struct rp_sync_probe_target *target,
+                       const struct rp_sync_probe_pool *pool, int64_t now_ns)
 {
     double weight = report_weight(target, now_ns);
     return weight * target->slowness + (1 - weight) * pool->slowness;
@@ -188,20 +194,20 @@
 /* Returns the expected time until an answer: the time of a call, longer on a
  * slow or crowded target, and the wait for a slot. */
 double
-rp_scout_expected_ns(const struct rp_scout_target *target,
-                     const struct rp_scout_pool *pool, double slots,
-                     int64_t now_ns)
+rp_sync_probe_expected_ns(const struct rp_sync_probe_target *target,
+                          const struct rp_sync_probe_pool *pool, double slots,
+                          int64_t now_ns)
 {
-    double usual = rp_scout_usual_ns(pool);
-    double load = rp_scout_load(target, pool, slots, now_ns);
-    double run = usual * rp_scout_slowness(target, pool, now_ns);
+    double usual = rp_sync_probe_usual_ns(pool);
+    double load = rp_sync_probe_load(target, pool, slots, now_ns);
+    double run = usual * rp_sync_probe_slowness(target, pool, now_ns);
     double trust =
         exp(-(double)(now_ns - target->excess_ns) / EXCESS_MEMORY_NS);
     double excess = 1 + trust * (target->excess - 1);
     if (excess > 1.5) {
         run *= excess;
     }
-    if (rp_scout_is_crowded(load, slots)) {
+    if (rp_sync_probe_is_crowded(load, slots)) {
         run *= pool->crowded_cost;
     }
     double behind = fmax(load + 1 - slots, 0);
@@ -210,7 +216,7 @@
 
 /* Returns whether hedges leave enough slots to fresh calls. */
 bool
-rp_scout_has_room(const struct rp_scout_pool *pool)
+rp_sync_probe_has_room(const struct rp_sync_probe_pool *pool)
 {
     return pool->crowding < HEDGE_MOST_CROWDED;
 }
@@ -218,7 +224,7 @@
 /* Returns after how long without an answer a call to a quick target is better
  * tried at another one, or INT64_MAX when that is not known. */
 int64_t
-rp_scout_hedge_delay_ns(const struct rp_scout_pool *pool)
+rp_sync_probe_hedge_delay_ns(const struct rp_sync_probe_pool *pool)
 {
     if (pool->samples < FIRST_SAMPLES) {
         return INT64_MAX;
@@ -228,8 +234,8 @@
 
 /* Returns whether the target's budget has a probe. */
 bool
-rp_scout_may_probe(const struct rp_scout_target *target, double probes_per_s,
-                   int64_t now_ns)
+rp_sync_probe_may_probe(const struct rp_sync_probe_target *target,
+                        double probes_per_s, int64_t now_ns)
 {
     double gained = (double)(now_ns - target->token_ns) / 1e9 * probes_per_s;
     return target->probe_ns == 0 && target->probe_tokens + gained >= 1;
@@ -237,9 +243,9 @@
 
 /* Takes a probe out of the target's budget and notes that it is on its way. */
 void
-rp_scout_probe_started(struct rp_scout_target *target,
-                       struct rp_scout_pool *pool, double probes_per_s,
-                       int64_t now_ns)
+rp_sync_probe_started(struct rp_sync_probe_target *target,
+                      struct rp_sync_probe_pool *pool, double probes_per_s,
+                      int64_t now_ns)
 {
     double gained = (double)(now_ns - target->token_ns) / 1e9 * probes_per_s;
     double most = fmax(PROBE_BURST_S * probes_per_s, FIRST_PROBES);
@@ -251,8 +257,9 @@
 
 /* Takes note of the end of a probe. */
 void
-rp_scout_probe_ended(struct rp_scout_target *target,
-                     struct rp_scout_pool *pool, bool answered, int64_t now_ns)
+rp_sync_probe_ended(struct rp_sync_probe_target *target,
+                    struct rp_sync_probe_pool *pool, bool answered,
+                    int64_t now_ns)
 {
     if (target->probe_ns != 0 && pool->probes > 0) {
         pool->probes--;
--- a/src/upstream_probe.c
+++ b/src/upstream_probe.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "scout.h"
+#include "sync_probe.h"
 #include "upstream_attempt.h"
 
 /* A probe's answer is its head; more of a body than this fails the probe. */
@@ -59,13 +59,13 @@
         return g_ptr_array_remove_index_fast(probes->idle,
                                              probes->idle->len - 1);
     }
-    CURL *easy = rp_upstream_easy_new(RP_SCOUT_TIMEOUT_NS / 1000000);
+    CURL *easy = rp_upstream_easy_new(RP_SYNC_PROBE_TIMEOUT_NS / 1000000);
     curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, NULL);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                     (long)(RP_SCOUT_TIMEOUT_NS / 1000000));
+                     (long)(RP_SYNC_PROBE_TIMEOUT_NS / 1000000));
     return easy;
 }
 
--- a/tests/test_scout.cc
+++ b/tests/test_sync_probe.cc
@@ -3,8 +3,8 @@
 #include <vector>
 
 #include "balancer.h"
-#include "scout.h"
 #include "split.h"
+#include "sync_probe.h"
 
 namespace {
 
@@ -20,11 +20,11 @@
     return load;
 }
 
-struct rp_scout_pool
+struct rp_sync_probe_pool
 learned_pool()
 {
-    struct rp_scout_pool pool;
-    rp_scout_pool_init(&pool);
+    struct rp_sync_probe_pool pool;
+    rp_sync_probe_pool_init(&pool);
     pool.active = true;
     pool.usual_ns = 100.0 * MS;
     pool.samples = 100;
@@ -35,7 +35,7 @@
 
 // Guards against work for a target that is slow, crowded or full at the
 // moment when another one is quick.
-TEST(scout, expected_time_orders_targets)
+TEST(sync_probe, expected_time_orders_targets)
 {
     struct {
         const char *what;
@@ -50,17 +50,17 @@
         {"idle and slow", 0, 500, 0},
         {"full and slow", 12, 500, 0},
     };
-    struct rp_scout_pool pool = learned_pool();
+    struct rp_sync_probe_pool pool = learned_pool();
     double before = 0;
     for (const auto &entry : quick_to_slow) {
-        struct rp_scout_target target;
-        rp_scout_init(&target, 0);
+        struct rp_sync_probe_target target;
+        rp_sync_probe_init(&target, 0);
         struct rp_load_report load =
             report(entry.running, entry.slowness_percent);
-        struct rp_scout_pool unused = pool;
-        rp_scout_reported(&target, &unused, &load, 0, 0);
+        struct rp_sync_probe_pool unused = pool;
+        rp_sync_probe_reported(&target, &unused, &load, 0, 0);
         double expected =
-            rp_scout_expected_ns(&target, &pool, 6, entry.age_ms * MS);
+            rp_sync_probe_expected_ns(&target, &pool, 6, entry.age_ms * MS);
         EXPECT_GT(expected, before) << entry.what;
         before = expected;
     }
@@ -68,81 +68,81 @@
 
 // Guards against a clump of calls that all go to the target that was found
 // idle last: own calls since the report count.
-TEST(scout, own_calls_count_until_the_next_report)
+TEST(sync_probe, own_calls_count_until_the_next_report)
 {
-    struct rp_scout_pool pool = learned_pool();
-    struct rp_scout_target target;
-    rp_scout_init(&target, 0);
+    struct rp_sync_probe_pool pool = learned_pool();
+    struct rp_sync_probe_target target;
+    rp_sync_probe_init(&target, 0);
     struct rp_load_report load = report(1, 100);
-    rp_scout_reported(&target, &pool, &load, 0, 10 * MS);
-    EXPECT_NEAR(rp_scout_load(&target, &pool, 6, 10 * MS), 1, 0.01);
+    rp_sync_probe_reported(&target, &pool, &load, 0, 10 * MS);
+    EXPECT_NEAR(rp_sync_probe_load(&target, &pool, 6, 10 * MS), 1, 0.01);
     for (int i = 0; i < 3; i++) {
-        rp_scout_sent(&target, 11 * MS);
+        rp_sync_probe_sent(&target, 11 * MS);
     }
-    EXPECT_NEAR(rp_scout_load(&target, &pool, 6, 11 * MS), 4, 0.1);
-    rp_scout_reported(&target, &pool, &load, 0, 12 * MS);
-    EXPECT_NEAR(rp_scout_load(&target, &pool, 6, 12 * MS), 1, 0.01);
+    EXPECT_NEAR(rp_sync_probe_load(&target, &pool, 6, 11 * MS), 4, 0.1);
+    rp_sync_probe_reported(&target, &pool, &load, 0, 12 * MS);
+    EXPECT_NEAR(rp_sync_probe_load(&target, &pool, 6, 12 * MS), 1, 0.01);
 }
 
 // Guards against a target whose answers take long although it says that it is
 // quick.
-TEST(scout, answers_go_before_reports)
+TEST(sync_probe, answers_go_before_reports)
 {
-    struct rp_scout_pool pool = learned_pool();
-    struct rp_scout_target slow;
-    struct rp_scout_target usual;
-    rp_scout_init(&slow, 0);
-    rp_scout_init(&usual, 0);
+    struct rp_sync_probe_pool pool = learned_pool();
+    struct rp_sync_probe_target slow;
+    struct rp_sync_probe_target usual;
+    rp_sync_probe_init(&slow, 0);
+    rp_sync_probe_init(&usual, 0);
     struct rp_load_report load = report(0, 100);
     for (int i = 0; i < 5; i++) {
-        rp_scout_answered(&slow, &pool, 1, false, 600 * MS, i * MS);
-        rp_scout_answered(&usual, &pool, 1, false, 100 * MS, i * MS);
+        rp_sync_probe_answered(&slow, &pool, 1, false, 600 * MS, i * MS);
+        rp_sync_probe_answered(&usual, &pool, 1, false, 100 * MS, i * MS);
     }
-    rp_scout_reported(&slow, &pool, &load, 0, 5 * MS);
-    rp_scout_reported(&usual, &pool, &load, 0, 5 * MS);
-    EXPECT_GT(rp_scout_expected_ns(&slow, &pool, 6, 5 * MS),
-              2 * rp_scout_expected_ns(&usual, &pool, 6, 5 * MS));
+    rp_sync_probe_reported(&slow, &pool, &load, 0, 5 * MS);
+    rp_sync_probe_reported(&usual, &pool, &load, 0, 5 * MS);
+    EXPECT_GT(rp_sync_probe_expected_ns(&slow, &pool, 6, 5 * MS),
+              2 * rp_sync_probe_expected_ns(&usual, &pool, 6, 5 * MS));
     // It is tried again when the answers are old.
-    EXPECT_LT(rp_scout_expected_ns(&slow, &pool, 6, 8000 * MS),
-              1.2 * rp_scout_expected_ns(&usual, &pool, 6, 8000 * MS));
+    EXPECT_LT(rp_sync_probe_expected_ns(&slow, &pool, 6, 8000 * MS),
+              1.2 * rp_sync_probe_expected_ns(&usual, &pool, 6, 8000 * MS));
 }
 
 // Guards against targets that are filled although they do less then: above
 // four of six requests each takes twice as long.
-TEST(scout, learns_what_crowding_costs)
+TEST(sync_probe, learns_what_crowding_costs)
 {
     struct {
         double cost;
         double most; // requests to a target of six slots
     } cases[] = {{1.0, 7}, {1.3, 7}, {1.8, 4}, {2.5, 4}};
     for (const auto &entry : cases) {
-        struct rp_scout_pool pool = learned_pool();
-        struct rp_scout_target target;
-        rp_scout_init(&target, 0);
+        struct rp_sync_probe_pool pool = learned_pool();
+        struct rp_sync_probe_target target;
+        rp_sync_probe_init(&target, 0);
         for (int i = 0; i < 300; i++) {
             bool crowded = i % 3 == 0;
             int64_t usual_ms = 90 + i % 20;
-            rp_scout_answered(
+            rp_sync_probe_answered(
                 &target, &pool, 1, crowded,
                 (int64_t)((crowded ? entry.cost : 1) * usual_ms * MS), i * MS);
         }
-        EXPECT_EQ(rp_scout_most_load(&pool, 6), entry.most) << entry.cost;
+        EXPECT_EQ(rp_sync_probe_most_load(&pool, 6), entry.most) << entry.cost;
         EXPECT_NEAR(pool.usual_ns / MS, 100, 15) << entry.cost;
     }
 }
 
 // Guards against more probes of a target than its budget in any time.
-TEST(scout, probes_keep_to_their_rate)
+TEST(sync_probe, probes_keep_to_their_rate)
 {
     for (double rate : {0.5, 4.0, 30.0}) {
-        struct rp_scout_target target;
-        struct rp_scout_pool pool = learned_pool();
-        rp_scout_init(&target, 0);
+        struct rp_sync_probe_target target;
+        struct rp_sync_probe_pool pool = learned_pool();
+        rp_sync_probe_init(&target, 0);
         int probes = 0;
         for (int ms = 0; ms < 60000; ms++) {
-            if (rp_scout_may_probe(&target, rate, ms * MS)) {
-                rp_scout_probe_started(&target, &pool, rate, ms * MS);
-                rp_scout_probe_ended(&target, &pool, true, ms * MS);
+            if (rp_sync_probe_may_probe(&target, rate, ms * MS)) {
+                rp_sync_probe_started(&target, &pool, rate, ms * MS);
+                rp_sync_probe_ended(&target, &pool, true, ms * MS);
                 probes++;
             }
         }
@@ -151,9 +151,9 @@
     }
 }
 
-class scout_balancer : public ::testing::Test {
+class sync_probe_balancer : public ::testing::Test {
   protected:
-    scout_balancer()
+    sync_probe_balancer()
     {
         struct rp_balancer_config config = {};
         config.domain = "d0";
@@ -179,7 +179,7 @@
         now_ns = 1000 * MS; // the report is old by now
     }
 
-    ~scout_balancer() override
+    ~sync_probe_balancer() override
     {
         rp_balancer_free(balancer);
         rp_snapshot_unref(snapshot);
@@ -204,7 +204,7 @@
 
 // Guards against calls that start on a machine that is slow at the moment:
 // the call goes to the first target that says that it is quick.
-TEST_F(scout_balancer, sends_to_the_first_quick_target)
+TEST_F(sync_probe_balancer, sends_to_the_first_quick_target)
 {
     struct rp_balancer_verdict verdict;
     EXPECT_EQ(offer(1), RP_BALANCER_WAIT);
@@ -229,7 +229,7 @@
 
 // Guards against a search that holds a call back when every target is slow or
 // does not answer probes.
-TEST_F(scout_balancer, search_ends_in_time)
+TEST_F(sync_probe_balancer, search_ends_in_time)
 {
     for (bool answers : {false, true}) {
         struct rp_balancer_verdict verdict;
@@ -260,7 +260,7 @@
 
 // Guards against calls that are sent blindly because the target that is best
 // by old news has no probe left, although others have.
-TEST_F(scout_balancer, asks_another_when_a_budget_is_used_up)
+TEST_F(sync_probe_balancer, asks_another_when_a_budget_is_used_up)
 {
     rp_balancer_set_fleet(balancer, 2000); // two probes a target, then none
     struct rp_balancer_verdict verdict;
@@ -280,7 +280,7 @@
 }
 
 // Guards against hedges beyond the budget of further attempts.
-TEST_F(scout_balancer, hedges_have_a_budget)
+TEST_F(sync_probe_balancer, hedges_have_a_budget)
 {
     int taken = 0;
     for (uint64_t id = 1; id <= 20; id++) {
@@ -293,7 +293,7 @@
 // Guards against requests that name the target that had an address before, and
 // against its faults being held against the new one; the probe that was on its
 // way does not count for ever.
-TEST_F(scout_balancer, address_of_another_target)
+TEST_F(sync_probe_balancer, address_of_another_target)
 {
     struct rp_balancer_verdict verdict;
     EXPECT_EQ(offer(1), RP_BALANCER_WAIT);
@@ -319,7 +319,7 @@
 
 // Guards against budgets that grow with the fleet: a hundred entry VMs have
 // the same allowance as one.
-TEST_F(scout_balancer, allowance_is_divided_by_the_fleet)
+TEST_F(sync_probe_balancer, allowance_is_divided_by_the_fleet)
 {
     rp_balancer_set_fleet(balancer, 100);
     int taken = 0;
