--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 demo: build
 	scripts/demo.sh $(BUILD)
+	scripts/gateway_path.sh $(BUILD)
 
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
--- a/src/balancer_choose.c
+++ b/src/balancer_choose.c
@@ -36,17 +36,6 @@
     enum rank estate_rank[RP_SNAPSHOT_ESTATES];
 };
 
-static bool
-is_avoided(const struct rp_balancer_call *call, uint32_t target)
-{
-    for (uint32_t i = 0; i < call->avoid_count; i++) {
-        if (call->avoid[i] == target) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 is_usable(const struct balancer_target *target)
 {
@@ -60,7 +49,8 @@
             const struct rp_balancer_call *call)
 {
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
-        if (is_usable(balancer_get(balancer, i)) && !is_avoided(call, i)) {
+        if (is_usable(balancer_get(balancer, i)) &&
+            !balancer_is_avoided(call, i)) {
             return true;
         }
     }
@@ -184,7 +174,8 @@
     uint32_t index = balancer->next < count ? balancer->next : 0;
     for (uint32_t i = 0; i < count; i++) {
         const struct balancer_target *target = balancer_get(balancer, index);
-        if (is_usable(target) && !(avoid && is_avoided(call, index))) {
+        if (is_usable(target) && !(avoid && balancer_is_avoided(call, index)))
+        {
             consider(balancer, index, is_long, &bounds, now_ns, &choice);
         }
         index = index + 1 < count ? index + 1 : 0;
--- a/src/balancer_private.h
+++ b/src/balancer_private.h
@@ -67,6 +67,18 @@
     return &g_array_index(balancer->targets, struct balancer_target, index);
 }
 
+/* Whether a call has tried a target already. */
+static inline bool
+balancer_is_avoided(const struct rp_balancer_call *call, uint32_t target)
+{
+    for (uint32_t i = 0; i < call->avoid_count; i++) {
+        if (call->avoid[i] == target) {
+            return true;
+        }
+    }
+    return false;
+}
+
 uint32_t rp_balancer_choose(struct rp_balancer *balancer,
                             const struct rp_balancer_call *call, bool is_long,
                             int64_t now_ns);
--- a/src/balancer_sync_probe.c
+++ b/src/balancer_sync_probe.c
@@ -19,17 +19,6 @@
     double unknown_ns;
 };
 
-static bool
-is_avoided(const struct rp_balancer_call *call, uint32_t target)
-{
-    for (uint32_t i = 0; i < call->avoid_count; i++) {
-        if (call->avoid[i] == target) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 is_candidate(const struct balancer_target *target, int64_t now_ns)
 {
@@ -85,7 +74,8 @@
 {
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
         if (is_candidate(balancer_get(balancer, i), now_ns) &&
-            !is_avoided(call, i)) {
+            !balancer_is_avoided(call, i))
+        {
             return true;
         }
     }
@@ -117,7 +107,7 @@
     uint32_t index = balancer->next < count ? balancer->next : 0;
     for (uint32_t i = 0; i < count; i++) {
         if (is_candidate(balancer_get(balancer, index), now_ns) &&
-            !(avoid && is_avoided(call, index)))
+            !(avoid && balancer_is_avoided(call, index)))
         {
             consider(balancer, index, now_ns, &scan);
         }
