Refuse numbers that cannot be read; write the last log lines

Cause: the adapter read a caller's X-Deadline-Ms without a check, so that a value such as "soon" gave the call 1 ms, and "nan" was converted to an undefined number. Times and weights of the store had no upper bound before their conversion.

Before: gateway.reads_times, gateway.refuses_weights_out_of_range, gateway.refuses_times_of_callers_that_are_not_numbers and event_log.the_end_writes_what_waits fail.

--- a/src/event_log.c
+++ b/src/event_log.c
@@ -41,17 +41,6 @@
     return log;
 }
 
-/* Writes what the reader takes at once, and frees the log; NULL is allowed. */
-void
-rp_event_log_free(struct rp_event_log *log)
-{
-    if (log == NULL) {
-        return;
-    }
-    g_string_free(log->pending, TRUE);
-    g_free(log);
-}
-
 /* A pipe that is writable takes PIPE_BUF bytes without blocking. */
 static void
 write_pending(struct rp_event_log *log)
@@ -72,6 +61,18 @@
     }
 }
 
+/* Writes what the reader takes at once, and frees the log; NULL is allowed. */
+void
+rp_event_log_free(struct rp_event_log *log)
+{
+    if (log == NULL) {
+        return;
+    }
+    write_pending(log);
+    g_string_free(log->pending, TRUE);
+    g_free(log);
+}
+
 static void
 add_line(struct rp_event_log *log, const struct rp_event *event)
 {
--- a/tests/test_event_log.cc
+++ b/tests/test_event_log.cc
@@ -98,4 +98,24 @@
     rp_event_log_free(log);
 }
 
+// Guards against the last lines before the end of a process being lost while
+// a slow reader has made room for them.
+TEST_F(event_log, the_end_writes_what_waits)
+{
+    // More than one fill of the pipe of 64 KiB, and less than two.
+    constexpr int LINES = 600;
+    struct rp_event_log *log = rp_event_log_new(context, ends[1], 100000, 0);
+    for (int i = 0; i < LINES; i++) {
+        rp_event_add(context->events, RP_EVENT_STARTED, 0,
+                     std::string(60, 'x').c_str());
+    }
+    rp_event_log_write(log, 0);
+    std::string text = read_all();
+    ASSERT_LT(std::count(text.begin(), text.end(), '\n'), LINES)
+        << "the pipe holds all, so that nothing waits";
+    rp_event_log_free(log);
+    text += read_all();
+    EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), LINES);
+}
+
 } // namespace
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -26,10 +26,11 @@
         bool valid;
         int64_t ms;
     } cases[] = {
-        {"1500ms", true, 1500}, {"2.5s", true, 2500}, {"0ms", true, 0},
-        {"0.4ms", true, 0},     {"3s", true, 3000},   {"3", false, 0},
-        {"-1s", false, 0},      {"s", false, 0},      {"", false, 0},
-        {"1 s", false, 0},      {"1m", false, 0},     {nullptr, false, 0},
+        {"1500ms", true, 1500}, {"2.5s", true, 2500},  {"0ms", true, 0},
+        {"0.4ms", true, 0},     {"3s", true, 3000},    {"3", false, 0},
+        {"-1s", false, 0},      {"s", false, 0},       {"", false, 0},
+        {"1 s", false, 0},      {"1m", false, 0},      {nullptr, false, 0},
+        {"1e300s", false, 0},   {"9e999ms", false, 0},
     };
     for (const auto &entry : cases) {
         int64_t ms = 0;
@@ -140,6 +141,24 @@
     rp_record_free(record);
 }
 
+// Guards against a weight that no record can hold becoming some other one.
+TEST(gateway, refuses_weights_out_of_range)
+{
+    const char *weights[] = {"-1", "1e300", "-1e300"};
+    for (const char *weight : weights) {
+        std::string value =
+            std::string(R"({"listeners":[{"rules":[{"name":"r","kind":"safe",
+            "match":{"prefix":"/"},"action":{"timeout":"1s","trafficSplit":[
+            {"service":"a1","weight":)") +
+            weight + R"(}]}}]}],"clusters":[]})";
+        GError *error = nullptr;
+        std::string text = take(
+            rp_gateway_routes_record(value.c_str(), value.size(), 9, &error));
+        EXPECT_EQ(text, "") << weight;
+        g_clear_error(&error);
+    }
+}
+
 // Guards against a broken configuration that takes the place of the one in
 // force.
 TEST(gateway, refuses_broken_configurations)
@@ -411,6 +430,32 @@
     rp_call_unref(call);
 }
 
+// Guards against a call that is given a millisecond, or an undefined time,
+// because its caller's number could not be read.
+TEST(gateway, refuses_times_of_callers_that_are_not_numbers)
+{
+    struct {
+        const char *value;
+        enum rp_field_use use;
+        uint32_t timeout_ms;
+    } cases[] = {
+        {"1200", RP_FIELD_TAKEN, 1200},    {"0.4", RP_FIELD_TAKEN, 1},
+        {"0", RP_FIELD_TAKEN, 1},          {"-5", RP_FIELD_TAKEN, 1},
+        {"1e12", RP_FIELD_TAKEN, 3600000}, {"inf", RP_FIELD_BAD, 0},
+        {"nan", RP_FIELD_BAD, 0},          {"soon", RP_FIELD_BAD, 0},
+        {"12x", RP_FIELD_BAD, 0},          {"", RP_FIELD_BAD, 0},
+    };
+    for (const auto &entry : cases) {
+        struct rp_call *call = rp_call_new(1, "GET", "/", "h");
+        EXPECT_EQ(rp_gateway_dialect.take_request_field(
+                      nullptr, call, "X-Deadline-Ms", entry.value),
+                  entry.use)
+            << entry.value;
+        EXPECT_EQ(call->timeout_ms, entry.timeout_ms) << entry.value;
+        rp_call_unref(call);
+    }
+}
+
 // Guards against a promise to come back where the outcome is not known.
 TEST(gateway, tells_callers_when_to_come_back)
 {
