Remove an unused time from probes; name the numbers of the estimate

Cause: the time at which a probe is sent travelled through four structures and functions to one that did not use it. Some limits of rp_sync_probe stood as bare numbers or without a line on their source.

Ruled out: sharing one token bucket between rp_event_log, rp_sync_probe and rp_byte_budget: the units and the debt of the last differ.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -603,7 +603,7 @@
     }
     target->reported_draining = load->state == RP_TARGET_DRAINING;
     rp_sync_probe_reported(&target->sync_probe, &balancer->sync_probe, load,
-                           now_ns - age_ns, now_ns - age_ns);
+                           now_ns - age_ns);
     rp_route_reported(&target->route, &balancer->pool, load, age_ns, now_ns);
 }
 
--- a/src/balancer_sync_probe.c
+++ b/src/balancer_sync_probe.c
@@ -144,14 +144,13 @@
 /* Takes note of the end of a probe. load is NULL when there was no answer. */
 void
 rp_balancer_probed(struct rp_balancer *balancer, uint32_t target,
-                   const struct rp_load_report *load, int64_t sent_ns,
-                   int64_t now_ns)
+                   const struct rp_load_report *load, int64_t now_ns)
 {
     struct balancer_target *entry = balancer_get(balancer, target);
     rp_sync_probe_ended(&entry->sync_probe, &balancer->sync_probe,
                         load != NULL, now_ns);
     if (load != NULL) {
         rp_sync_probe_reported(&entry->sync_probe, &balancer->sync_probe, load,
-                               sent_ns, now_ns);
+                               now_ns);
     }
 }
--- a/src/call.h
+++ b/src/call.h
@@ -168,14 +168,12 @@
     char address[RP_ADDRESS_BYTES];
     char path[RP_PROBE_START_PATH_BYTES];
     uint32_t target; /* number at the balancer of the service */
-    int64_t sent_ns;
 };
 
 /* RP_MSG_PROBE_DONE, upstream to dispatch; exactly one for each start. */
 struct rp_probe_done {
     char service[RP_SERVICE_BYTES];
     uint32_t target;
-    int64_t sent_ns;
     bool answered; /* whole, with a status below 500 */
     bool has_load;
     struct rp_load_report load;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -82,7 +82,7 @@
 start_probe(struct rp_dispatch *dispatch, struct dispatch_service *service,
             uint32_t target, int64_t now_ns)
 {
-    struct rp_probe_start start = {.target = target, .sent_ns = now_ns};
+    struct rp_probe_start start = {.target = target};
     struct rp_balancer *balancer = service->balancer;
     const struct rp_service *record = service->service;
     g_strlcpy(start.service, service->name, sizeof(start.service));
@@ -96,7 +96,7 @@
     if (!rp_task_send(dispatch->task, upstream, RP_MSG_PROBE_START, &start,
                       sizeof(start)))
     {
-        rp_balancer_probed(balancer, target, NULL, now_ns, now_ns);
+        rp_balancer_probed(balancer, target, NULL, now_ns);
     }
 }
 
@@ -115,7 +115,7 @@
     }
     rp_balancer_probed(service->balancer, done->target,
                        done->answered && done->has_load ? &done->load : NULL,
-                       done->sent_ns, now_ns);
+                       now_ns);
     dispatch_touch_service(dispatch, service, now_ns);
 }
 
--- a/src/sync_probe.c
+++ b/src/sync_probe.c
@@ -3,16 +3,33 @@
 #include <math.h>
 #include <string.h>
 
+/* Of one report in the means of a service, which are those of about the last
+ * 64 reports. */
 #define MEAN_WEIGHT (1.0 / 64)
+/* The median moves by this share for each answer; quickly for the first ones,
+ * which start from a single sample. */
 #define FIRST_STEP 0.3
 #define STEP 0.02
 #define FIRST_SAMPLES 16
+/* Time of a call before the first answer: a guess. */
 #define UNKNOWN_USUAL_NS 100000000.0
+/* Of one answer in the excess of a target: a run of several times the usual
+ * length is forgotten after a few answers. */
 #define EXCESS_WEIGHT 0.25
-/* An answer without trust in its excess is forgotten after this. */
+/* A smaller excess is left to the reports, which tell it sooner. Set by
+ * judgement, not measured. */
+#define EXCESS_TRUSTED 1.5
+/* Bounds what a single answer can do to the mean. */
+#define MOST_EXCESS 10.0
+/* Least slowness that a time is divided by. */
+#define LEAST_SLOWNESS 0.1
+/* Time constant with which an excess is forgotten. */
 #define EXCESS_MEMORY_NS 1000000000.0
 /* Targets slow down when nearly all slots are taken. */
 #define CROWDED_SHARE 0.8
+/* Time on a crowded target as a multiple of the usual: a guess before the
+ * first answers, a bound for what they can make of it, and the weight of one.
+ */
 #define FIRST_CROWDED_COST 1.2
 #define MOST_CROWDED_COST 3.0
 #define CROWDED_WEIGHT (1.0 / 32)
@@ -22,6 +39,7 @@
 /* A call that has taken this multiple of the usual time is one of the few that
  * run several times as long, or met a machine that had just become slow. */
 #define HEDGE_LATE 1.7
+/* Mean share of slots in use above which hedges would displace fresh calls. */
 #define HEDGE_MOST_CROWDED 0.7
 /* For the first calls of a process that knows no target yet. */
 #define FIRST_PROBES 2.0
@@ -54,17 +72,15 @@
     return mean + weight * (sample - mean);
 }
 
-/* Takes over a report that a request sent at sent_ns brought. */
+/* Takes over a report that an answer brought. */
 void
 rp_sync_probe_reported(struct rp_sync_probe_target *target,
                        struct rp_sync_probe_pool *pool,
-                       const struct rp_load_report *load, int64_t sent_ns,
-                       int64_t now_ns)
+                       const struct rp_load_report *load, int64_t now_ns)
 {
     if (load->slowness_percent == 0) {
         return;
     }
-    (void)sent_ns;
     target->reported = true;
     target->report_ns = now_ns;
     target->slowness = load->slowness_percent / 100.0;
@@ -93,7 +109,8 @@
                        double expected_slowness, bool crowded,
                        int64_t response_ns, int64_t now_ns)
 {
-    double usual = (double)response_ns / fmax(expected_slowness, 0.1);
+    double usual =
+        (double)response_ns / fmax(expected_slowness, LEAST_SLOWNESS);
     if (crowded && pool->samples >= FIRST_SAMPLES) {
         double cost = fmin(usual / pool->usual_ns, 2 * MOST_CROWDED_COST);
         pool->crowded_cost = smooth(pool->crowded_cost, cost, CROWDED_WEIGHT);
@@ -107,7 +124,7 @@
     pool->samples++;
     double step = pool->samples < FIRST_SAMPLES ? FIRST_STEP : STEP;
     pool->usual_ns *= usual > pool->usual_ns ? 1 + step : 1 - step;
-    double excess = fmin(usual / fmax(pool->usual_ns, 1), 10);
+    double excess = fmin(usual / fmax(pool->usual_ns, 1), MOST_EXCESS);
     target->excess = smooth(target->excess, excess, EXCESS_WEIGHT);
     target->excess_ns = now_ns;
 }
@@ -204,7 +221,7 @@
     double trust =
         exp(-(double)(now_ns - target->excess_ns) / EXCESS_MEMORY_NS);
     double excess = 1 + trust * (target->excess - 1);
-    if (excess > 1.5) {
+    if (excess > EXCESS_TRUSTED) {
         run *= excess;
     }
     if (rp_sync_probe_is_crowded(load, slots)) {
--- a/src/sync_probe.h
+++ b/src/sync_probe.h
@@ -60,8 +60,7 @@
 void rp_sync_probe_init(struct rp_sync_probe_target *target, int64_t now_ns);
 void rp_sync_probe_reported(struct rp_sync_probe_target *target,
                             struct rp_sync_probe_pool *pool,
-                            const struct rp_load_report *load, int64_t sent_ns,
-                            int64_t now_ns);
+                            const struct rp_load_report *load, int64_t now_ns);
 void rp_sync_probe_sent(struct rp_sync_probe_target *target, int64_t now_ns);
 void rp_sync_probe_answered(struct rp_sync_probe_target *target,
                             struct rp_sync_probe_pool *pool,
--- a/src/upstream_probe.c
+++ b/src/upstream_probe.c
@@ -118,7 +118,6 @@
     probe->probes = probes;
     probe->answer = rp_answer_new(0);
     probe->done.target = start->target;
-    probe->done.sent_ns = start->sent_ns;
     g_strlcpy(probe->done.service, start->service,
               sizeof(probe->done.service));
     char url[RP_ADDRESS_BYTES + RP_PROBE_START_PATH_BYTES + 16];
--- a/tests/test_sync_probe.cc
+++ b/tests/test_sync_probe.cc
@@ -58,7 +58,7 @@
         struct rp_load_report load =
             report(entry.running, entry.slowness_percent);
         struct rp_sync_probe_pool unused = pool;
-        rp_sync_probe_reported(&target, &unused, &load, 0, 0);
+        rp_sync_probe_reported(&target, &unused, &load, 0);
         double expected =
             rp_sync_probe_expected_ns(&target, &pool, 6, entry.age_ms * MS);
         EXPECT_GT(expected, before) << entry.what;
@@ -74,13 +74,13 @@
     struct rp_sync_probe_target target;
     rp_sync_probe_init(&target, 0);
     struct rp_load_report load = report(1, 100);
-    rp_sync_probe_reported(&target, &pool, &load, 0, 10 * MS);
+    rp_sync_probe_reported(&target, &pool, &load, 10 * MS);
     EXPECT_NEAR(rp_sync_probe_load(&target, &pool, 6, 10 * MS), 1, 0.01);
     for (int i = 0; i < 3; i++) {
         rp_sync_probe_sent(&target, 11 * MS);
     }
     EXPECT_NEAR(rp_sync_probe_load(&target, &pool, 6, 11 * MS), 4, 0.1);
-    rp_sync_probe_reported(&target, &pool, &load, 0, 12 * MS);
+    rp_sync_probe_reported(&target, &pool, &load, 12 * MS);
     EXPECT_NEAR(rp_sync_probe_load(&target, &pool, 6, 12 * MS), 1, 0.01);
 }
 
@@ -98,8 +98,8 @@
         rp_sync_probe_answered(&slow, &pool, 1, false, 600 * MS, i * MS);
         rp_sync_probe_answered(&usual, &pool, 1, false, 100 * MS, i * MS);
     }
-    rp_sync_probe_reported(&slow, &pool, &load, 0, 5 * MS);
-    rp_sync_probe_reported(&usual, &pool, &load, 0, 5 * MS);
+    rp_sync_probe_reported(&slow, &pool, &load, 5 * MS);
+    rp_sync_probe_reported(&usual, &pool, &load, 5 * MS);
     EXPECT_GT(rp_sync_probe_expected_ns(&slow, &pool, 6, 5 * MS),
               2 * rp_sync_probe_expected_ns(&usual, &pool, 6, 5 * MS));
     // It is tried again when the answers are old.
@@ -213,14 +213,14 @@
     EXPECT_FALSE(rp_balancer_next(balancer, now_ns, &verdict))
         << "one probe for one call";
     struct rp_load_report slow = report(0, 500);
-    rp_balancer_probed(balancer, verdict.target, &slow, now_ns, now_ns);
+    rp_balancer_probed(balancer, verdict.target, &slow, now_ns);
     uint32_t first = verdict.target;
     ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
     ASSERT_EQ(verdict.action, RP_BALANCER_PROBE);
     EXPECT_NE(verdict.target, first);
     struct rp_load_report quick = report(1, 100);
     uint32_t second = verdict.target;
-    rp_balancer_probed(balancer, second, &quick, now_ns, now_ns);
+    rp_balancer_probed(balancer, second, &quick, now_ns);
     ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
     EXPECT_EQ(verdict.action, RP_BALANCER_SEND);
     EXPECT_EQ(verdict.target, second);
@@ -246,7 +246,7 @@
                 struct rp_load_report slow = report(0, 500);
                 ASSERT_EQ(verdict.action, RP_BALANCER_PROBE);
                 if (answers) {
-                    rp_balancer_probed(balancer, verdict.target, &slow, now_ns,
+                    rp_balancer_probed(balancer, verdict.target, &slow,
                                        now_ns);
                 }
             }
@@ -271,7 +271,7 @@
         ASSERT_EQ(verdict.action, RP_BALANCER_PROBE) << id;
         asked[verdict.target]++;
         struct rp_load_report quick = report(0, 100);
-        rp_balancer_probed(balancer, verdict.target, &quick, now_ns, now_ns);
+        rp_balancer_probed(balancer, verdict.target, &quick, now_ns);
         ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
         EXPECT_EQ(verdict.action, RP_BALANCER_SEND);
         now_ns += 20 * MS;
