Allow further runs in path cases only for attempts that were logged

Cases of the table allowed one hedge for each repeatable request, the raw ones none, and neither looked whether there had been one. In 12 runs side by side, 14 cases ran more often than without load (late, garbage-get, slow-reader); each further run had its event.

Ruled out: a second sending by libcurl and a request that was read twice; the events of every such run show a hedge or a fresh connection.

Change: entry VMs write their events to a file, and a run beyond the stated number needs a call_hedged or call_tried_fresh line of that request. The flat allowance of one is gone, so that the check is stricter. Attempts on a fresh connection had no event; both kinds have one now.

--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -52,9 +52,9 @@
     "$build/rosemarypulley" serve --id "vm-$peer" --domain Bilbo \
         --caller-address "$address" --peer-address "127.0.0.1:$peer" \
         --admin-address "127.0.0.1:$((peer + 1))" --log-level warning \
-        --log-lines-per-s 0 --fleet-size 1 --address-ttl-ms 500 --first-byte-ms 250 --progress-ms 600 \
+        --log-lines-per-s 1000 --fleet-size 1 --address-ttl-ms 500 --first-byte-ms 250 --progress-ms 600 \
         --boot-wait-ms 0 --records "$records" \
-        --fleet-key "$(printf '5a%.0s' $(seq 32))" "$@" &
+        --fleet-key "$(printf '5a%.0s' $(seq 32))" "$@" >"$work/events-$peer" &
     serve_pids+=($!)
 }
 
@@ -96,11 +96,25 @@
     echo "FAILED $1: ${2:0:300}"
 }
 
+# Prints how many attempts beside a late one the entry VMs logged for a request.
+beside_late() { # NAME
+    sleep 0.3 # the events are written in turns of the loop
+    cat "$work"/events-* | grep "\"request\": *\"case-$1\"" |
+        grep -c -e '"call_hedged"' -e '"call_tried_fresh"'
+}
+
+# More runs than MAX are allowed only for attempts beside a late one, each with
+# its event: a repeatable request may be late whenever the machine is busy.
 check() { # NAME GOT PATTERN RAN MIN MAX
+    local most=$6
     cases=$((cases + 1))
     [[ $2 =~ $3 ]] || fail "$1" "expected /$3/, got: $2"
-    ((${4:-0} >= $5 && ${4:-0} <= $6)) ||
-        fail "$1" "the targets ran it $4 times, expected $5 to $6"
+    if ((${4:-0} > most)); then
+        most=$((most + $(beside_late "$1")))
+        echo "note: $1 ran $4 times, $((most - $6)) attempts beside a late one"
+    fi
+    ((${4:-0} >= $5 && ${4:-0} <= most)) ||
+        fail "$1" "the targets ran it $4 times, expected $5 to $most"
     # What no case may show, whatever it expects.
     [[ $2 =~ outcome=not-run ]] && ((${4:-0} > 0)) &&
         fail "$1" "false not-run: it ran $4 times"
@@ -129,8 +143,6 @@
     case $expected in
     whole | unknown | not_run | broken) expected=${!expected} ;;
     esac
-    # A repeatable request that is late may be hedged at any time.
-    [[ $method = POST ]] || most=$((most + (most > 0)))
     check "$name" "$got" "$expected" "$(ran "$id")" "$least" "$most"
 done <<'TABLE'
 plain|GET|/two?bytes=10|whole|1|1|
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -434,6 +434,8 @@
     }
     call->tried_stale = true;
     call->attempts_left--;
+    add_event(call, RP_EVENT_CALL_RETRIED,
+              "the reused connection had been closed", now_ns);
     call->may_have_run = true;
     stale->state = ATTEMPT_OVER;
     struct dispatch_attempt *attempt =
@@ -699,6 +701,9 @@
     call->attempts_left--;
     rp_counter_add(&call->dispatch->context->counters, RP_COUNTER_FRESH_TRIALS,
                    1);
+    add_event(call, RP_EVENT_CALL_TRIED_FRESH,
+              "no byte in time: the same target over a fresh connection",
+              now_ns);
     struct dispatch_attempt *late = &call->attempts[index];
     bool owns_slot = false;
     if (request != NULL) {
