Ask targets before the first calls of a process

The log showed "slowness 1.00, load 0.0, report -0.0 ms old": a service counted as one whose targets tell their speed only after the first report, so that each of 14 new processes sent its first calls unasked, all to the same targets.

Ruled out: late starts (processes were up after 1.2 s), the store (targets were known), the budget of probes.

Change: where the records name a path to ask, targets are asked from the first call on, until three answers tell no speed. A probe that is answered with 503 and a report counts as answered: what a target says of its own health may be wrong either way.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -168,6 +168,7 @@
     rp_estate_share_set(&balancer->shares, service->estates,
                         service->estate_count);
     balancer->length_class = service->length_class;
+    balancer->sync_probe.wanted = service->ask_before_calls;
     balancer->configured = true;
 }
 
@@ -224,7 +225,9 @@
                bool is_long)
 {
     int64_t base_ns = NO_TARGET_RETRY_NS;
-    if (refusal != RP_REFUSAL_NO_TARGET && balancer->sync_probe.active) {
+    if (refusal != RP_REFUSAL_NO_TARGET &&
+        rp_sync_probe_in_use(&balancer->sync_probe))
+    {
         base_ns = rp_backlog_wait_ns(balancer->backlog);
     }
     else if (refusal != RP_REFUSAL_NO_TARGET) {
@@ -298,7 +301,9 @@
 static bool
 within_budget(struct rp_balancer *balancer, uint32_t flags, int64_t now_ns)
 {
-    if ((flags & RP_CALL_HEDGE) != 0 && balancer->sync_probe.active) {
+    if ((flags & RP_CALL_HEDGE) != 0 &&
+        rp_sync_probe_in_use(&balancer->sync_probe))
+    {
         return rp_sync_probe_has_room(&balancer->sync_probe) &&
                rp_retry_budget_take(&balancer->retries, now_ns);
     }
@@ -380,7 +385,7 @@
         return;
     }
     bool hedge = (call->flags & RP_CALL_HEDGE) != 0;
-    if (balancer->sync_probe.active) {
+    if (rp_sync_probe_in_use(&balancer->sync_probe)) {
         offer_probed(balancer, call, now_ns, verdict);
         return;
     }
@@ -421,7 +426,9 @@
         refuse(balancer, RP_REFUSAL_DEADLINE, is_long, verdict);
         return true;
     }
-    if (balancer->sync_probe.active) {
+    if (rp_sync_probe_in_use(&balancer->sync_probe) ||
+        rp_backlog_count(balancer->backlog) > 0)
+    {
         return next_probed(balancer, now_ns, verdict);
     }
     for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
@@ -482,7 +489,7 @@
     {
         return INT64_MAX;
     }
-    return balancer->sync_probe.active
+    return rp_sync_probe_in_use(&balancer->sync_probe)
                ? rp_sync_probe_hedge_delay_ns(&balancer->sync_probe)
                : rp_hedge_delay_ns(&balancer->hedge, used_share(balancer));
 }
--- a/src/balancer_sync_probe.c
+++ b/src/balancer_sync_probe.c
@@ -141,14 +141,19 @@
     return RP_BALANCER_WAIT;
 }
 
-/* Takes note of the end of a probe. load is NULL when there was no answer. */
+/* Takes note of the end of a probe. load is NULL when there was no answer, or
+ * when it told nothing. */
 void
 rp_balancer_probed(struct rp_balancer *balancer, uint32_t target,
-                   const struct rp_load_report *load, int64_t now_ns)
+                   bool answered, const struct rp_load_report *load,
+                   int64_t now_ns)
 {
     struct balancer_target *entry = balancer_get(balancer, target);
-    rp_sync_probe_ended(&entry->sync_probe, &balancer->sync_probe,
-                        load != NULL, now_ns);
+    rp_sync_probe_ended(&entry->sync_probe, &balancer->sync_probe, answered,
+                        now_ns);
+    if (answered && (load == NULL || load->slowness_percent == 0)) {
+        rp_sync_probe_untold(&balancer->sync_probe);
+    }
     if (load != NULL) {
         rp_sync_probe_reported(&entry->sync_probe, &balancer->sync_probe, load,
                                now_ns);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -96,7 +96,7 @@
     if (!rp_task_send(dispatch->task, upstream, RP_MSG_PROBE_START, &start,
                       sizeof(start)))
     {
-        rp_balancer_probed(balancer, target, NULL, now_ns);
+        rp_balancer_probed(balancer, target, false, NULL, now_ns);
     }
 }
 
@@ -113,7 +113,7 @@
         rp_counter_add(&dispatch->context->counters, RP_COUNTER_PROBES_FAILED,
                        1);
     }
-    rp_balancer_probed(service->balancer, done->target,
+    rp_balancer_probed(service->balancer, done->target, done->answered,
                        done->answered && done->has_load ? &done->load : NULL,
                        now_ns);
     dispatch_touch_service(dispatch, service, now_ns);
--- a/src/record_build.c
+++ b/src/record_build.c
@@ -410,6 +410,7 @@
     if (parts->pool != NULL) {
         /* Its targets are asked before calls, not at intervals. */
         service->probes_per_10s = 0;
+        service->ask_before_calls = parts->pool->probe_path != NULL;
     }
     if (parts->old != NULL || parts->service != NULL) {
         add_own_route(state->snapshot, service);
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -60,6 +60,7 @@
     enum rp_length_class length_class;
     uint32_t probes_per_10s; /* budget for each target, all entry VMs */
     char *probe_path;
+    bool ask_before_calls; /* targets tell how slow they are when asked */
     struct rp_estate estates[RP_SNAPSHOT_ESTATES];
     uint32_t estate_count;
     struct rp_target *targets;
--- a/src/sync_probe.c
+++ b/src/sync_probe.c
@@ -41,6 +41,9 @@
 #define HEDGE_LATE 1.7
 /* Mean share of slots in use above which hedges would displace fresh calls. */
 #define HEDGE_MOST_CROWDED 0.7
+/* Answers without a speed after which the targets of a service are taken not
+ * to tell it. */
+#define UNTOLD_ANSWERS 3
 /* For the first calls of a process that knows no target yet. */
 #define FIRST_PROBES 2.0
 /* Probes that may come at once after a quiet time, in seconds of the rate. */
@@ -55,6 +58,23 @@
     pool->crowded_cost = FIRST_CROWDED_COST;
 }
 
+/* Returns whether targets are asked before calls. Until the first report that
+ * is tried where it is wanted: a process that has just started would else send
+ * its first calls to targets of which it knows nothing, together with all
+ * others that have just started. */
+bool
+rp_sync_probe_in_use(const struct rp_sync_probe_pool *pool)
+{
+    return pool->tells || (pool->wanted && pool->untold < UNTOLD_ANSWERS);
+}
+
+/* Takes note of an answer that does not tell the speed of its target. */
+void
+rp_sync_probe_untold(struct rp_sync_probe_pool *pool)
+{
+    pool->untold++;
+}
+
 /* Starts without knowledge of the target. */
 void
 rp_sync_probe_init(struct rp_sync_probe_target *target, int64_t now_ns)
@@ -91,7 +111,7 @@
                                 target->at_target / load->slots, MEAN_WEIGHT);
     }
     pool->slowness = smooth(pool->slowness, target->slowness, MEAN_WEIGHT);
-    pool->active = true;
+    pool->tells = true;
 }
 
 /* Takes note of a request sent to the target. */
--- a/src/sync_probe.h
+++ b/src/sync_probe.h
@@ -25,9 +25,11 @@
 
 /* What the targets of a service have in common. */
 struct rp_sync_probe_pool {
-    bool active;         /* targets tell their speed */
-    double usual_ns;     /* median time of a call at usual speed */
-    double slowness;     /* mean over the reports; 1 is the usual speed */
+    bool wanted;     /* targets may be asked before calls */
+    bool tells;      /* a report has told the speed of a target */
+    uint32_t untold; /* answers without a speed before the first with one */
+    double usual_ns; /* median time of a call at usual speed */
+    double slowness; /* mean over the reports; 1 is the usual speed */
     double crowded_cost; /* time on a crowded target, 1 is usual */
     double crowding;     /* mean requests at a target in parts of its slots */
     uint32_t samples;
@@ -57,6 +59,8 @@
 #endif
 
 void rp_sync_probe_pool_init(struct rp_sync_probe_pool *pool);
+bool rp_sync_probe_in_use(const struct rp_sync_probe_pool *pool);
+void rp_sync_probe_untold(struct rp_sync_probe_pool *pool);
 void rp_sync_probe_init(struct rp_sync_probe_target *target, int64_t now_ns);
 void rp_sync_probe_reported(struct rp_sync_probe_target *target,
                             struct rp_sync_probe_pool *pool,
--- a/src/upstream_probe.c
+++ b/src/upstream_probe.c
@@ -140,8 +140,11 @@
     }
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    probe->done.answered = result == CURLE_OK && status > 0 && status < 500;
+    /* What a target says of its own health may be wrong either way; one that
+     * tells its load is reached, and its answers to calls tell the rest. */
     probe->done.has_load = probe->answer->has_load;
+    probe->done.answered = result == CURLE_OK && status > 0 &&
+                           (status < 500 || probe->done.has_load);
     probe->done.load = probe->answer->load;
     struct rp_task *dispatch =
         rp_kernel_find_task(rp_task_kernel(probes->task), RP_TASK_DISPATCH);
--- a/tests/test_sync_probe.cc
+++ b/tests/test_sync_probe.cc
@@ -25,7 +25,7 @@
 {
     struct rp_sync_probe_pool pool;
     rp_sync_probe_pool_init(&pool);
-    pool.active = true;
+    pool.tells = true;
     pool.usual_ns = 100.0 * MS;
     pool.samples = 100;
     pool.slowness = 2;
@@ -213,14 +213,14 @@
     EXPECT_FALSE(rp_balancer_next(balancer, now_ns, &verdict))
         << "one probe for one call";
     struct rp_load_report slow = report(0, 500);
-    rp_balancer_probed(balancer, verdict.target, &slow, now_ns);
+    rp_balancer_probed(balancer, verdict.target, true, &slow, now_ns);
     uint32_t first = verdict.target;
     ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
     ASSERT_EQ(verdict.action, RP_BALANCER_PROBE);
     EXPECT_NE(verdict.target, first);
     struct rp_load_report quick = report(1, 100);
     uint32_t second = verdict.target;
-    rp_balancer_probed(balancer, second, &quick, now_ns);
+    rp_balancer_probed(balancer, second, true, &quick, now_ns);
     ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
     EXPECT_EQ(verdict.action, RP_BALANCER_SEND);
     EXPECT_EQ(verdict.target, second);
@@ -246,7 +246,7 @@
                 struct rp_load_report slow = report(0, 500);
                 ASSERT_EQ(verdict.action, RP_BALANCER_PROBE);
                 if (answers) {
-                    rp_balancer_probed(balancer, verdict.target, &slow,
+                    rp_balancer_probed(balancer, verdict.target, true, &slow,
                                        now_ns);
                 }
             }
@@ -271,7 +271,7 @@
         ASSERT_EQ(verdict.action, RP_BALANCER_PROBE) << id;
         asked[verdict.target]++;
         struct rp_load_report quick = report(0, 100);
-        rp_balancer_probed(balancer, verdict.target, &quick, now_ns);
+        rp_balancer_probed(balancer, verdict.target, true, &quick, now_ns);
         ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
         EXPECT_EQ(verdict.action, RP_BALANCER_SEND);
         now_ns += 20 * MS;
@@ -317,6 +317,70 @@
     rp_snapshot_unref(changed);
 }
 
+// Guards against the crowd after a restart of all entry VMs: each knew nothing
+// and sent its first calls to the same targets unasked. Targets that do not
+// tell their speed are not asked for ever.
+TEST(sync_probe_start, first_calls_ask_until_targets_prove_silent)
+{
+    struct {
+        const char *what;
+        bool wanted;
+        bool tells;
+        enum rp_balancer_action first; // of the first call
+        enum rp_balancer_action later; // of a call after five answers
+    } cases[] = {
+        {"not wanted", false, false, RP_BALANCER_SEND, RP_BALANCER_SEND},
+        {"targets tell", true, true, RP_BALANCER_WAIT, RP_BALANCER_WAIT},
+        {"targets are silent", true, false, RP_BALANCER_WAIT,
+         RP_BALANCER_SEND},
+    };
+    for (const auto &entry : cases) {
+        struct rp_balancer_config config = {};
+        config.domain = "d0";
+        config.fleet_size = 1;
+        config.queue_limit = 100;
+        config.probes_per_s = 60;
+        struct rp_balancer *balancer = rp_balancer_new(&config);
+        struct rp_snapshot *snapshot = rp_snapshot_new();
+        struct rp_service *service = rp_snapshot_add_service(snapshot, "a");
+        service->ask_before_calls = entry.wanted;
+        for (const char *address : {"10.0.0.1:1", "10.0.0.2:1"}) {
+            rp_service_add_target(service, address, address, "d0", "e")
+                ->slots = 6;
+        }
+        service->estates[0].share_permille = 1000;
+        rp_balancer_set_service(balancer, service, 0);
+        struct rp_balancer_call call = {};
+        struct rp_balancer_verdict verdict;
+        call.aim_ns = 300 * MS;
+        call.deadline_ns = 1000 * MS;
+        call.call_id = 1;
+        rp_balancer_offer(balancer, &call, 0, &verdict);
+        EXPECT_EQ(verdict.action, entry.first) << entry.what;
+        int sent = verdict.action == RP_BALANCER_SEND;
+        for (int64_t now_ns = 0; now_ns < 100 * MS; now_ns += 5 * MS) {
+            while (rp_balancer_next(balancer, now_ns, &verdict)) {
+                if (verdict.action == RP_BALANCER_SEND) {
+                    sent++;
+                    continue;
+                }
+                struct rp_load_report load = report(0, 100);
+                rp_balancer_probed(balancer, verdict.target, true,
+                                   entry.tells ? &load : NULL, now_ns);
+            }
+        }
+        EXPECT_EQ(sent, 1) << entry.what << ": lost or sent twice";
+        for (int i = 0; i < 5 && !entry.tells; i++) {
+            rp_balancer_probed(balancer, 0, true, NULL, 100 * MS);
+        }
+        call.call_id = 2;
+        rp_balancer_offer(balancer, &call, 200 * MS, &verdict);
+        EXPECT_EQ(verdict.action, entry.later) << entry.what;
+        rp_snapshot_unref(snapshot);
+        rp_balancer_free(balancer);
+    }
+}
+
 // Guards against budgets that grow with the fleet: a hundred entry VMs have
 // the same allowance as one.
 TEST_F(sync_probe_balancer, allowance_is_divided_by_the_fleet)
