Push records along trees, compressed; read the store less in large fleets

Pushes went to all of log2 n neighbours with 500 B/s, so that in a rapid series of changes each of 129 VMs fell behind, read the store itself, and there parsed every version of a large configuration; at the start everyone watched until it knew its peers.

Ruled out: the cost of building the configuration in force (0.34 ms for 421 targets and 850 routes; reading such a configuration takes 6 ms).

Change: newly accepted records go along two trees over the ring of members, one in each direction, so that each member gets two copies; larger ones are compressed (zlib) and pushed too. Watchers take turns at spreading. Only the VMs that all others are told of watch before peers are known. The check of the revision is made 14 times a second by the whole fleet, not by each VM. Of several changes of one item only the last is read.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -6,7 +6,7 @@
 packages="gcc g++ cmake ninja-build pkg-config clang clang-format clang-tidy
 valgrind curl libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev
 libglib2.0-dev libgtest-dev libjansson-dev libmsgpack-dev libxxhash-dev
-libgsl-dev uthash-dev libhttp-parser-dev"
+libgsl-dev uthash-dev libhttp-parser-dev zlib1g-dev"
 
 missing=
 for package in $packages; do
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -143,7 +143,8 @@
                         const struct rp_attempt_report *report,
                         int64_t now_ns);
 void rp_balancer_probed(struct rp_balancer *balancer, uint32_t target,
-                        bool answered, const struct rp_load_report *load, int64_t now_ns);
+                        bool answered, const struct rp_load_report *load,
+                        int64_t now_ns);
 void rp_balancer_observe(struct rp_balancer *balancer, const char *address,
                          const struct rp_load_report *load, int64_t age_ns,
                          int64_t now_ns);
--- a/src/config_task.c
+++ b/src/config_task.c
@@ -13,7 +13,7 @@
 
 /* Values above this are not pushed; heartbeat digests spread them on demand,
  * so that no neighbour gets a large value several times. */
-#define SPREAD_MAX_BYTES 65536u
+#define SPREAD_MAX_BYTES 524288u
 /* Part of an answer to a peer, and the parts of one answer: the high-water
  * mark of a peer's socket is 64 messages. */
 #define ANSWER_BATCH_BYTES 65536u
@@ -384,7 +384,8 @@
     bool was_ready = config->phase != RP_CONFIG_STARTING;
     publish(config, result.records_changed, result.revision_changed, now_ns);
     /* What a starting VM reads, the others have. */
-    if (was_ready && rp_record_batch_count(result.spread) > 0) {
+    bool pushed = !from_platform && records->part == RP_CONFIG_PUSHED;
+    if (was_ready && !pushed && rp_record_batch_count(result.spread) > 0) {
         rp_config_records_send(
             config->task,
             rp_kernel_find_task(rp_task_kernel(config->task), "gossip"),
--- a/src/config_task.h
+++ b/src/config_task.h
@@ -52,6 +52,10 @@
     uint64_t buckets[RP_RECORD_SET_BUCKETS];
 };
 
+/* In place of the part of an answer: pushed records are no part of one. Gossip
+ * has passed them on already. */
+#define RP_CONFIG_PUSHED UINT32_MAX
+
 /* Body of the messages that carry records. It holds one reference of the
  * batch, which the kernel releases by rp_config_records_release.
  *
@@ -63,7 +67,7 @@
  * it, so that a lost part is noticed. (config to gossip): part
  * of the answer to a peer's CONFIG_WANT, with last to be sent along.
  * RP_MSG_CONFIG_SPREAD (config to gossip): newly accepted records to push to
- * all neighbours but peer, which sent them ("" when the platform did). */
+ * all members; peer sent them ("" when the platform did). */
 struct rp_config_records {
     struct rp_record_batch *batch;
     char peer[RP_ID_BYTES]; /* sender or receiver; "" for the platform */
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -28,16 +28,19 @@
  * member, so that both directions together keep to 13,000. */
 #define RP_GOSSIP_BYTES_PER_S 6500u
 #define RP_GOSSIP_HEARTBEAT_BYTES_PER_S 4500u
-#define RP_GOSSIP_PUSH_BYTES_PER_S 500u
-#define RP_GOSSIP_REPAIR_BYTES_PER_S 500u
+/* Of 570 changes a day the means are below 1 byte/s; these rates bound what a
+ * rapid series of changes or a mass restart takes of a link of 10 Mbit/s. */
+#define RP_GOSSIP_PUSH_BYTES_PER_S 65536u
+#define RP_GOSSIP_REPAIR_BYTES_PER_S 65536u
 #define RP_GOSSIP_ANSWER_BYTES_PER_S 1000u
 /* Beyond that: one change pushed to all neighbours, the whole configuration
  * for a booting VM, and answers while a partition heals. */
 #define RP_GOSSIP_ANSWER_BURST_BYTES 32768u
-#define RP_GOSSIP_PUSH_BURST_BYTES 65536u
+#define RP_GOSSIP_PUSH_BURST_BYTES 524288u
 #define RP_GOSSIP_REPAIR_BURST_BYTES 1048576u
-/* Larger batches are not pushed but announced, and sent to who asks. */
-#define RP_GOSSIP_PUSH_MAX_BYTES 4096u
+/* Batches that are larger when compressed are not pushed but announced, and
+ * sent to who asks. */
+#define RP_GOSSIP_PUSH_MAX_BYTES 32768u
 
 struct rp_gossip;
 
--- a/src/gossip_internal.h
+++ b/src/gossip_internal.h
@@ -23,6 +23,10 @@
     int64_t first_ns; /* when its first message came */
 };
 
+/* What CURVE, ZeroMQ's framing, TCP and IP add to a message, with half an
+ * acknowledgement; it counts against the budgets. */
+#define GOSSIP_OVERHEAD_BYTES 120
+
 /* Flags of a heartbeat. */
 #define HEARTBEAT_ANSWER (1u << 0) /* never answered again */
 #define HEARTBEAT_ASK (1u << 1)    /* to be answered in any case */
@@ -69,6 +73,12 @@
 void rp_gossip_send_probes(struct rp_gossip *gossip, int64_t now_ns);
 void rp_gossip_send_want(struct rp_gossip *gossip,
                          const struct rp_config_want *want, int64_t now_ns);
+uint32_t rp_gossip_heartbeat_bytes(const struct rp_gossip *gossip,
+                                   uint32_t flags);
+void rp_gossip_pass_on(struct rp_gossip *gossip,
+                       const struct rp_peer_batch *records, int64_t now_ns);
+struct rp_record_batch *
+rp_gossip_read_records(const struct rp_peer_batch *records, GError **error);
 void rp_gossip_push(struct rp_gossip *gossip,
                     const struct rp_config_records *records, int64_t now_ns);
 void rp_gossip_send_records(struct rp_gossip *gossip,
--- a/src/gossip_receive.c
+++ b/src/gossip_receive.c
@@ -1,7 +1,6 @@
 #include <string.h>
 
 #include "gossip_internal.h"
-#include "msgpack_check.h"
 #include "platform.h"
 #include "record_batch.h"
 #include "wire.h"
@@ -222,19 +221,17 @@
            int64_t now_ns)
 {
     const struct rp_peer_batch *records = &message->body.records;
-    struct rp_record_batch *batch = NULL;
     GError *error = NULL;
-    if (rp_msgpack_check(records->bytes, records->byte_count)) {
-        batch = rp_record_batch_decode(records->bytes, records->byte_count,
-                                       &error);
-    }
+    struct rp_record_batch *batch = rp_gossip_read_records(records, &error);
     if (batch == NULL) {
         note_malformed(gossip, error, now_ns);
         g_clear_error(&error);
         return;
     }
-    /* Pushed records are no part of an answer that may be under way. */
-    uint32_t part = records->is_answer ? records->part : UINT32_MAX;
+    if (!records->is_answer) {
+        rp_gossip_pass_on(gossip, records, now_ns);
+    }
+    uint32_t part = records->is_answer ? records->part : RP_CONFIG_PUSHED;
     rp_config_records_send(gossip->task,
                            rp_kernel_find_task(gossip->kernel, "config"),
                            RP_MSG_CONFIG_RECORDS, batch, message->from, part,
--- a/src/gossip_send.c
+++ b/src/gossip_send.c
@@ -2,13 +2,8 @@
 
 #include "gossip_internal.h"
 #include "neighbor.h"
-#include "record_batch.h"
 #include "wire.h"
 
-/* What CURVE, ZeroMQ's framing, TCP and IP add to a message, with half an
- * acknowledgement; it counts against the budget. */
-#define OVERHEAD_BYTES 120
-
 /* Bounds of one heartbeat, whatever the budget and the degree say. */
 #define HEARTBEAT_LEAST_BYTES 200
 #define HEARTBEAT_MOST_BYTES 1200
@@ -47,8 +42,9 @@
     }
 }
 
-static uint32_t
-heartbeat_bytes(const struct rp_gossip *gossip, uint32_t flags)
+/* Returns how long a heartbeat may be that the budget pays for. */
+uint32_t
+rp_gossip_heartbeat_bytes(const struct rp_gossip *gossip, uint32_t flags)
 {
     const struct rp_member_info *neighbors[RP_NEIGHBOR_LIMIT];
     uint32_t degree =
@@ -59,7 +55,7 @@
     uint32_t interval_ms = (uint32_t)(RP_MEMBER_HEARTBEAT_NS / 1000000);
     int32_t share = (int32_t)(RP_GOSSIP_HEARTBEAT_BYTES_PER_S * interval_ms /
                               1000 / degree) -
-                    OVERHEAD_BYTES;
+                    GOSSIP_OVERHEAD_BYTES;
     return (uint32_t)CLAMP(share, HEARTBEAT_LEAST_BYTES, HEARTBEAT_MOST_BYTES);
 }
 
@@ -135,7 +131,8 @@
 {
     if (flags & HEARTBEAT_ANSWER &&
         !rp_byte_budget_take(&gossip->answer_budget,
-                             HEARTBEAT_MOST_BYTES + OVERHEAD_BYTES, now_ns))
+                             HEARTBEAT_MOST_BYTES + GOSSIP_OVERHEAD_BYTES,
+                             now_ns))
     {
         return;
     }
@@ -143,7 +140,7 @@
     struct rp_peer_heartbeat *heartbeat = &message.body.heartbeat;
     bool full = (flags & HEARTBEAT_FULL) != 0;
     uint32_t room_bytes =
-        heartbeat_bytes(gossip, flags) - HEARTBEAT_BASE_BYTES;
+        rp_gossip_heartbeat_bytes(gossip, flags) - HEARTBEAT_BASE_BYTES;
     heartbeat->is_answer = (flags & HEARTBEAT_ANSWER) != 0;
     heartbeat->asks = (flags & HEARTBEAT_ASK) != 0;
     heartbeat->update_count = 0;
@@ -214,74 +211,3 @@
         rp_gossip_send(gossip, &message, peer->peer_address, now_ns);
     }
 }
-
-static bool
-send_batch(struct rp_gossip *gossip, const struct rp_config_records *records,
-           bool is_answer, const char *address, struct rp_byte_budget *budget,
-           int64_t now_ns)
-{
-    uint32_t bytes = rp_record_batch_bytes(records->batch) + OVERHEAD_BYTES;
-    if (!rp_byte_budget_take(budget, bytes, now_ns)) {
-        rp_counter_add(&gossip->context->counters, RP_COUNTER_PEER_HELD_BACK,
-                       1);
-        return false;
-    }
-    GByteArray *encoded = g_byte_array_new();
-    rp_record_batch_encode(records->batch, encoded);
-    struct rp_peer_message message = {.kind = RP_PEER_CONFIG_RECORDS};
-    message.body.records.bytes = encoded->data;
-    message.body.records.byte_count = encoded->len;
-    message.body.records.is_answer = is_answer;
-    message.body.records.part = is_answer ? records->part : 0;
-    message.body.records.last = is_answer && records->last;
-    rp_gossip_send(gossip, &message, address, now_ns);
-    g_byte_array_unref(encoded);
-    return true;
-}
-
-/* Passes newly accepted records on to the neighbours at once. What is large
- * or accepted right after a pause is announced by a heartbeat instead: then
- * it goes only to those who lack it. What is over the budget is announced by
- * the next regular heartbeat. */
-void
-rp_gossip_push(struct rp_gossip *gossip,
-               const struct rp_config_records *records, int64_t now_ns)
-{
-    const struct rp_member_info *neighbors[RP_NEIGHBOR_LIMIT];
-    uint32_t count =
-        rp_member_neighbors(gossip->members, neighbors, RP_NEIGHBOR_LIMIT);
-    bool announce =
-        now_ns < gossip->quiet_until_ns ||
-        gossip->config.phase == RP_CONFIG_STARTING ||
-        rp_record_batch_bytes(records->batch) > RP_GOSSIP_PUSH_MAX_BYTES;
-    uint32_t announce_bytes = heartbeat_bytes(gossip, 0) + OVERHEAD_BYTES;
-    for (uint32_t i = 0; i < count; i++) {
-        const char *address = neighbors[i]->peer_address;
-        if (strcmp(neighbors[i]->id, records->peer) == 0) {
-            continue;
-        }
-        if (!announce) {
-            send_batch(gossip, records, false, address, &gossip->push_budget,
-                       now_ns);
-        }
-        else if (rp_byte_budget_take(&gossip->push_budget, announce_bytes,
-                                     now_ns)) {
-            rp_gossip_send_heartbeat(gossip, neighbors[i]->id, address, 0,
-                                     now_ns);
-        }
-    }
-}
-
-/* Sends records that a peer asked for, as far as the budget goes; it asks
- * again for the rest. */
-void
-rp_gossip_send_records(struct rp_gossip *gossip,
-                       const struct rp_config_records *records, int64_t now_ns)
-{
-    const struct rp_member_info *peer =
-        rp_member_find(gossip->members, records->peer);
-    if (peer != NULL) {
-        send_batch(gossip, records, true, peer->peer_address,
-                   &gossip->repair_budget, now_ns);
-    }
-}
--- a/src/member.h
+++ b/src/member.h
@@ -85,6 +85,13 @@
     char helper_addresses[RP_MEMBER_HELPERS][RP_ADDRESS_BYTES];
 };
 
+/* A member to pass something on to, and for how many members that one answers,
+ * itself included. */
+struct rp_member_branch {
+    const struct rp_member_info *info;
+    uint32_t span;
+};
+
 /* What became known about a member, for the time line. */
 struct rp_member_change {
     char id[RP_ID_BYTES];
@@ -136,6 +143,9 @@
 uint32_t rp_member_neighbors(const struct rp_member_table *table,
                              const struct rp_member_info **neighbors,
                              uint32_t limit);
+uint32_t rp_member_branches(const struct rp_member_table *table, uint32_t span,
+                            bool backward, struct rp_member_branch *branches,
+                            uint32_t limit);
 bool rp_member_next_contact(struct rp_member_table *table,
                             char address[RP_ADDRESS_BYTES]);
 void rp_member_begin_updates(struct rp_member_table *table, const char *to_id,
--- a/src/member_spread.c
+++ b/src/member_spread.c
@@ -31,6 +31,26 @@
     return count;
 }
 
+/* Writes the members to which this one passes on what it has for span members
+ * in one direction, and returns their number. */
+uint32_t
+rp_member_branches(const struct rp_member_table *table, uint32_t span,
+                   bool backward, struct rp_member_branch *branches,
+                   uint32_t limit)
+{
+    struct rp_neighbor_branch positions[RP_NEIGHBOR_LIMIT];
+    uint32_t count = rp_neighbor_branches(
+        table->ring->len, table->self->position, span, backward, positions);
+    count = MIN(count, limit);
+    for (uint32_t i = 0; i < count; i++) {
+        struct member_entry *entry =
+            g_ptr_array_index(table->ring, positions[i].position);
+        branches[i].info = &entry->member.info;
+        branches[i].span = positions[i].span;
+    }
+    return count;
+}
+
 static bool
 is_live_address(const struct rp_member_table *table, const char *address)
 {
--- a/src/neighbor.c
+++ b/src/neighbor.c
@@ -46,3 +46,26 @@
     uint32_t stride = (to + count - from) % count;
     return stride != 0 && (stride & (stride - 1)) == 0;
 }
+
+/* Writes the members to which the one at position self passes on what it has
+ * for span members in one direction, itself included, and returns their
+ * number. Each gets a part of the span, so that everyone is reached once and
+ * nobody sends more than ceil(log2 count) times (broadcast in structured
+ * overlays: El-Ansary et al., 2003). A span beyond the ring is cut to it. */
+uint32_t
+rp_neighbor_branches(uint32_t count, uint32_t self, uint32_t span,
+                     bool backward,
+                     struct rp_neighbor_branch branches[RP_NEIGHBOR_LIMIT])
+{
+    uint32_t branch_count = 0;
+    span = span < count ? span : count;
+    for (uint32_t stride = 1;
+         stride < span && branch_count < RP_NEIGHBOR_LIMIT; stride *= 2)
+    {
+        uint32_t end = stride * 2 < span ? stride * 2 : span;
+        uint32_t step = backward ? count - stride : stride;
+        branches[branch_count].position = (self + step) % count;
+        branches[branch_count++].span = end - stride;
+    }
+    return branch_count;
+}
--- a/src/neighbor.h
+++ b/src/neighbor.h
@@ -7,6 +7,13 @@
 /* Out-degree at 4096 members. */
 #define RP_NEIGHBOR_LIMIT 12
 
+/* A member to pass something on to, and for how many members in its direction
+ * that one answers, itself included. */
+struct rp_neighbor_branch {
+    uint32_t position;
+    uint32_t span;
+};
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -15,6 +22,10 @@
 uint32_t rp_neighbor_degree(uint32_t count);
 uint32_t rp_neighbor_select(uint32_t count, uint32_t self,
                             uint32_t neighbors[RP_NEIGHBOR_LIMIT]);
+uint32_t
+rp_neighbor_branches(uint32_t count, uint32_t self, uint32_t span,
+                     bool backward,
+                     struct rp_neighbor_branch branches[RP_NEIGHBOR_LIMIT]);
 bool rp_neighbor_sends_to(uint32_t count, uint32_t from, uint32_t to);
 
 #ifdef __cplusplus
--- a/src/node.c
+++ b/src/node.c
@@ -223,6 +223,22 @@
     return true;
 }
 
+/* Returns whether others are told to look for peers at this VM, or there are
+ * none to look for. */
+static bool
+is_seed(const struct rp_settings *settings)
+{
+    const char *own = rp_settings_text(settings, RP_SETTING_PEER_ADDRESS);
+    const char *peers = rp_settings_text(settings, RP_SETTING_PEERS);
+    char **seeds = g_strsplit(peers, ",", -1);
+    bool found = seeds[0] == NULL;
+    for (char **seed = seeds; *seed != NULL && !found; seed++) {
+        found = strcmp(g_strstrip(*seed), own) == 0;
+    }
+    g_strfreev(seeds);
+    return found;
+}
+
 static bool
 start_config(struct rp_node *node, const struct rp_settings *settings,
              GError **error)
@@ -240,6 +256,7 @@
     }
     struct rp_platform_settings platform = {
         .url = rp_settings_text(settings, RP_SETTING_PLATFORM),
+        .begins_watching = is_seed(settings),
     };
     if (node->adapter != NULL) {
         node->protocol = node->adapter->protocol_new();
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -150,6 +150,12 @@
     msgpack_pack_uint32(packer, records->part);
     pack_text(packer, "last");
     pack_bool(packer, records->last);
+    pack_text(packer, "plain");
+    msgpack_pack_uint32(packer, records->plain_bytes);
+    pack_text(packer, "span");
+    msgpack_pack_uint32(packer, records->span);
+    pack_text(packer, "backward");
+    pack_bool(packer, records->backward);
 }
 
 static void
@@ -183,7 +189,7 @@
 {
     static const uint32_t fields[] = {
         [RP_PEER_HEARTBEAT] = 6,      [RP_PEER_CONFIG_WANT] = 1,
-        [RP_PEER_CONFIG_RECORDS] = 4, [RP_PEER_SUSPECT_PROBE] = 4,
+        [RP_PEER_CONFIG_RECORDS] = 7, [RP_PEER_SUSPECT_PROBE] = 4,
         [RP_PEER_SUSPECT_ACK] = 4,
     };
     return kind < G_N_ELEMENTS(fields) ? fields[kind] : 0;
@@ -485,7 +491,12 @@
     records->byte_count = batch->via.bin.size;
     return read_bool(find_field(map, "answer"), &records->is_answer) &&
            read_u32(find_field(map, "part"), UINT32_MAX, &records->part) &&
-           read_bool(find_field(map, "last"), &records->last);
+           read_bool(find_field(map, "last"), &records->last) &&
+           read_u32(find_field(map, "plain"), RP_RECORD_BATCH_MAX_BYTES,
+                    &records->plain_bytes) &&
+           read_u32(find_field(map, "span"), RP_MEMBER_LIMIT,
+                    &records->span) &&
+           read_bool(find_field(map, "backward"), &records->backward);
 }
 
 static bool
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -67,6 +67,11 @@
     bool is_answer; /* to CONFIG_WANT; else pushed */
     uint32_t part;  /* of the answer, from 0 */
     bool last;
+    uint32_t plain_bytes; /* before compression; 0: not compressed */
+    /* Of pushed records: for how many members in one direction of the ring the
+     * receiver answers, itself included. */
+    uint32_t span;
+    bool backward;
 };
 
 /* Asks whether subject is alive. One who is not the subject passes it on to
--- a/src/platform.c
+++ b/src/platform.c
@@ -56,10 +56,12 @@
     uint32_t role;
 };
 
-/* A message to the config task that waits, see lapse.h. */
+/* A message to the config task that waits, see lapse.h and rp_watch_turn_ns.
+ */
 struct held_message {
     int64_t due_ns;
-    struct rp_record_batch *removed; /* NULL for a listing */
+    struct rp_record_batch *batch; /* NULL for a listing */
+    bool last;                     /* the batch reaches the revision */
     GHashTable *listed;
     uint64_t revision;
 };
@@ -68,7 +70,7 @@
 free_held(gpointer data)
 {
     struct held_message *held = data;
-    rp_record_batch_unref(held->removed);
+    rp_record_batch_unref(held->batch);
     if (held->listed != NULL) {
         g_hash_table_unref(held->listed);
     }
@@ -203,9 +205,9 @@
 {
     struct rp_task *config =
         rp_kernel_find_task(rp_task_kernel(platform->task), "config");
-    if (held->removed != NULL) {
+    if (held->batch != NULL) {
         rp_config_records_send(platform->task, config, RP_MSG_PLATFORM_RECORDS,
-                               held->removed, "", 0, false);
+                               held->batch, "", 0, held->last);
         return;
     }
     struct rp_config_listing body = {g_hash_table_ref(held->listed),
@@ -230,18 +232,22 @@
     }
 }
 
-/* Sends what says that targets are gone, at once or when entries that lapsed
- * have had time to come back. */
+/* Sends a message to the config task when it is due, and at once if it is
+ * due already. The message belongs to the platform from here on. */
 static void
-hold_back(struct rp_platform *platform, struct rp_record_batch *removed,
-          GHashTable *listed, uint64_t revision, int64_t now_ns)
+hold_back(struct rp_platform *platform, const struct held_message *message,
+          int64_t now_ns)
 {
-    struct held_message *held = g_new0(struct held_message, 1);
-    held->due_ns = rp_lapse_due_ns(&platform->lapse, now_ns);
-    held->removed = removed;
-    held->listed = listed;
-    held->revision = revision;
-    g_ptr_array_add(platform->held_back, held);
+    GPtrArray *held_back = platform->held_back;
+    guint index = held_back->len;
+    while (index > 0 &&
+           ((struct held_message *)held_back->pdata[index - 1])->due_ns >
+               message->due_ns)
+    {
+        index--;
+    }
+    g_ptr_array_insert(held_back, (gint)index,
+                       g_memdup2(message, sizeof(*message)));
     send_due(platform, now_ns);
 }
 
@@ -261,8 +267,12 @@
                          g_strdup(rp_record_batch_get(answer->batch, i)->key));
     }
     if (!answer->more) {
-        hold_back(platform, NULL, g_steal_pointer(&platform->listed),
-                  answer->revision, now_ns);
+        struct held_message held = {
+            .due_ns = rp_lapse_due_ns(&platform->lapse, now_ns),
+            .listed = g_steal_pointer(&platform->listed),
+            .revision = answer->revision,
+        };
+        hold_back(platform, &held, now_ns);
     }
 }
 
@@ -294,16 +304,25 @@
         rp_counter_add(&platform->context->counters,
                        RP_COUNTER_PLATFORM_MALFORMED, answer->malformed);
     }
-    rp_config_records_send(
-        platform->task,
-        rp_kernel_find_task(rp_task_kernel(platform->task), "config"),
-        RP_MSG_PLATFORM_RECORDS, answer->batch, "", 0, !answer->more);
+    int64_t turn_ns =
+        answer->listing ? now_ns : now_ns + rp_watch_turn_ns(platform->watch);
+    struct held_message held = {
+        .due_ns = turn_ns,
+        .batch = rp_record_batch_ref(answer->batch),
+        .last = !answer->more,
+    };
+    hold_back(platform, &held, now_ns);
     if (answer->listing) {
         take_listing(platform, answer, now_ns);
     }
     if (answer->removed != NULL) {
-        hold_back(platform, rp_record_batch_ref(answer->removed), NULL, 0,
-                  now_ns);
+        /* Entries that lapsed have time to come back. */
+        int64_t lapse_ns = rp_lapse_due_ns(&platform->lapse, now_ns);
+        struct held_message removed = {
+            .due_ns = MAX(turn_ns, lapse_ns),
+            .batch = rp_record_batch_ref(answer->removed),
+        };
+        hold_back(platform, &removed, now_ns);
     }
 }
 
@@ -583,7 +602,7 @@
                                                     : settings->protocol;
     platform->watch = rp_watch_new(platform->context->identity.id, now_ns);
     if (platform->protocol->vms_path == NULL) {
-        rp_watch_set_unlisted(platform->watch);
+        rp_watch_set_unlisted(platform->watch, settings->begins_watching);
     }
     platform->url = g_strdup(settings->url);
     while (g_str_has_suffix(platform->url, "/")) {
--- a/src/watch.c
+++ b/src/watch.c
@@ -19,6 +19,9 @@
  * the spread, so that not all read at once. */
 #define UNLISTED_INTERVAL_NS INT64_C(700000000)
 #define CHECK_NS INT64_C(1000000000)
+/* Share of each VM in that interval, so that those of a large fleet together
+ * ask no more than 14 times a second. */
+#define CHECK_SHARE_NS INT64_C(70000000)
 #define BEHIND_NS INT64_C(400000000)
 #define BEHIND_SPREAD_NS INT64_C(300000000)
 /* News of the watchers' freshness are at most a wait and two hops old. */
@@ -27,6 +30,9 @@
 #define UNLISTED_PROMOTED_NS INT64_C(5000000000)
 #define UNLISTED_RETRY_NS INT64_C(500000000)
 #define UNLISTED_BACKOFF_NS INT64_C(1000000000)
+/* Wait of each watcher for those of lower rank to spread what changed; a push
+ * takes some milliseconds for each of the ceil(log2 fleet) steps. */
+#define UNLISTED_TURN_NS INT64_C(100000000)
 static const int64_t cycle_wait_ms[CYCLE - 1] = {333, 667, 1000};
 
 /* A promoted VM goes on for this long, and up to twice as long by hash, so
@@ -41,6 +47,7 @@
     double hash; /* of the own id, from 0 to 1 */
     enum rp_watch_role role;
     bool chosen;
+    uint32_t rank; /* among the chosen */
     bool has_vms;
     bool unlisted; /* the platform has no list of VMs */
     bool has_records;
@@ -55,6 +62,7 @@
     int64_t own_fresh_ns; /* by own reads */
     int64_t others_ns;    /* last time that others were fresher */
     int64_t promoted_ns;
+    int64_t check_interval_ns;
     int64_t check_ns;  /* next read of the revision while idle */
     int64_t behind_ns; /* since when a later revision is known; 0 for none */
 };
@@ -172,6 +180,7 @@
     for (uint32_t i = 0; i < count; i++) {
         if (strcmp(chosen[i]->id, watch->own_id) == 0) {
             watch->chosen = true;
+            watch->rank = i;
         }
     }
     watch->has_vms = true;
@@ -181,16 +190,29 @@
     }
     watch->idle_interval_ns =
         MAX(RP_WATCH_IDLE_NS, entry_vms * RP_WATCH_IDLE_SHARE_NS);
+    watch->check_interval_ns = MAX(CHECK_NS, entry_vms * CHECK_SHARE_NS);
 }
 
-/* Takes note that the platform has no list of VMs. Every VM watches until it
- * is told of the others by rp_watch_set_vms. */
+/* Takes note that the platform has no list of VMs. Until rp_watch_set_vms
+ * tells of the others, those watch that begin: a fleet that starts at once has
+ * a few, which all others know. */
 void
-rp_watch_set_unlisted(struct rp_watch *watch)
+rp_watch_set_unlisted(struct rp_watch *watch, bool begins)
 {
     watch->unlisted = true;
     watch->has_vms = true;
-    watch->chosen = true;
+    watch->chosen = begins;
+    watch->check_interval_ns = CHECK_NS;
+}
+
+/* Returns how long changes that this VM has read may wait, so that it spreads
+ * only those that no other watcher has spread in the meantime. */
+int64_t
+rp_watch_turn_ns(const struct rp_watch *watch)
+{
+    return watch->unlisted && watch->role == RP_WATCH_CHOSEN
+               ? watch->rank * UNLISTED_TURN_NS
+               : 0;
 }
 
 /* Takes note of whether others know of more than this VM holds. */
@@ -289,7 +311,7 @@
     if (now_ns < watch->check_ns) {
         return RP_WATCH_READ_NONE;
     }
-    watch->check_ns = now_ns + CHECK_NS;
+    watch->check_ns = now_ns + watch->check_interval_ns;
     return RP_WATCH_READ_REVISION;
 }
 
@@ -393,7 +415,10 @@
     if (more && watch->unlisted) {
         watch->next_ns = now_ns; /* also after the end of a history */
     }
-    watch->has_records = watch->has_records || !more;
+    if (!more && !watch->has_records) {
+        watch->has_records = true;
+        watch->check_ns = now_ns + CHECK_NS;
+    }
     if (fresh && !more) {
         watch->own_fresh_ns = now_ns;
         watch->fresh_ns = now_ns;
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -303,6 +303,16 @@
          true,
          false,
          {{"target/i-1", "retired"}}},
+        // Of several changes of one item only the last is read.
+        {watch,
+         200,
+         R"({"events":[)" + item("servers/i-1", 54, target("ready")) + "," +
+             item("servers/i-3", 55, target("ready")) + "," +
+             item("servers/i-1", 56, target("draining")) +
+             R"(],"storeRevision":56})",
+         true,
+         false,
+         {{"target/i-1", "draining"}, {"target/i-3", "serving"}}},
         {watch, 410, "", true, true, {}},
         {first_page,
          200,
--- a/tests/test_member.cc
+++ b/tests/test_member.cc
@@ -45,6 +45,34 @@
     }
 }
 
+// Guards against pushes that reach a member twice or not at all, in either
+// direction and from any origin, and against an origin that sends to all.
+TEST(neighbor, branches_reach_each_member_once)
+{
+    for (uint32_t count : {1u, 2u, 3u, 14u, 98u, 129u, 300u}) {
+        for (bool backward : {false, true}) {
+            uint32_t origin = count / 3;
+            std::vector<int> copies(count);
+            std::vector<std::pair<uint32_t, uint32_t>> to_do = {
+                {origin, 4096}};
+            while (!to_do.empty()) {
+                auto [from, span] = to_do.back();
+                to_do.pop_back();
+                struct rp_neighbor_branch branches[RP_NEIGHBOR_LIMIT];
+                uint32_t found = rp_neighbor_branches(count, from, span,
+                                                      backward, branches);
+                ASSERT_LE(found, rp_neighbor_degree(count));
+                for (uint32_t i = 0; i < found; i++) {
+                    copies[branches[i].position]++;
+                    to_do.push_back({branches[i].position, branches[i].span});
+                }
+            }
+            copies[origin]++;
+            EXPECT_EQ(copies, std::vector<int>(count, 1)) << count;
+        }
+    }
+}
+
 class member : public ::testing::Test {
   protected:
     member()
--- a/tests/test_watch_unlisted.cc
+++ b/tests/test_watch_unlisted.cc
@@ -2,6 +2,7 @@
 
 #include <cstring>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,10 +38,10 @@
     int checks = 0;
     bool platform_up = true;
 
-    reader(const char *id, struct rp_vm_list *list)
+    reader(const char *id, struct rp_vm_list *list, bool begins = true)
     {
         watch = rp_watch_new(id, 0);
-        rp_watch_set_unlisted(watch);
+        rp_watch_set_unlisted(watch, begins);
         step(10 * MS); // the first listing
         rp_watch_set_vms(watch, list);
         reads = checks = 0;
@@ -102,6 +103,72 @@
     return "";
 }
 
+// Guards against a fleet that starts with a watch by everyone: only the VMs
+// that all others know begin, the rest read once and wait for news of peers.
+TEST(watch_unlisted, few_begin)
+{
+    for (bool begins : {false, true}) {
+        struct rp_watch *watch = rp_watch_new("vm-1", 0);
+        rp_watch_set_unlisted(watch, begins);
+        int listings = 0;
+        int watches = 0;
+        for (int64_t now_ns = 0; now_ns < 3 * SECOND; now_ns += 5 * MS) {
+            int64_t wait_ms = 0;
+            enum rp_watch_read read = rp_watch_next(watch, now_ns, &wait_ms);
+            if (read == RP_WATCH_READ_NONE) {
+                continue;
+            }
+            if (read == RP_WATCH_READ_RECORDS) {
+                (wait_ms > 0 ? watches : listings)++;
+            }
+            rp_watch_finish(watch, true, true, false, 0.5, now_ns);
+        }
+        EXPECT_EQ(listings, 1) << begins;
+        EXPECT_EQ(watches > 0, begins);
+        rp_watch_free(watch);
+    }
+}
+
+// Guards against checks of the revision that grow with the fleet.
+TEST(watch_unlisted, checks_of_a_large_fleet_are_rare)
+{
+    struct {
+        int vms;
+        int checks; // of one VM in 20 s
+    } cases[] = {{14, 20}, {98, 3}, {300, 1}};
+    for (const auto &entry : cases) {
+        struct rp_vm_list *list = make_list(entry.vms, 4);
+        reader each(find_idle(list, entry.vms).c_str(), list);
+        for (int i = 0; i < 40; i++) {
+            each.step(each.now_ns + SECOND / 2);
+            rp_watch_hear_fresh(each.watch, each.now_ns, each.now_ns);
+        }
+        EXPECT_NEAR(each.checks, entry.checks, 1) << entry.vms;
+        EXPECT_EQ(each.reads, 0) << entry.vms;
+        rp_vm_list_unref(list);
+    }
+}
+
+// Guards against five pushes of each change: a watcher waits for those before
+// it, each for a time of its own.
+TEST(watch_unlisted, watchers_take_turns_at_spreading)
+{
+    struct rp_vm_list *list = make_list(14, 4);
+    std::set<int64_t> turns;
+    for (int i = 0; i < 14; i++) {
+        reader each(("vm-" + std::to_string(i)).c_str(), list);
+        int64_t wait_ms;
+        rp_watch_next(each.watch, 3 * SECOND, &wait_ms);
+        if (rp_watch_role(each.watch) == RP_WATCH_CHOSEN) {
+            turns.insert(rp_watch_turn_ns(each.watch));
+        }
+    }
+    EXPECT_EQ(turns.size(), 5u);
+    EXPECT_EQ(*turns.begin(), 0);
+    EXPECT_LE(*turns.rbegin(), SECOND / 2);
+    rp_vm_list_unref(list);
+}
+
 // Guards against a VM that stays behind when peers do not bring what is new:
 // it has to read it well before two seconds are over.
 TEST(watch_unlisted, reads_when_behind)
