Send callers to the greater entry VMs; divide budgets by load; a fault soak

Cause: in the grown deployments 8 of 98 and 129 entry VMs have half a core and 200 Mbit/s, the others a tenth and 10 Mbit/s. Callers went to five of each failure domain by hash, mostly small ones, which stood still for up to 5 s (LOST, GONE).

Change: members tell their capacity, and callers get those of at least half the greatest one, at least two. Half of a budget goes to all members alike, half by load. The bounds come from the platform's settings, so that other deployments keep to theirs: retry-ratio (in place of retry-permille) and times take the platform's form, and an empty value stands for the default.

scripts/fault_soak.sh is a seeded series of overlapping faults on real processes, with relay links that are deaf or mute on one side and resets.

--- /dev/null
+++ b/scripts/fault_soak.sh
@@ -0,0 +1,209 @@
+#!/bin/bash
+# A randomized soak of real processes on loopback. A seed gives a series of
+# faults that overlap: entry processes are killed, paused, stopped, restarted
+# and signalled; connections to targets and to the platform are delayed, reset,
+# cut, cut one way or silenced by the relay; targets and the platform pause;
+# records change and targets drain meanwhile. Callers keep using connections
+# that are open. What they were told and what the targets ran are compared, and
+# the fleet must agree and serve again when the faults are over.
+# Usage: scripts/fault_soak.sh BUILD_DIR SEED [SECONDS [ENTRIES [TARGETS]]]
+# KEEP=DIR keeps the logs of a run that fails.
+set -u
+build=$1
+seed=$2
+duration=${3:-15}
+entry_count=${4:-5}
+target_count=${5:-4}
+work=$(mktemp -d)
+net=127.$((20 + seed % 200)).$((seed / 200 % 250))
+# shellcheck source=scripts/fleet.sh
+. "$(dirname "$0")/fleet.sh"
+
+links=()
+for i in $(seq "$target_count"); do
+    relays[$i]=$net.240:$((21000 + i))
+    links+=(--link "$net.240:$((21000 + i))=$net.$((100 + i)):21000")
+done
+# The last link is that of entry VMs to the platform.
+links+=(--link "$net.240:18900=$net.250:18900")
+platform_link=$target_count
+platform_url=http://$net.240:18900
+
+expected_ends=0
+dead=() # entry processes that are down, by number
+
+# Restarts an entry process that was ended on purpose.
+restart() { # NUMBER
+    start_entry "$1"
+    unset "dead[$1]"
+}
+
+end_entry() { # NUMBER SIGNAL
+    [ -z "${dead[$1]:-}" ] || return
+    dead[$1]=1
+    kill -CONT "${entry_pid[$1]}" 2>/dev/null
+    kill "-$2" "${entry_pid[$1]}" 2>/dev/null
+    wait "${entry_pid[$1]}" 2>/dev/null
+    expected_ends=$((expected_ends + 1))
+}
+
+# Prints the schedule of a seed: "MILLISECOND VERB ARGUMENT VALUE" a line.
+# Each fault has an end of its own, so that faults overlap.
+schedule() {
+    awk -v seed="$seed" -v until="$((duration * 1000))" \
+        -v entries="$entry_count" -v targets="$target_count" '
+    function below(n) { return int(rand() * n) }
+    BEGIN {
+        srand(seed)
+        split("kill term pause hup relay relay relay relay target platform " \
+              "store config drain", kinds, " ")
+        split("cut hole deaf mute silence reset delay", ways, " ")
+        split("down stale", modes, " ")
+        for (at = 500; at < until; at += 150 + below(1200)) {
+            kind = kinds[1 + below(13)]
+            ends = at + 200 + below(3500)
+            if (kind == "kill" || kind == "term") {
+                entry = 1 + below(entries)
+                print at, kind, entry
+                print ends, "start", entry
+            }
+            else if (kind == "pause") {
+                entry = 1 + below(entries)
+                print at, "stop", entry
+                print ends, "continue", entry
+            }
+            else if (kind == "hup") print at, "hup", 1 + below(entries)
+            else if (kind == "relay") {
+                link = below(targets + 1)
+                way = ways[1 + below(7)]
+                print at, "relay", link, way (way == "delay" ? " " below(400) : "")
+                print ends, "relay", link, "pass"
+            }
+            else if (kind == "target") {
+                target = 1 + below(targets)
+                print at, "stop-target", target
+                print ends, "continue-target", target
+            }
+            else if (kind == "platform") {
+                print at, "mode", modes[1 + below(2)]
+                print ends, "mode", "normal"
+            }
+            else if (kind == "store") {
+                print at, "relay", targets, "hole"
+                print ends, "relay", targets, "pass"
+            }
+            else if (kind == "config") print at, "config"
+            else {
+                print at, "drain", "draining"
+                print ends, "drain", "serving"
+            }
+        }
+    }' | sort -n
+}
+
+service_version=1
+targets_version=1
+
+relay_command() { # LINK VERB [MS]
+    if [ "$2" = delay ]; then
+        relay "delay $3 $1"
+    else
+        relay "$2 $1"
+    fi
+}
+
+act() { # VERB ARGUMENT VALUE...
+    local verb=$1
+    shift
+    case $verb in
+    kill) end_entry "$1" KILL ;;
+    term) end_entry "$1" TERM ;;
+    start) [ -z "${dead[$1]:-}" ] || restart "$1" ;;
+    stop) [ -n "${dead[$1]:-}" ] || kill -STOP "${entry_pid[$1]}" ;;
+    continue) [ -n "${dead[$1]:-}" ] || kill -CONT "${entry_pid[$1]}" ;;
+    hup) [ -n "${dead[$1]:-}" ] || kill -HUP "${entry_pid[$1]}" ;;
+    relay) relay_command "$@" ;;
+    stop-target) kill -STOP "${target_pid[$1]}" ;;
+    continue-target) kill -CONT "${target_pid[$1]}" ;;
+    mode) platform_mode "{\"mode\":\"$1\",\"revision\":1}" ;;
+    config)
+        service_version=$((service_version + 1))
+        publish service/jobs "$(service_record $service_version \
+            $((3000 + service_version)))"
+        ;;
+    drain)
+        targets_version=$((targets_version + 1))
+        publish targets/jobs/new "$(targets_record $targets_version "$1")"
+        ;;
+    esac
+}
+
+make_keys
+start_platform
+"$build/rp-standin" relay --control "$net.240:18300" "${links[@]}" \
+    >/dev/null 2>&1 &
+pids+=($!)
+for i in $(seq "$target_count"); do
+    start_target "$i"
+done
+wait_until 3000 publish service/jobs "$(service_record 1 3000)"
+publish targets/jobs/new "$(targets_record 1 serving)"
+for i in $(seq "$entry_count"); do
+    start_entry "$i"
+done
+check "seed $seed: one configuration in force on all" \
+    wait_for_version targets/jobs/new 1 15000
+for i in 1 2 3; do
+    start_session "post$i" POST "$duration" "/jobs?bytes=40"
+    start_session "get$i" GET "$duration" "/jobs?bytes=400"
+done
+
+began=$(now_ms)
+while read -r at verb rest; do
+    left=$((at - ($(now_ms) - began)))
+    ((left <= 0)) || sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"
+    # shellcheck disable=SC2086  # arguments are split into words on purpose
+    act "$verb" $rest
+done < <(schedule)
+
+# The faults are over: what lasts is undone, and what follows has its bound.
+relay pass
+platform_mode '{"mode":"normal"}'
+for i in $(seq "$entry_count"); do
+    [ -z "${dead[$i]:-}" ] || restart "$i"
+    kill -CONT "${entry_pid[$i]}"
+done
+wait "${sessions[@]}"
+sessions=()
+targets_version=$((targets_version + 1))
+service_version=$((service_version + 1))
+wait_until 3000 publish targets/jobs/new \
+    "$(targets_record $targets_version serving)"
+wait_until 3000 publish service/jobs "$(service_record $service_version 3000)"
+# An accepted configuration is in force everywhere within 8 s (capacity page).
+check "seed $seed: the last service record is in force within 8 s" \
+    wait_for_version service/jobs $service_version 8000
+check "seed $seed: all agree within 8 s" wait_until 8000 agree
+start_session calm GET 3 "/jobs?bytes=400"
+wait "${sessions[@]}"
+calm_lost=$(grep -vc ' result=done ' "$work/calm.session")
+check "seed $seed: all is served when the faults are over (lost: $calm_lost)" \
+    [ "$calm_lost" -eq 0 ]
+accounts_agree '^post'
+check "seed $seed: accounts of callers and targets agree" [ $? -eq 0 ]
+alive=0
+for i in $(seq "$entry_count"); do
+    kill -0 "${entry_pid[$i]}" 2>/dev/null && alive=$((alive + 1))
+done
+check "seed $seed: no entry process ended by itself" \
+    [ "$alive" -eq "$entry_count" ]
+critical=$(cat "$work"/entry-*.log | grep -c ' critical ')
+check "seed $seed: no invariant failed" [ "$critical" -eq 0 ]
+
+if [ "$failures" -gt 0 ]; then
+    [ -n "${KEEP:-}" ] && schedule >"$work/schedule" &&
+        cp -r "$work" "$KEEP/seed-$seed"
+    echo "fault soak: seed $seed failed $failures checks ($expected_ends ends)"
+    exit 1
+fi
+echo "fault soak: seed $seed passed ($expected_ends ends)"
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -8,162 +8,15 @@
 build=$1
 work=$(mktemp -d)
 net=127.0.78
-operator=http://$net.250:18900
 entry_count=5
-declare -A entry_pid
-pids=()
-sessions=()
-failures=0
-
-cleanup() {
-    kill -CONT "${pids[@]}" "${entry_pid[@]}" 2>/dev/null
-    kill -KILL "${pids[@]}" "${entry_pid[@]}" 2>/dev/null
-    wait 2>/dev/null
-    rm -rf "$work"
-}
-trap cleanup EXIT
-
-check() { # TEXT COMMAND...
-    local text=$1
-    shift
-    if "$@"; then
-        echo "ok      $text"
-    else
-        echo "FAILED  $text"
-        failures=$((failures + 1))
-    fi
-}
-
-now_ms() { date +%s%3N; }
-
-peers=
-admin=
-entries=
-for i in $(seq $entry_count); do
-    peers+="${peers:+,}$net.$i:18100"
-    admin+="${admin:+,}$net.$i:18200"
-    entries+="${entries:+,}$net.$i:18000"
-done
-
-start_entry() { # NUMBER
-    "$build/rosemarypulley" serve --id "entry-$1" --domain "domain-$(($1 % 3))" \
-        --caller-address "$net.$1:18000" --peer-address "$net.$1:18100" \
-        --admin-address "$net.$1:18200" --peers "$peers" \
-        --platform "$operator" --boot-wait-ms 4000 --address-ttl-ms 1000 \
-        --first-byte-ms 500 --fleet-size $entry_count \
-        >>"$work/entry-$1.log" 2>&1 &
-    entry_pid[$1]=$!
-}
-
-start_target() { # NUMBER
-    "$build/rp-standin" target --address "$net.$((100 + $1)):21000" \
-        --work-ms 3 --life-s 300 >/dev/null 2>&1 &
-    pids+=($!)
-    target_pid[$1]=$!
-}
-
-publish() { # KEY VALUE
-    curl -s -f -m 2 -o /dev/null -X PUT --data-binary "$2" \
-        "$operator/operator/records/$1"
-}
-
-platform_mode() { # JSON
-    curl -s -f -m 2 -o /dev/null -X PUT --data-binary "$1" \
-        "$operator/operator/mode"
-}
-
-targets_record() { # VERSION STATE_OF_TARGET_1
-    local list="" i address state
-    for i in 1 2 3 4; do
-        address=$net.$((100 + i)):21000
-        # Target 3 is reached through the relay, which can break the way.
-        [ "$i" -ne 3 ] || address=$net.240:21003
-        state=serving
-        [ "$i" -ne 1 ] || state=$2
-        list+="${list:+,}{\"name\":\"t$i\",\"address\":\"$address\",
-            \"domain\":\"domain-$((i % 3))\",\"state\":\"$state\"}"
-    done
-    echo "{\"schema\":2,\"kind\":\"targets\",\"service\":\"jobs\",
-        \"estate\":\"new\",\"version\":$1,\"targets\":[$list]}"
-}
-
-service_record() { # VERSION TIMEOUT_MS
-    echo "{\"schema\":2,\"kind\":\"service\",\"name\":\"jobs\",
-        \"version\":$1,\"timeout_ms\":$2,\"match\":{\"path_prefix\":\"/jobs\"}}"
-}
-
-# Prints the digests in force, one a line, of the entry VMs that answer.
-digests() {
-    "$build/rosemarypulley" status --json --at "$admin" 2>/dev/null |
-        grep -oE '"digest":"[0-9a-f]+"' | sort
-}
-
-version_in_force() { # KEY: versions that the entry VMs have, one a line
-    "$build/rosemarypulley" status --at "$admin" 2>/dev/null |
-        awk -v key="$1" '$1 == "record" && $2 == key { print $4 }'
-}
-
-# Waits until every entry VM has the version; prints the time it took.
-wait_for_version() { # KEY VERSION LIMIT_MS
-    local started
-    started=$(now_ms)
-    while (($(now_ms) - started < $3)); do
-        if [ "$(version_in_force "$1" | grep -c "^$2\$")" -eq $entry_count ]; then
-            echo "        in force on all $entry_count after" \
-                "$(($(now_ms) - started)) ms"
-            return 0
-        fi
-        sleep 0.05
-    done
-    return 1
-}
-
-agree() { # all entry VMs answer, with one digest
-    [ "$(digests | wc -l)" -eq $entry_count ] &&
-        [ "$(digests | uniq | wc -l)" -eq 1 ]
-}
-
-wait_until() { # LIMIT_MS COMMAND...
-    local started limit=$1
-    started=$(now_ms)
-    shift
-    while (($(now_ms) - started < limit)); do
-        "$@" && return 0
-        sleep 0.1
-    done
-    return 1
-}
-
-start_session() { # NAME METHOD SECONDS PATH
-    "$build/rp-standin" session --entries "$entries" --service jobs \
-        --path "$4" --method "$2" --id "$1" --seconds "$3" \
-        >"$work/$1.session" 2>&1 &
-    sessions+=($!)
-}
-
-ran() { # TARGET_NUMBER: what it ran, "id count" a line
-    curl -s -m 5 "http://$net.$((100 + $1)):21000/ran"
-}
-
-relay() { # COMMAND
-    exec 4<>"/dev/tcp/$net.240/18300" && echo "$1" >&4 && exec 4>&-
-}
-
-eval "$("$build/rosemarypulley" keygen)"
-export ROSEMARYPULLEY_PEER_PUBLIC_KEY ROSEMARYPULLEY_PEER_SECRET_KEY
-export ROSEMARYPULLEY_FLEET_KEY
-declare -A target_pid
-mkdir -p "$work/platform/records"
-vms=
-for i in $(seq $entry_count); do
-    vms+="${vms:+,}{\"id\":\"entry-$i\",\"role\":\"entry\",
-        \"address\":\"$net.$i:18000\",\"peer\":\"$net.$i:18100\",
-        \"domain\":\"domain-$((i % 3))\",\"state\":\"live\"}"
-done
-echo "[$vms]" >"$work/platform/vms.json"
-"$build/rp-standin" platform --listen "$net.250:18900" \
-    --directory "$work/platform" --lifetime-s 300 >/dev/null 2>&1 &
-pids+=($!)
+target_count=4
+# shellcheck source=scripts/fleet.sh
+. "$(dirname "$0")/fleet.sh"
+# Target 3 is reached through the relay, which can break the way.
+relays[3]=$net.240:21003
+
+make_keys
+start_platform
 "$build/rp-standin" relay --control "$net.240:18300" \
     --link "$net.240:21003=$net.103:21000" >/dev/null 2>&1 &
 pids+=($!)
@@ -273,27 +126,7 @@
 lost=$(cat "$work"/roll*.session | grep -vc ' result=done ')
 check "replacement: no request was lost (lost: $lost)" [ "$lost" -eq 0 ]
 
-for i in 1 2 3 4; do
-    ran "$i"
-done >"$work/ran"
-cat "$work"/*.session >"$work/told"
-awk '
-    FNR == NR { ran[$1] += $2; next }
-    {
-        id = substr($1, 4); result = substr($2, 8); own = substr($5, 5)
-        told[result]++
-        if (own != "1") foreign++
-        if (id ~ /^(post|roll2)/ && ran[id] > 1) doubled++
-        if (result == "done" && ran[id] == 0) invented++
-        if (result == "not-run" && ran[id] > 0) false_not_run++
-    }
-    END {
-        printf "        told: done %d, unknown %d, not-run %d\n",
-            told["done"], told["unknown"], told["not-run"]
-        printf "        doubled %d, false not-run %d, without a run %d, " \
-            "foreign %d\n", doubled, false_not_run, invented, foreign
-        exit doubled + false_not_run + invented + foreign > 0
-    }' "$work/ran" "$work/told"
+accounts_agree '^(post|roll2)'
 check "accounts of callers and targets agree" [ $? -eq 0 ]
 critical=$(cat "$work"/entry-*.log | grep -c ' critical ')
 check "no invariant failed in any entry process" [ "$critical" -eq 0 ]
--- a/src/address_answer.c
+++ b/src/address_answer.c
@@ -193,6 +193,11 @@
     return text;
 }
 
+/* Parts of the rank of a near candidate; the greatest goes first. */
+#define RANK_FAR 1u
+#define RANK_SMALL 2u
+#define RANK_SUSPECT 4u
+
 struct near_candidate {
     uint32_t index;
     uint32_t rank; /* smaller is better */
@@ -213,10 +218,38 @@
     return 0;
 }
 
-/* Picks up to most members for callers of a name, those of their failure
- * domain first, and returns their number. Every entry VM picks the same ones
- * by rendezvous hashing, so that few decide for a name and know its targets
- * well. Suspect members are picked only when there are no others. */
+static uint32_t
+greatest_capacity(const struct rp_address_member *members,
+                  uint32_t member_count)
+{
+    uint32_t greatest = 0;
+    for (uint32_t i = 0; i < member_count; i++) {
+        if (members[i].state != RP_ADDRESS_UNUSABLE &&
+            members[i].state != RP_ADDRESS_SUSPECT)
+        {
+            greatest = MAX(greatest, members[i].capacity_permille);
+        }
+    }
+    return greatest;
+}
+
+static uint32_t
+near_rank(const struct rp_address_member *member, const char *domain,
+          uint32_t capacity_permille)
+{
+    bool small = member->capacity_permille < capacity_permille / 2;
+    bool far = strcmp(member->domain, domain) != 0;
+    return (member->state == RP_ADDRESS_SUSPECT ? RANK_SUSPECT : 0u) +
+           (small ? RANK_SMALL : 0u) + (far ? RANK_FAR : 0u);
+}
+
+/* Picks up to most members for callers of a name and returns their number:
+ * those of the callers' failure domain, and others only when there would be
+ * fewer than RP_ADDRESS_LEAST. A member of less than half the greatest
+ * capacity is picked only then too: it would be full while others are idle.
+ * Every entry VM picks the same ones by rendezvous hashing, so that few decide
+ * for a name and know its targets well. Suspect members are picked only when
+ * there are no others. */
 uint32_t
 rp_address_nearest(const struct rp_address_member *members,
                    uint32_t member_count, const char *name, const char *domain,
@@ -224,6 +257,7 @@
 {
     GArray *found = g_array_new(FALSE, FALSE, sizeof(struct near_candidate));
     uint64_t seed = XXH3_64bits(name, strlen(name));
+    uint32_t capacity = greatest_capacity(members, member_count);
     for (uint32_t i = 0; i < member_count; i++) {
         const struct rp_address_member *member = &members[i];
         if (member->state == RP_ADDRESS_UNUSABLE) {
@@ -231,8 +265,7 @@
         }
         struct near_candidate candidate = {
             .index = i,
-            .rank = (member->state == RP_ADDRESS_SUSPECT ? 2u : 0u) +
-                    (strcmp(member->domain, domain) != 0 ? 1u : 0u),
+            .rank = near_rank(member, domain, capacity),
             .hash = XXH3_64bits_withSeed(member->id, strlen(member->id), seed),
         };
         g_array_append_val(found, candidate);
@@ -242,7 +275,9 @@
     for (guint i = 0; i < found->len && count < most; i++) {
         const struct near_candidate *candidate =
             &g_array_index(found, struct near_candidate, i);
-        if (candidate->rank >= 2 && count > 0) {
+        if ((candidate->rank >= RANK_SUSPECT && count > 0) ||
+            (candidate->rank > 0 && count >= RP_ADDRESS_LEAST))
+        {
             break;
         }
         picked[count++] = candidate->index;
--- a/src/address_answer.h
+++ b/src/address_answer.h
@@ -6,6 +6,9 @@
 
 /* Addresses in one answer. */
 #define RP_ADDRESS_ANSWER_COUNT 4
+/* Addresses that callers of one failure domain get where there are so many, so
+ * that the loss of one entry VM leaves them another. */
+#define RP_ADDRESS_LEAST 2
 
 enum rp_address_state {
     RP_ADDRESS_SERVING,
@@ -23,6 +26,7 @@
     enum rp_address_state state;
     uint64_t incarnation;
     uint32_t load_permille;
+    uint32_t capacity_permille; /* of a core; 0: not told */
 };
 
 /* What one answer is made from. */
--- a/src/address_book.c
+++ b/src/address_book.c
@@ -104,6 +104,7 @@
         .state = rp_address_book_ready(book) ? RP_ADDRESS_SERVING
                                              : RP_ADDRESS_UNUSABLE,
         .incarnation = identity->incarnation,
+        .capacity_permille = identity->capacity_permille,
     };
     uint32_t count = book->members == NULL ? 0 : book->members->count;
     for (uint32_t i = 0; i < count; i++) {
@@ -129,6 +130,7 @@
             .state = address_state(member),
             .incarnation = member->info.incarnation,
             .load_permille = member->info.load_permille,
+            .capacity_permille = member->info.capacity_permille,
         };
         g_array_append_val(list, other);
     }
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -34,18 +34,17 @@
         given ? config->retry_window_ns : RP_BALANCER_RETRY_WINDOW_NS);
 }
 
-/* Sets among how many entry VMs the budgets of probes and of further attempts
- * are divided. */
+/* Sets the share of this entry VM, from 0 to 1, in the fleet's budgets of
+ * probes and of further attempts. */
 void
-rp_balancer_set_fleet(struct rp_balancer *balancer, uint32_t fleet_size)
+rp_balancer_set_share(struct rp_balancer *balancer, double share)
 {
     const struct rp_balancer_config *config = &balancer->config;
-    double members = MAX(fleet_size, 1);
     double allowance = config->retry_window_ns > 0
                            ? config->retry_allowance
                            : RP_BALANCER_RETRY_ALLOWANCE;
-    balancer->retries.allowance = allowance / members;
-    balancer->own_probes_per_s = config->probes_per_s / members;
+    balancer->retries.allowance = allowance * share;
+    balancer->own_probes_per_s = config->probes_per_s * share;
 }
 
 /* Creates a balancer without targets. Free it with rp_balancer_free. */
@@ -68,7 +67,7 @@
     balancer->backlog = rp_backlog_new(config->queue_limit);
     rp_length_init(&balancer->length);
     init_retries(balancer);
-    rp_balancer_set_fleet(balancer, config->fleet_size);
+    rp_balancer_set_share(balancer, 1.0 / MAX(config->fleet_size, 1));
     rp_hedge_init(&balancer->hedge);
     return balancer;
 }
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -123,7 +123,7 @@
 void rp_balancer_free(struct rp_balancer *balancer);
 void rp_balancer_set_service(struct rp_balancer *balancer,
                              const struct rp_service *service, int64_t now_ns);
-void rp_balancer_set_fleet(struct rp_balancer *balancer, uint32_t fleet_size);
+void rp_balancer_set_share(struct rp_balancer *balancer, double share);
 void rp_balancer_set_deciders(struct rp_balancer *balancer, uint32_t deciders,
                               int64_t now_ns);
 
--- a/src/context.h
+++ b/src/context.h
@@ -19,6 +19,7 @@
     char address[RP_ADDRESS_BYTES];      /* for callers, "ip:port" */
     char peer_address[RP_ADDRESS_BYTES]; /* for peers, "ip:port" */
     uint64_t incarnation;
+    uint32_t capacity_permille; /* of a core, from settings */
     uint32_t fleet_size; /* greatest number of entry VMs, from settings */
 };
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include "budget_share.h"
 #include "dispatch_call.h"
 #include "dispatch_hint.h"
 #include "dispatch_status.h"
@@ -358,6 +359,8 @@
     if (dispatch->members == NULL) {
         return;
     }
+    uint32_t fleet_size = dispatch->context->identity.fleet_size;
+    double share = rp_budget_share(dispatch->members, fleet_size);
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, dispatch->services);
@@ -366,12 +369,9 @@
         struct rp_steering_choice choice;
         rp_steering_update(dispatch->steering, service->name,
                            dispatch->members, now_ns, &choice);
-        uint32_t deciders = rp_steering_deciders(
-            &choice, dispatch->context->identity.fleet_size);
+        uint32_t deciders = rp_steering_deciders(&choice, fleet_size);
         rp_balancer_set_deciders(service->balancer, deciders, now_ns);
-        rp_balancer_set_fleet(service->balancer,
-                              MAX(dispatch->context->identity.fleet_size,
-                                  dispatch->members->count));
+        rp_balancer_set_share(service->balancer, share);
     }
 }
 
--- a/src/member.c
+++ b/src/member.c
@@ -85,6 +85,7 @@
     table->quiet_until_ns = now_ns;
     struct rp_member_info info = {
         .incarnation = identity->incarnation,
+        .capacity_permille = identity->capacity_permille,
         .version = 1,
         .state = RP_MEMBER_ALIVE,
         .phase = RP_CONFIG_STARTING,
--- a/src/member.h
+++ b/src/member.h
@@ -38,7 +38,8 @@
     uint64_t incarnation;
     uint32_t refutation;
     uint32_t version;
-    uint32_t load_permille; /* busy share of what it can serve */
+    uint32_t load_permille;     /* busy share of what it can serve */
+    uint32_t capacity_permille; /* of a core; 0: not told */
     enum rp_member_state state;
     enum rp_config_phase phase;
 };
--- a/src/node.c
+++ b/src/node.c
@@ -23,6 +23,10 @@
 #include "wire.h"
 
 /* Every worker takes about 200 connections from the whole fleet. */
+/* Part of the further attempts that the settings allow. Processes count in
+ * windows that begin at different times, and what a share of the fleet's
+ * allowance is follows the load with a delay. */
+#define BUDGET_USED 0.85
 #define CONNECTIONS_PER_WORKER 200
 #define LEAST_CONNECTIONS 4
 #define STOP_CHECK_S 0.1
@@ -63,6 +67,9 @@
 {
     struct rp_identity identity = {
         .incarnation = choose_incarnation(),
+        .capacity_permille =
+            (uint32_t)(rp_settings_decimal(settings, RP_SETTING_CPU_SHARE) *
+                       1000),
         .fleet_size =
             (uint32_t)rp_settings_number(settings, RP_SETTING_FLEET_SIZE),
     };
@@ -299,10 +306,10 @@
             (uint32_t)rp_settings_number(settings, RP_SETTING_MAX_CALLS),
         .first_byte_ms =
             (uint32_t)rp_settings_number(settings, RP_SETTING_FIRST_BYTE_MS),
-        .retry_share =
-            (double)rp_settings_number(settings, RP_SETTING_RETRY_PERMILLE) /
-            1000,
+        .retry_share = BUDGET_USED *
+                       rp_settings_decimal(settings, RP_SETTING_RETRY_RATIO),
         .retry_allowance =
+            BUDGET_USED *
             (double)rp_settings_number(settings, RP_SETTING_RETRY_ALLOWANCE),
         .retry_window_ns =
             rp_settings_number(settings, RP_SETTING_RETRY_WINDOW_MS) * 1000000,
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -60,7 +60,7 @@
 pack_update(msgpack_packer *packer, const struct rp_member_update *update)
 {
     const struct rp_member_info *info = &update->info;
-    msgpack_pack_array(packer, update->has_profile ? 14 : 8);
+    msgpack_pack_array(packer, update->has_profile ? 15 : 8);
     pack_text(packer, info->id);
     msgpack_pack_uint64(packer, info->incarnation);
     msgpack_pack_uint32(packer, info->refutation);
@@ -76,6 +76,7 @@
         pack_text(packer, info->peer_address);
         pack_text(packer, info->ticket_prefix);
         msgpack_pack_uint32(packer, update->ticket_ms);
+        msgpack_pack_uint32(packer, info->capacity_permille);
     }
 }
 
@@ -375,7 +376,14 @@
         return false;
     }
     info->state = (enum rp_member_state)state;
-    return object->via.array.size < 14 || read_profile(&fields[8], update);
+    uint32_t count = object->via.array.size;
+    /* Members of earlier releases do not tell their capacity. */
+    if (count >= 15 &&
+        !read_u32(&fields[14], UINT32_MAX, &info->capacity_permille))
+    {
+        return false;
+    }
+    return count < 14 || read_profile(&fields[8], update);
 }
 
 static bool
--- a/src/setting.c
+++ b/src/setting.c
@@ -1,9 +1,11 @@
 #include "setting.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "address.h"
 #include "error.h"
+#include "time_text.h"
 
 #define NAME_LIMIT_BYTES 63
 #define LIST_LIMIT 256
@@ -179,6 +181,44 @@
     }
 }
 
+static void
+check_time(const char *value, const struct setting_kind *kind, GString *fault)
+{
+    int64_t time_ms;
+    if (!rp_time_parse(value, "ms", &time_ms) || time_ms < kind->least ||
+        time_ms > kind->greatest)
+    {
+        g_string_append_printf(
+            fault,
+            "write a time from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+            " in ms, or with a unit, such as 1500ms or 2.5s",
+            kind->least, kind->greatest);
+    }
+}
+
+static bool
+parse_decimal(const char *value, double *number)
+{
+    char *end = NULL;
+    *number = g_ascii_strtod(value, &end);
+    return end != value && *end == '\0' && isfinite(*number);
+}
+
+static void
+check_decimal(const char *value, const struct setting_kind *kind,
+              GString *fault)
+{
+    double number;
+    if (!parse_decimal(value, &number) || number < (double)kind->least ||
+        number > (double)kind->greatest)
+    {
+        g_string_append_printf(fault,
+                               "write a number from %" G_GINT64_FORMAT
+                               " to %" G_GINT64_FORMAT ", such as 0.2",
+                               kind->least, kind->greatest);
+    }
+}
+
 static void
 check_choice(const char *value, const struct setting_kind *kind,
              GString *fault)
@@ -201,6 +241,10 @@
 #define CURVE_KEY_LIST {.check = check_curve_key_list}
 #define NUMBER(from, to) \
     {.check = check_number, .least = (from), .greatest = (to)}
+#define TIME(from, to) \
+    {.check = check_time, .least = (from), .greatest = (to)}
+#define DECIMAL(from, to) \
+    {.check = check_decimal, .least = (from), .greatest = (to)}
 #define CHOICE(list) {.check = check_choice, .choices = (list)}
 /* clang-format on */
 
@@ -264,6 +308,10 @@
 set_value(struct rp_settings *settings, enum rp_setting setting,
           const char *value, enum rp_setting_origin origin)
 {
+    /* A value that a platform fills in is empty where it has none. */
+    if (value[0] == '\0' && entries[setting].fallback != NULL) {
+        return;
+    }
     g_free(settings->text[setting]);
     settings->text[setting] = g_strdup(value);
     settings->origin[setting] = origin;
@@ -368,11 +416,25 @@
     return settings->text[setting];
 }
 
-/* Returns the number of a setting that rp_settings_check has accepted. */
+/* Returns the number of a setting that rp_settings_check has accepted; that of
+ * a time in milliseconds. */
 int64_t
 rp_settings_number(const struct rp_settings *settings, enum rp_setting setting)
 {
-    return g_ascii_strtoll(settings->text[setting], NULL, 10);
+    int64_t number = 0;
+    if (!rp_time_parse(settings->text[setting], "ms", &number)) {
+        return g_ascii_strtoll(settings->text[setting], NULL, 10);
+    }
+    return number;
+}
+
+/* Returns the number of a setting with decimals that rp_settings_check has
+ * accepted. */
+double
+rp_settings_decimal(const struct rp_settings *settings,
+                    enum rp_setting setting)
+{
+    return g_ascii_strtod(settings->text[setting], NULL);
 }
 
 /* Appends every setting with its value and where it comes from; secrets are
--- a/src/setting.h
+++ b/src/setting.h
@@ -44,6 +44,8 @@
                              enum rp_setting setting);
 int64_t rp_settings_number(const struct rp_settings *settings,
                            enum rp_setting setting);
+double rp_settings_decimal(const struct rp_settings *settings,
+                           enum rp_setting setting);
 void rp_settings_print(const struct rp_settings *settings, GString *out);
 
 const char *rp_setting_flag(enum rp_setting setting);
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -27,6 +27,8 @@
     MODE_PASS,
     MODE_CUT,  /* connections are closed and new ones refused */
     MODE_HOLE, /* connections stay open and nothing passes */
+    MODE_DEAF, /* the same for what callers send */
+    MODE_MUTE, /* the same for what the target sends */
 };
 
 struct relay_link;
@@ -155,9 +157,14 @@
 }
 
 static bool
-passes(const struct connection *connection)
+passes(const struct flow *flow)
 {
-    return !connection->silent && connection->link->mode == MODE_PASS;
+    const struct connection *connection = flow->connection;
+    enum relay_mode mode = connection->link->mode;
+    bool from_caller = flow == &connection->flows[0];
+    return !connection->silent &&
+           (mode == MODE_PASS || (mode == MODE_DEAF && !from_caller) ||
+            (mode == MODE_MUTE && from_caller));
 }
 
 static void
@@ -166,7 +173,7 @@
     struct connection *connection = flow->connection;
     struct ev_loop *ev = connection->link->relay->ev;
     const struct chunk *first = g_queue_peek_head(&flow->chunks);
-    bool pass = passes(connection) && !connection->connecting;
+    bool pass = passes(flow) && !connection->connecting;
     ev_io_stop(ev, &flow->readable);
     ev_io_stop(ev, &flow->writable);
     ev_timer_stop(ev, &flow->timer);
@@ -349,6 +356,18 @@
     }
 }
 
+/* Ends a connection so that both ends get a reset. */
+static void
+reset_connection(struct connection *connection)
+{
+    struct linger at_once = {.l_onoff = 1};
+    for (int i = 0; i < 2; i++) {
+        setsockopt(connection->flows[i].from, SOL_SOCKET, SO_LINGER, &at_once,
+                   sizeof(at_once));
+    }
+    close_connection(connection);
+}
+
 static bool
 command_link(struct relay_link *link, const char *verb, uint32_t value)
 {
@@ -362,6 +381,17 @@
     else if (strcmp(verb, "hole") == 0) {
         link->mode = MODE_HOLE;
     }
+    else if (strcmp(verb, "deaf") == 0) {
+        link->mode = MODE_DEAF;
+    }
+    else if (strcmp(verb, "mute") == 0) {
+        link->mode = MODE_MUTE;
+    }
+    else if (strcmp(verb, "reset") == 0) {
+        while (link->connections->len > 0) {
+            reset_connection(g_ptr_array_index(link->connections, 0));
+        }
+    }
     else if (strcmp(verb, "delay") == 0) {
         link->delay_ms = value;
     }
@@ -550,7 +580,8 @@
 
 /* Forwards TCP connections until it is ended, and breaks them on command:
  * "cut" closes connections and refuses new ones, "hole" keeps all open and
- * passes nothing, "silence" does so for good to those open now while new ones
+ * passes nothing, "deaf" and "mute" pass nothing of callers or of the target,
+ * "reset" ends those open now by a reset, "silence" does so for good to those open now while new ones
  * work, "delay MS" delays each piece, "pass" ends cut, hole and delay. */
 int
 standin_relay_main(int argc, char **argv)
@@ -560,7 +591,7 @@
         parse_option,
         NULL,
         "Forward TCP connections on this machine and break them on command: "
-        "cut, hole, silence, delay MS, pass; each may be followed by the "
+        "cut, hole, deaf, mute, reset, silence, delay MS, pass; each may be followed by the "
         "number of one link.",
         NULL,
         NULL,
--- a/tests/test_address_nearest.cc
+++ b/tests/test_address_nearest.cc
@@ -13,6 +13,7 @@
 struct place {
     const char *domain;
     enum rp_address_state state;
+    uint32_t capacity_permille = 0;
 };
 
 std::vector<uint32_t>
@@ -27,6 +28,7 @@
         members[i].id = ids[i].c_str();
         members[i].domain = places[i].domain;
         members[i].state = places[i].state;
+        members[i].capacity_permille = places[i].capacity_permille;
     }
     std::vector<uint32_t> picked(most);
     picked.resize(rp_address_nearest(members.data(), (uint32_t)members.size(),
@@ -53,6 +55,30 @@
         {"silent", {{"far", SERVING}, {"near", SUSPECT}}, 2, {0}},
         {"all silent", {{"far", SUSPECT}, {"near", SUSPECT}}, 1, {1}},
         {"none", {{"far", UNUSABLE}}, 2, {}},
+        {"enough near",
+         {{"near", SERVING}, {"near", SERVING}, {"far", SERVING}},
+         5,
+         {0, 1}},
+        {"greater ones",
+         {{"near", SERVING, 100},
+          {"near", SERVING, 500},
+          {"near", SERVING, 400},
+          {"far", SERVING, 500}},
+         5,
+         {1, 2}},
+        {"a great far one before a small near one",
+         {{"near", SERVING, 100},
+          {"near", SERVING, 500},
+          {"far", SERVING, 500}},
+         5,
+         {1, 2}},
+        {"small ones when the great are gone",
+         {{"near", SERVING, 100},
+          {"near", SUSPECT, 500},
+          {"far", UNUSABLE, 500},
+          {"near", SERVING, 100}},
+         5,
+         {0, 3}},
     };
     for (const auto &entry : cases) {
         auto picked = pick(entry.places, "h", entry.most);
--- /dev/null
+++ b/tests/test_budget_share.cc
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "budget_share.h"
+
+namespace {
+
+double
+share(const std::vector<uint32_t> &loads, uint32_t self, uint32_t fleet_size)
+{
+    auto *view = (struct rp_member_view *)g_malloc0(
+        sizeof(struct rp_member_view) +
+        loads.size() * sizeof(struct rp_member));
+    view->count = (uint32_t)loads.size();
+    for (uint32_t i = 0; i < view->count; i++) {
+        view->members[i].info.load_permille = loads[i];
+        view->members[i].is_self = i == self;
+    }
+    double got = rp_budget_share(view, fleet_size);
+    g_free(view);
+    return got;
+}
+
+// Guards against budgets that lie idle at members without callers while those
+// with callers refuse, and against shares that add up to more than the budget.
+TEST(budget_share, follows_load_and_adds_up_to_one)
+{
+    std::vector<uint32_t> few(98); // callers at 8 of 98
+    for (int i = 0; i < 8; i++) {
+        few[i * 12] = 25;
+    }
+    struct {
+        const char *what;
+        std::vector<uint32_t> loads;
+        uint32_t self;
+        uint32_t fleet_size;
+        double expected;
+    } cases[] = {
+        {"no load yet", {0, 0, 0, 0}, 1, 4, 0.25},
+        {"equal load", {7, 7, 7, 7}, 2, 4, 0.25},
+        {"all load here", {9, 0}, 0, 2, 0.75},
+        {"no load here", {9, 0}, 1, 2, 0.25},
+        {"others are not known yet", {0}, 0, 14, 1.0 / 14},
+        {"one of 8 loaded in 98", few, 12, 14, 0.5 / 98 + 0.5 / 8},
+        {"none of 8 loaded in 98", few, 1, 14, 0.5 / 98},
+    };
+    for (const auto &entry : cases) {
+        EXPECT_NEAR(share(entry.loads, entry.self, entry.fleet_size),
+                    entry.expected, 1e-9)
+            << entry.what;
+        double total = 0;
+        for (uint32_t i = 0; i < entry.loads.size(); i++) {
+            total += share(entry.loads, i, entry.fleet_size);
+        }
+        EXPECT_LE(total, 1 + 1e-9) << entry.what;
+    }
+}
+
+} // namespace
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -7,6 +7,7 @@
 
 #include "gateway.h"
 #include "record.h"
+#include "time_text.h"
 
 namespace {
 
@@ -34,7 +35,7 @@
     };
     for (const auto &entry : cases) {
         int64_t ms = 0;
-        EXPECT_EQ(rp_gateway_read_time(entry.text, &ms), entry.valid)
+        EXPECT_EQ(rp_time_parse(entry.text, nullptr, &ms), entry.valid)
             << (entry.text == nullptr ? "NULL" : entry.text);
         if (entry.valid) {
             EXPECT_EQ(ms, entry.ms) << entry.text;
--- a/tests/test_setting.cc
+++ b/tests/test_setting.cc
@@ -45,6 +45,13 @@
         {{{"ROSEMARYPULLEY_FLEET_SIZE", "0"}}, {"--fleet-size"}},
         {{{"ROSEMARYPULLEY_FLEET_SIZE", "14x"}}, {"--fleet-size"}},
         {{{"ROSEMARYPULLEY_LOG_FORMAT", "xml"}}, {"--log-format"}},
+        {{{"ROSEMARYPULLEY_RETRY_WINDOW_MS", "10s"}}, {}},
+        {{{"ROSEMARYPULLEY_RETRY_WINDOW_MS", "10h"}}, {"--retry-window-ms"}},
+        {{{"ROSEMARYPULLEY_RETRY_WINDOW_MS", "0.01s"}}, {"--retry-window-ms"}},
+        {{{"ROSEMARYPULLEY_RETRY_RATIO", "0.2"}}, {}},
+        {{{"ROSEMARYPULLEY_RETRY_RATIO", "1.5"}}, {"--retry-ratio"}},
+        {{{"ROSEMARYPULLEY_RETRY_RATIO", "0,2"}}, {"--retry-ratio"}},
+        {{{"ROSEMARYPULLEY_RETRY_RATIO", "nan"}}, {"--retry-ratio"}},
         {{{"ROSEMARYPULLEY_FLEET_KEY", "abc"}}, {"--fleet-key"}},
         {{{"ROSEMARYPULLEY_PEER_PUBLIC_KEY", key}}, {"--peer-secret-key"}},
         {{{"ROSEMARYPULLEY_PEER_PUBLIC_KEY", key},
@@ -68,6 +75,39 @@
     }
 }
 
+// Guards against a placeholder without a value that counts as zero, and
+// against units that are lost.
+TEST(setting, values)
+{
+    struct {
+        enum rp_setting setting;
+        const char *value;
+        double expected;
+    } cases[] = {
+        {RP_SETTING_RETRY_WINDOW_MS, "10s", 10000},
+        {RP_SETTING_RETRY_WINDOW_MS, "2500ms", 2500},
+        {RP_SETTING_RETRY_WINDOW_MS, "2500", 2500},
+        {RP_SETTING_RETRY_WINDOW_MS, "", 10000},
+        {RP_SETTING_RETRY_ALLOWANCE, "58", 58},
+        {RP_SETTING_RETRY_ALLOWANCE, "", 42},
+        {RP_SETTING_RETRY_RATIO, "0.2", 0.2},
+        {RP_SETTING_RETRY_RATIO, "", 0.1},
+        {RP_SETTING_CPU_SHARE, "0.5", 0.5},
+    };
+    for (const auto &entry : cases) {
+        struct rp_settings *settings = rp_settings_new();
+        rp_settings_set_flag(settings, entry.setting, entry.value);
+        bool decimal = entry.setting == RP_SETTING_RETRY_RATIO ||
+                       entry.setting == RP_SETTING_CPU_SHARE;
+        double got = decimal
+                         ? rp_settings_decimal(settings, entry.setting)
+                         : (double)rp_settings_number(settings, entry.setting);
+        EXPECT_DOUBLE_EQ(got, entry.expected)
+            << rp_setting_flag(entry.setting) << " " << entry.value;
+        rp_settings_free(settings);
+    }
+}
+
 // Guards against an environment variable that overrules a flag, and against
 // secrets in the output of --print-settings.
 TEST(setting, origin_and_secrets)
--- a/tests/test_sync_probe.cc
+++ b/tests/test_sync_probe.cc
@@ -262,7 +262,8 @@
 // by old news has no probe left, although others have.
 TEST_F(sync_probe_balancer, asks_another_when_a_budget_is_used_up)
 {
-    rp_balancer_set_fleet(balancer, 2000); // two probes a target, then none
+    rp_balancer_set_share(balancer,
+                          1.0 / 2000); // two probes a target, then none
     struct rp_balancer_verdict verdict;
     std::vector<int> asked(3);
     for (uint64_t id = 1; id <= 6; id++) {
@@ -385,7 +386,7 @@
 // the same allowance as one.
 TEST_F(sync_probe_balancer, allowance_is_divided_by_the_fleet)
 {
-    rp_balancer_set_fleet(balancer, 100);
+    rp_balancer_set_share(balancer, 1.0 / 100);
     int taken = 0;
     for (uint64_t id = 1; id <= 20; id++) {
         taken += offer(id, RP_CALL_HEDGE) == RP_BALANCER_WAIT;
