Take SIGHUP from the first instruction of serve; wait for a process before the soak signals it

The trace shows two windows: from the start of the program to its event loop, which is closed by ignoring the signal first, and from the fork to the load of the program, which no program can close; there the soak waits for the first log line now.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOAK_SEEDS ?= 1
 
 .PHONY: deps build demo check sanitize lint format bench soak faults \
-	capacity fuzz clean
+	fault-soak capacity fuzz clean
 
 deps:
 	scripts/install-deps.sh
@@ -41,6 +41,10 @@
 faults: build
 	scripts/faults.sh $(BUILD)
 
+fault-soak: build
+	for seed in $$(seq $(SEED) $$(($(SEED) + $(SOAK_SEEDS) - 1))); do \
+		scripts/fault_soak.sh $(BUILD) $$seed || exit 1; done
+
 capacity: build
 	scripts/capacity.sh $(BUILD)
 
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -125,6 +126,9 @@
 int
 cli_serve_main(int argc, char **argv)
 {
+    /* The loop takes this signal over; before it does, the default would end a
+     * process that has just started. */
+    signal(SIGHUP, SIG_IGN);
     struct argp_option options[RP_SETTING_COUNT + 2] = {0};
     fill_options(options);
     struct argp argp = {
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -32,9 +32,18 @@
 expected_ends=0
 dead=() # entry processes that are down, by number
 
-# Restarts an entry process that was ended on purpose.
+has_grown() { # FILE BYTES
+    [ "$(stat -c %s "$1")" -gt "$2" ]
+}
+
+# Restarts an entry process that was ended on purpose, and waits for its first
+# log line: a signal to a process that has not been loaded yet ends it, whatever
+# the program does.
 restart() { # NUMBER
+    local log=$work/entry-$1.log bytes
+    bytes=$(stat -c %s "$log")
     start_entry "$1"
+    wait_until 2000 has_grown "$log" "$bytes"
     unset "dead[$1]"
 }
 
