Serve latency histograms of calls by service, kind and result

The metrics address had counters only. Tests: histogram.buckets_add_up, histogram.series_are_bounded.

--- a/src/admin.c
+++ b/src/admin.c
@@ -67,6 +67,7 @@
                    rp_event_ring_first(context->events));
     GString *text = g_string_new(NULL);
     rp_counter_print(&context->counters, text);
+    rp_histograms_print(context->histograms, text);
     enum MHD_Result result =
         queue_text(connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
                    text->str, text->len);
--- a/src/context.h
+++ b/src/context.h
@@ -6,6 +6,7 @@
 
 #include "counter.h"
 #include "event.h"
+#include "histogram.h"
 
 #define RP_ID_BYTES 64
 #define RP_DOMAIN_BYTES 64
@@ -28,6 +29,7 @@
 struct rp_context {
     struct rp_identity identity;
     struct rp_counters counters;
+    struct rp_histograms *histograms;
     struct rp_event_ring *events;
     uint64_t invariant_failures[8];
     GRand *random;
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -52,6 +52,16 @@
     rp_event_set_detail(event, "%s", detail);
 }
 
+static void
+note_result(const struct dispatch_call *call, enum rp_call_result result,
+            int64_t now_ns)
+{
+    rp_histograms_note(call->dispatch->context->histograms,
+                       call->service->name,
+                       call->repeatable ? "repeatable" : "once", result,
+                       now_ns - call->call->received_ns);
+}
+
 /* Ends a call without a target's answer. */
 static void
 fail(struct dispatch_call *call, uint32_t status, int64_t retry_after_ms,
@@ -64,6 +74,7 @@
                        "a call with a sent attempt is answered as not run");
     add_event(call, not_run ? RP_EVENT_CALL_REFUSED : RP_EVENT_CALL_FAILED,
               reason, now_ns);
+    note_result(call, not_run ? RP_RESULT_NOT_RUN : RP_RESULT_UNKNOWN, now_ns);
     dispatch_refuse(call->dispatch, call->call->id,
                     not_run ? RP_OUTCOME_NOT_RUN : RP_OUTCOME_UNKNOWN, status,
                     not_run ? retry_after_ms : 0, reason);
@@ -396,6 +407,10 @@
     call->winner = index;
     call->state = CALL_REPLIED;
     report_answer(call, winner, now_ns);
+    note_result(call,
+                winner->answer->status >= 500 ? RP_RESULT_TARGET_ERROR
+                                              : RP_RESULT_ANSWERED,
+                now_ns);
     call->hedge_at_ns = RP_KERNEL_NEVER_NS;
     call->first_byte_at_ns = RP_KERNEL_NEVER_NS;
     call->retry_at_ns = RP_KERNEL_NEVER_NS;
@@ -775,6 +790,9 @@
         rp_counter_add(&call->dispatch->context->counters,
                        RP_COUNTER_CALLS_GONE, 1);
         add_event(call, RP_EVENT_CALL_LEFT, "the caller has left", now_ns);
+        if (call->state != CALL_REPLIED) {
+            note_result(call, RP_RESULT_LEFT, now_ns);
+        }
         cancel_all(call, RP_ATTEMPT_CANCELLED, now_ns);
         call->over = true;
     }
