Keep large answers within a failure domain where that costs little time

Change: the mean size of a route's answers is learned, and a target elsewhere counts as 1 ms slower for each kilobyte, half of the aim at most (answer_size.c). Calls for small answers are as before.

--- a/src/balancer.h
+++ b/src/balancer.h
@@ -43,7 +43,8 @@
     uint64_t call_id;
     uint64_t kind; /* hash of what tells long from short calls, e.g. path */
     int64_t deadline_ns;
-    int64_t aim_ns;     /* wanted time to the answer; 0 when not known */
+    int64_t aim_ns; /* wanted time to the answer; 0 when not known */
+    int64_t far_ns; /* what a target in another failure domain costs besides */
     int64_t offered_ns; /* set by rp_balancer_offer */
     uint32_t rank;      /* 0 goes first */
     uint32_t flags;
--- a/src/balancer_sync_probe.c
+++ b/src/balancer_sync_probe.c
@@ -29,7 +29,8 @@
 }
 
 static void
-consider(const struct rp_balancer *balancer, uint32_t index, int64_t now_ns,
+consider(const struct rp_balancer *balancer,
+         const struct rp_balancer_call *call, uint32_t index, int64_t now_ns,
          struct scan *scan)
 {
     const struct balancer_target *target = balancer_get(balancer, index);
@@ -39,6 +40,9 @@
     double expected =
         rp_sync_probe_expected_ns(&target->sync_probe, pool, slots, now_ns) +
         target->route.domain_ns;
+    if (target->route.domain_ns > 0) {
+        expected += (double)call->far_ns;
+    }
     bool resting = target->sync_probe.failures > 0 &&
                    now_ns - target->sync_probe.failed_ns < FAILED_REST_NS;
     bool fresh = rp_sync_probe_is_fresh(&target->sync_probe, now_ns);
@@ -109,7 +113,7 @@
         if (is_candidate(balancer_get(balancer, index), now_ns) &&
             !(avoid && balancer_is_avoided(call, index)))
         {
-            consider(balancer, index, now_ns, &scan);
+            consider(balancer, call, index, now_ns, &scan);
         }
         index = index + 1 < count ? index + 1 : 0;
     }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -9,7 +9,6 @@
 #include "dispatch_hint.h"
 #include "dispatch_status.h"
 #include "snapshot.h"
-#include "split.h"
 #include "status.h"
 #include "steering.h"
 
@@ -208,6 +207,7 @@
     made->dispatch = dispatch;
     made->call = rp_call_ref(call);
     made->service = service;
+    made->route.name = g_strdup(route->name);
     made->route.aim_ms = route->aim_ms;
     made->route.rank = route->rank;
     made->route.repeat_errors = route->repeat_errors;
@@ -226,6 +226,19 @@
     return made;
 }
 
+/* Returns what is learned of a route, which is forgotten with the route. */
+struct dispatch_route_state *
+dispatch_route_state(struct rp_dispatch *dispatch, const char *name)
+{
+    struct dispatch_route_state *state =
+        g_hash_table_lookup(dispatch->routes, name);
+    if (state == NULL) {
+        state = g_new0(struct dispatch_route_state, 1);
+        g_hash_table_insert(dispatch->routes, g_strdup(name), state);
+    }
+    return state;
+}
+
 /* Returns the service that the next call of a route goes to, or NULL when the
  * records do not describe it. */
 static struct dispatch_service *
@@ -233,20 +246,14 @@
 {
     uint32_t part = 0;
     if (route->part_count > 1) {
-        struct rp_split *split =
-            g_hash_table_lookup(dispatch->splits, route->name);
-        if (split == NULL) {
-            split = g_new0(struct rp_split, 1);
-            g_hash_table_insert(dispatch->splits, g_strdup(route->name),
-                                split);
-        }
-        part = rp_split_choose(split, route);
+        part = rp_split_choose(
+            &dispatch_route_state(dispatch, route->name)->split, route);
     }
     return g_hash_table_lookup(dispatch->services, route->parts[part].service);
 }
 
 static gboolean
-split_is_unused(gpointer key, gpointer value, gpointer data)
+route_is_unused(gpointer key, gpointer value, gpointer data)
 {
     (void)value;
     return !rp_snapshot_has_route(data, key);
@@ -404,7 +411,7 @@
         dispatch_drain_records(service, now_ns);
     }
     rp_snapshot_unref(old);
-    g_hash_table_foreach_remove(dispatch->splits, split_is_unused,
+    g_hash_table_foreach_remove(dispatch->routes, route_is_unused,
                                 dispatch->snapshot);
     update_deciders(dispatch, now_ns);
     touch_all_services(dispatch, now_ns);
@@ -559,7 +566,7 @@
     struct rp_dispatch *dispatch = data;
     g_hash_table_unref(dispatch->calls);
     g_hash_table_unref(dispatch->services);
-    g_hash_table_unref(dispatch->splits);
+    g_hash_table_unref(dispatch->routes);
     rp_snapshot_unref(dispatch->snapshot);
     rp_member_view_unref(dispatch->members);
     rp_steering_free(dispatch->steering);
@@ -599,7 +606,7 @@
     dispatch->calls = g_hash_table_new_full(NULL, NULL, NULL, free_call);
     dispatch->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
-    dispatch->splits =
+    dispatch->routes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     dispatch->balancer_due_ns = RP_KERNEL_NEVER_NS;
     if (config->ticket_key.byte_count > 0) {
--- a/src/dispatch_call.c
+++ b/src/dispatch_call.c
@@ -135,6 +135,9 @@
         .rank = call->route.rank,
         .flags = call->flags | flags,
     };
+    offer->far_ns = rp_answer_size_far_ns(
+        &dispatch_route_state(call->dispatch, call->route.name)->answer_size,
+        offer->aim_ns);
     uint32_t first = call->attempt_count > RP_BALANCER_AVOID
                          ? call->attempt_count - RP_BALANCER_AVOID
                          : 0;
@@ -641,6 +644,20 @@
                    refused || done->end == RP_END_NOT_SENT, now_ns);
 }
 
+static void
+note_answer_size(struct dispatch_call *call,
+                 const struct dispatch_attempt *attempt,
+                 const struct rp_attempt_done *done)
+{
+    if (done->end == RP_END_WHOLE && attempt->answer != NULL &&
+        attempt->answer->status < 300)
+    {
+        struct dispatch_route_state *route =
+            dispatch_route_state(call->dispatch, call->route.name);
+        rp_answer_size_note(&route->answer_size, done->body_bytes);
+    }
+}
+
 /* Takes the end of an attempt; that of one that was given up is dropped. */
 void
 dispatch_call_done(struct dispatch_call *call,
@@ -651,6 +668,7 @@
         return;
     }
     struct dispatch_attempt *attempt = &call->attempts[index];
+    note_answer_size(call, attempt, done);
     if (call->state != CALL_REPLIED) {
         if (now_ns >= call->deadline_ns) {
             fail_deadline(call, now_ns);
@@ -810,5 +828,6 @@
         rp_stream_unref(call->attempts[i].body);
     }
     rp_call_unref(call->call);
+    g_free(call->route.name);
     g_free(call);
 }
--- a/src/dispatch_call.h
+++ b/src/dispatch_call.h
@@ -1,10 +1,12 @@
 #ifndef RP_DISPATCH_CALL_H
 #define RP_DISPATCH_CALL_H
 
+#include "answer_size.h"
 #include "call.h"
 #include "dispatch.h"
 #include "due.h"
 #include "member.h"
+#include "split.h"
 #include "ticket.h"
 
 /* Attempts of one call, those beside silent connections included. */
@@ -23,8 +25,15 @@
     double fresh_trials; /* tokens for attempts beside silent connections */
 };
 
+/* What is learned of a route while its name is in force. */
+struct dispatch_route_state {
+    struct rp_split split;
+    struct rp_answer_size answer_size;
+};
+
 /* What a call keeps of its route, which may change while it runs. */
 struct dispatch_route {
+    char *name;
     uint32_t aim_ms; /* 0: not known */
     uint32_t rank;
     bool repeat_errors;
@@ -101,7 +110,7 @@
     struct rp_dispatch_config config;
     GHashTable *calls;    /* struct dispatch_call by id */
     GHashTable *services; /* struct dispatch_service by name */
-    GHashTable *splits;   /* struct rp_split by name of the route */
+    GHashTable *routes;   /* struct dispatch_route_state by name */
     struct rp_snapshot *snapshot;
     struct rp_due due;
     struct rp_ticket_table *tickets; /* NULL without a fleet key */
@@ -157,6 +166,8 @@
 void dispatch_tell_self(struct rp_dispatch *dispatch, uint32_t load_permille,
                         int64_t now_ns);
 
+struct dispatch_route_state *dispatch_route_state(struct rp_dispatch *dispatch,
+                                                  const char *name);
 void dispatch_remove_call(struct dispatch_call *call);
 void dispatch_touch_service(struct rp_dispatch *dispatch,
                             struct dispatch_service *service, int64_t now_ns);
--- a/tests/test_sync_probe.cc
+++ b/tests/test_sync_probe.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "answer_size.h"
 #include "balancer.h"
 #include "split.h"
 #include "sync_probe.h"
@@ -382,6 +383,86 @@
     }
 }
 
+// Guards against large answers that cross failure domains although a target
+// near by is nearly as quick, and against small ones that wait for that.
+TEST(answer_size, large_answers_stay_near)
+{
+    struct {
+        const char *what;
+        uint64_t answer_bytes;
+        int64_t aim_ms;
+        int64_t far_ms;
+    } cases[] = {
+        {"not known", 0, 300, 0},     {"lookup", 400, 250, 0},
+        {"page", 5000, 250, 5},       {"map", 90000, 300, 90},
+        {"film", 90000000, 600, 300}, // half of the aim at most
+    };
+    for (const auto &entry : cases) {
+        struct rp_answer_size size = {};
+        for (int i = 0; i < 50; i++) {
+            rp_answer_size_note(&size, entry.answer_bytes);
+        }
+        EXPECT_EQ(rp_answer_size_far_ns(&size, entry.aim_ms * MS) / MS,
+                  entry.far_ms)
+            << entry.what;
+    }
+}
+
+// The same in the choice: both targets are known, the near one is slower.
+TEST(answer_size, choice_weighs_the_way)
+{
+    struct {
+        const char *what;
+        int64_t far_ms;
+        uint32_t near_slowness;
+        uint32_t expected; // 0: near, 1: far
+    } cases[] = {
+        {"small answer, near as quick", 0, 100, 0},
+        {"small answer, near slower", 0, 150, 1},
+        {"large answer, near slower", 90, 150, 0},
+        {"large answer, near very slow", 90, 500, 1},
+    };
+    for (const auto &entry : cases) {
+        struct rp_balancer_config config = {};
+        config.domain = "near";
+        config.fleet_size = 1;
+        config.queue_limit = 100;
+        struct rp_balancer *balancer = rp_balancer_new(&config);
+        struct rp_snapshot *snapshot = rp_snapshot_new();
+        struct rp_service *service = rp_snapshot_add_service(snapshot, "a");
+        service->ask_before_calls = true;
+        rp_service_add_target(service, "n", "10.0.0.1:1", "near", "e")->slots =
+            6;
+        rp_service_add_target(service, "f", "10.0.0.2:1", "far", "e")->slots =
+            6;
+        service->estates[0].share_permille = 1000;
+        rp_balancer_set_service(balancer, service, 0);
+        struct rp_load_report near = report(0, entry.near_slowness);
+        struct rp_load_report far = report(0, 100);
+        rp_balancer_observe(balancer, "10.0.0.1:1", &near, 0, 0);
+        rp_balancer_observe(balancer, "10.0.0.2:1", &far, 0, 0);
+        struct rp_balancer_call call = {};
+        struct rp_balancer_verdict verdict;
+        call.call_id = 1;
+        call.aim_ns = 300 * MS;
+        call.far_ns = entry.far_ms * MS;
+        call.deadline_ns = 1000 * MS;
+        rp_balancer_offer(balancer, &call, 0, &verdict);
+        int64_t now_ns = 0;
+        while (now_ns < 100 * MS &&
+               (!rp_balancer_next(balancer, now_ns, &verdict) ||
+                verdict.action != RP_BALANCER_SEND))
+        {
+            now_ns += 5 * MS;
+            rp_balancer_observe(balancer, "10.0.0.1:1", &near, 0, now_ns);
+            rp_balancer_observe(balancer, "10.0.0.2:1", &far, 0, now_ns);
+        }
+        EXPECT_EQ(verdict.target, entry.expected) << entry.what;
+        rp_snapshot_unref(snapshot);
+        rp_balancer_free(balancer);
+    }
+}
+
 // Guards against budgets that grow with the fleet: a hundred entry VMs have
 // the same allowance as one.
 TEST_F(sync_probe_balancer, allowance_is_divided_by_the_fleet)
