Let only beginners watch until members are known; name three addresses

With five addresses a failure domain all 14 entry VMs had callers.

Change: for 3 s after its start a VM watches only if it begins (watch.c). Three addresses a failure domain in place of five.

--- a/src/directory.c
+++ b/src/directory.c
@@ -5,9 +5,10 @@
 #include "address_book.h"
 #include "page_server.h"
 
-/* Entry VMs that callers of one name and failure domain are sent to. With all
- * of 98, each knew too little of the targets: docs/decisions.md. */
-#define ADDRESSES 5
+/* Entry VMs that callers of one name and failure domain are sent to. Fewer know
+ * the targets better and have fewer connections to them; three leave callers
+ * two when one is lost (docs/decisions.md). */
+#define ADDRESSES 3
 
 struct rp_directory {
     struct rp_task *task;
--- a/src/watch.c
+++ b/src/watch.c
@@ -30,6 +30,10 @@
 #define UNLISTED_PROMOTED_NS INT64_C(5000000000)
 #define UNLISTED_RETRY_NS INT64_C(500000000)
 #define UNLISTED_BACKOFF_NS INT64_C(1000000000)
+/* Until this time after its start a VM knows too few others to tell whether it
+ * is chosen: news of members need ceil(log2 fleet) heartbeats. Those that
+ * begin watch meanwhile. */
+#define UNLISTED_SETTLE_NS INT64_C(3000000000)
 /* Wait of each watcher for those of lower rank to spread what changed; a push
  * takes some milliseconds for each of the ceil(log2 fleet) steps. */
 #define UNLISTED_TURN_NS INT64_C(100000000)
@@ -47,7 +51,9 @@
     double hash; /* of the own id, from 0 to 1 */
     enum rp_watch_role role;
     bool chosen;
-    uint32_t rank; /* among the chosen */
+    bool begins;       /* watches before others are known */
+    int64_t settle_ns; /* until then the choice does not count */
+    uint32_t rank;     /* among the chosen */
     bool has_vms;
     bool unlisted; /* the platform has no list of VMs */
     bool has_records;
@@ -149,6 +155,7 @@
     watch->hash = (double)(hash >> 11) / (double)(UINT64_C(1) << 53);
     watch->slot = (uint32_t)(hash % CYCLE);
     watch->next_ns = now_ns;
+    watch->settle_ns = now_ns + UNLISTED_SETTLE_NS;
     watch->idle_interval_ns = RP_WATCH_IDLE_NS;
     watch->fresh_ns = now_ns;
     watch->own_fresh_ns = now_ns;
@@ -194,14 +201,14 @@
 }
 
 /* Takes note that the platform has no list of VMs. Until rp_watch_set_vms
- * tells of the others, those watch that begin: a fleet that starts at once has
- * a few, which all others know. */
+ * has told of the others, those watch that begin: a fleet that starts at once
+ * has a few, which all others know. */
 void
 rp_watch_set_unlisted(struct rp_watch *watch, bool begins)
 {
     watch->unlisted = true;
     watch->has_vms = true;
-    watch->chosen = begins;
+    watch->begins = begins;
     watch->check_interval_ns = CHECK_NS;
 }
 
@@ -267,10 +274,17 @@
            (int64_t)(watch->hash * (double)PROMOTED_NS);
 }
 
+static bool
+is_chosen(const struct rp_watch *watch, int64_t now_ns)
+{
+    return watch->unlisted && now_ns < watch->settle_ns ? watch->begins
+                                                        : watch->chosen;
+}
+
 static void
 update_role(struct rp_watch *watch, int64_t now_ns)
 {
-    if (watch->chosen) {
+    if (is_chosen(watch, now_ns)) {
         watch->role = RP_WATCH_CHOSEN;
         return;
     }
