Write whole log lines; say when a choice had no report

A write of up to PIPE_BUF bytes ended within a line, so that a reader who stamps each write saw lines in two parts. A write ends with a line now; the test reads a pipe packet by packet and failed before. call_sent said 'report -0.0 ms old' for a target without a report.

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -41,6 +41,17 @@
     return log;
 }
 
+/* Returns the bytes of the whole lines that one write takes, so that a reader
+ * who stamps what each write brings sees no line in two parts. A line that is
+ * longer is cut. */
+static size_t
+next_bytes(const GString *pending)
+{
+    size_t most = MIN(pending->len, PIPE_BUF);
+    const char *end = memrchr(pending->str, '\n', most);
+    return end == NULL ? most : (size_t)(end + 1 - pending->str);
+}
+
 /* A pipe that is writable takes PIPE_BUF bytes without blocking. */
 static void
 write_pending(struct rp_event_log *log)
@@ -51,7 +62,7 @@
             return;
         }
         ssize_t bytes = write(log->descriptor, log->pending->str,
-                              MIN(log->pending->len, PIPE_BUF));
+                              next_bytes(log->pending));
         if (bytes < 0 && errno != EINTR) {
             return; /* the lines stay until the bound drops later ones */
         }
--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -186,13 +186,16 @@
     rp_event_set_request(event, call->call->request_id);
     rp_event_set_service(event, call->service->name);
     event->value = call->attempt_count;
+    char age[48] = "without a report";
+    if (verdict->report_age_ns >= 0) {
+        g_snprintf(age, sizeof(age), "report %.1f ms old",
+                   (double)verdict->report_age_ns / 1e6);
+    }
     rp_event_set_detail(
-        event,
-        "waited %.1f ms, %.1f ms left, slowness %.2f, load %.1f, report "
-        "%.1f ms old",
+        event, "waited %.1f ms, %.1f ms left, slowness %.2f, load %.1f, %s",
         (double)(now_ns - call->call->received_ns) / 1e6,
         (double)(call->deadline_ns - now_ns) / 1e6, verdict->slowness,
-        verdict->load, (double)verdict->report_age_ns / 1e6);
+        verdict->load, age);
 }
 
 static void
--- a/tests/test_event_log.cc
+++ b/tests/test_event_log.cc
@@ -98,6 +98,31 @@
     rp_event_log_free(log);
 }
 
+// Guards against lines that reach the reader in two parts, between which those
+// of other processes come.
+TEST_F(event_log, each_write_holds_whole_lines)
+{
+    int packets[2]; // each read takes what one write brought
+    ASSERT_EQ(pipe2(packets, O_DIRECT | O_NONBLOCK), 0);
+    struct rp_event_log *log = rp_event_log_new(context, packets[1], 1000, 0);
+    for (int i = 0; i < 200; i++) {
+        rp_event_add(context->events, RP_EVENT_STARTED, 0,
+                     std::string((size_t)(i % 60), 'x').c_str());
+    }
+    rp_event_log_write(log, 0);
+    char bytes[65536];
+    int writes = 0;
+    for (ssize_t count; (count = read(packets[0], bytes, sizeof(bytes))) > 0;
+         writes++)
+    {
+        EXPECT_EQ(bytes[count - 1], '\n') << "write " << writes;
+    }
+    EXPECT_GE(writes, 5);
+    rp_event_log_free(log);
+    close(packets[0]);
+    close(packets[1]);
+}
+
 // Guards against the last lines before the end of a process being lost while
 // a slow reader has made room for them.
 TEST_F(event_log, the_end_writes_what_waits)
