--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -106,6 +106,7 @@
     struct balancer_target fresh = {
         .address = g_strdup(source->address),
         .instance = g_strdup(source->instance),
+        .joined = balancer->configured,
     };
     bool local = g_strcmp0(source->domain, balancer->config.domain) == 0;
     rp_route_init(&fresh.route, source->slots, local);
@@ -128,6 +129,7 @@
     g_free(target->instance);
     target->instance = g_strdup(source->instance);
     target->reported_draining = false;
+    target->joined = true;
     rp_limit_init(&target->limit, source->slots, true);
     rp_outlier_init(&target->outlier);
     rp_sync_probe_init(&target->sync_probe, now_ns);
--- a/src/balance/balancer_private.h
+++ b/src/balance/balancer_private.h
@@ -24,6 +24,7 @@
     struct rp_outlier outlier;
     uint32_t estate; /* index in the shares in force */
     bool present;
+    bool joined;            /* the service was in use before */
     bool draining;          /* by record */
     bool reported_draining; /* by its own word */
     uint64_t sent;
--- a/src/balance/balancer_sync_probe.c
+++ b/src/balance/balancer_sync_probe.c
@@ -10,6 +10,13 @@
 /* Between two looks at targets that are all busy. */
 #define RETRY_NS INT64_C(20000000)
 
+/* A target that has not answered for this long has most likely closed its idle
+ * connections; targets close theirs after 10 s. */
+#define CONNECTION_IDLE_NS INT64_C(9000000000)
+/* What a new connection counts: its round trips and the time that it holds a
+ * slot are 2 to 4 ms, and each is paid for. */
+#define CONNECT_NS 5000000.0
+
 struct scan {
     uint32_t quick; /* fresh, free and at usual speed */
     double quick_ns;
@@ -28,6 +35,19 @@
            !(target->outlier.trial && target->route.in_flight > 0);
 }
 
+/* Returns whether a call or a probe needs a new connection. A target that has
+ * joined a service in use is asked once without that cost, or nobody would
+ * know that it is there. */
+static bool
+needs_connection(const struct balancer_target *target, int64_t now_ns)
+{
+    const struct rp_sync_probe_target *probe = &target->sync_probe;
+    if (!probe->reported) {
+        return !target->joined;
+    }
+    return now_ns - probe->report_ns > CONNECTION_IDLE_NS;
+}
+
 static void
 consider(const struct rp_balancer *balancer,
          const struct rp_balancer_call *call, uint32_t index, int64_t now_ns,
@@ -43,6 +63,9 @@
     if (target->route.domain_ns > 0) {
         expected += (double)call->far_ns;
     }
+    if (needs_connection(target, now_ns)) {
+        expected += CONNECT_NS;
+    }
     bool resting = target->sync_probe.failures > 0 &&
                    now_ns - target->sync_probe.failed_ns < FAILED_REST_NS;
     bool fresh = rp_sync_probe_is_fresh(&target->sync_probe, now_ns);
--- a/tests/test_sync_probe.cc
+++ b/tests/test_sync_probe.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
 #include <vector>
 
 #include "answer_size.h"
@@ -463,6 +465,63 @@
     }
 }
 
+// Guards against a new connection for each call where a target with an open
+// one serves as well, and against targets that have joined and are never
+// asked.
+TEST(sync_probe_start, asks_over_open_connections_first)
+{
+    struct rp_balancer_config config = {};
+    config.domain = "d0";
+    config.fleet_size = 1;
+    config.queue_limit = 100;
+    config.probes_per_s = 1000;
+    struct rp_balancer *balancer = rp_balancer_new(&config);
+    std::map<uint32_t, int> asked;
+    uint64_t id = 0;
+    auto run = [&](int64_t from_ms, int64_t to_ms) {
+        asked.clear();
+        for (int64_t ms = from_ms; ms < to_ms; ms += 200) {
+            struct rp_balancer_call call = {};
+            struct rp_balancer_verdict verdict;
+            call.call_id = ++id;
+            call.aim_ns = 300 * MS;
+            call.deadline_ns = ms * MS + 1000 * MS;
+            rp_balancer_offer(balancer, &call, ms * MS, &verdict);
+            while (rp_balancer_next(balancer, ms * MS, &verdict) &&
+                   verdict.action == RP_BALANCER_PROBE)
+            {
+                asked[verdict.target]++;
+                struct rp_load_report quick = report(0, 100);
+                rp_balancer_probed(balancer, verdict.target, true, &quick,
+                                   ms * MS);
+            }
+        }
+    };
+    auto publish = [&](int count) {
+        struct rp_snapshot *snapshot = rp_snapshot_new();
+        struct rp_service *service = rp_snapshot_add_service(snapshot, "a");
+        service->ask_before_calls = true;
+        for (int i = 0; i < count; i++) {
+            std::string address = "10.0.0." + std::to_string(i + 1) + ":1";
+            rp_service_add_target(service, address.c_str(), address.c_str(),
+                                  "d0", "e")
+                ->slots = 6;
+        }
+        service->estates[0].share_permille = 1000;
+        rp_balancer_set_service(balancer, service, 0);
+        rp_snapshot_unref(snapshot);
+    };
+    publish(20);
+    run(0, 8000);
+    EXPECT_LE(asked.size(), 2u) << "one quick target with a connection serves";
+    publish(21);
+    run(8000, 12000);
+    EXPECT_GE(asked[20], 1) << "the new target is asked";
+    run(60000, 64000);
+    EXPECT_LE(asked.size(), 2u) << "after a pause all connections are closed";
+    rp_balancer_free(balancer);
+}
+
 // Guards against budgets that grow with the fleet: a hundred entry VMs have
 // the same allowance as one.
 TEST_F(sync_probe_balancer, allowance_is_divided_by_the_fleet)
