--- a/standin/relay.c
+++ b/standin/relay.c
@@ -581,8 +581,9 @@
 /* Forwards TCP connections until it is ended, and breaks them on command:
  * "cut" closes connections and refuses new ones, "hole" keeps all open and
  * passes nothing, "deaf" and "mute" pass nothing of callers or of the target,
- * "reset" ends those open now by a reset, "silence" does so for good to those open now while new ones
- * work, "delay MS" delays each piece, "pass" ends cut, hole and delay. */
+ * "reset" ends those open now by a reset, "silence" does so for good to those
+ * open now while new ones work, "delay MS" delays each piece, "pass" ends cut,
+ * hole and delay. */
 int
 standin_relay_main(int argc, char **argv)
 {
@@ -591,7 +592,8 @@
         parse_option,
         NULL,
         "Forward TCP connections on this machine and break them on command: "
-        "cut, hole, deaf, mute, reset, silence, delay MS, pass; each may be followed by the "
+        "cut, hole, deaf, mute, reset, silence, delay MS, pass; each may be "
+        "followed by the "
         "number of one link.",
         NULL,
         NULL,
