--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -5,9 +5,9 @@
 #include "address_book.h"
 #include "page_server.h"
 
-/* Entry VMs that callers of one name and failure domain are sent to. Fewer know
- * the targets better and have fewer connections to them; three leave callers
- * two when one is lost (docs/decisions.md). */
+/* Entry VMs that callers of one name and failure domain are sent to. Fewer
+ * know the targets better and have fewer connections to them; three leave
+ * callers two when one is lost (docs/decisions.md). */
 #define ADDRESSES 3
 
 struct rp_directory {
