--- a/standin/relay.c
+++ b/standin/relay.c
@@ -388,8 +388,8 @@
         link->mode = MODE_MUTE;
     }
     else if (strcmp(verb, "reset") == 0) {
-        while (link->connections->len > 0) {
-            reset_connection(g_ptr_array_index(link->connections, 0));
+        for (guint i = link->connections->len; i > 0; i--) {
+            reset_connection(g_ptr_array_index(link->connections, i - 1));
         }
     }
     else if (strcmp(verb, "delay") == 0) {
