--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -593,6 +593,9 @@
         break;
     case RP_ATTEMPT_ERROR:
     case RP_ATTEMPT_BROKEN:
+        rp_sync_probe_faulted(&target->sync_probe, now_ns);
+        note_failure(balancer, target, now_ns);
+        break;
     case RP_ATTEMPT_TIMEOUT:
         note_failure(balancer, target, now_ns);
         break;
--- a/src/balance/balancer_sync_probe.c
+++ b/src/balance/balancer_sync_probe.c
@@ -66,6 +66,7 @@
     if (needs_connection(target, now_ns)) {
         expected += CONNECT_NS;
     }
+    expected += (double)rp_sync_probe_rest_ns(&target->sync_probe, now_ns);
     bool resting = target->sync_probe.failures > 0 &&
                    now_ns - target->sync_probe.failed_ns < FAILED_REST_NS;
     bool fresh = rp_sync_probe_is_fresh(&target->sync_probe, now_ns);
--- a/src/balance/sync_probe.c
+++ b/src/balance/sync_probe.c
@@ -44,6 +44,11 @@
 /* Answers without a speed after which the targets of a service are taken not
  * to tell it. */
 #define UNTOLD_ANSWERS 3
+/* Rest of a target after a call that it failed, doubled for each further one
+ * in a row. The first is forgotten soon, since targets fail single calls; the
+ * last is as long as a target takes to be replaced. */
+#define FIRST_REST_NS INT64_C(500000000)
+#define MOST_FAULTS 4
 /* For the first calls of a process that knows no target yet. */
 #define FIRST_PROBES 2.0
 /* Probes that may come at once after a quiet time, in seconds of the rate. */
@@ -147,6 +152,31 @@
     double excess = fmin(usual / fmax(pool->usual_ns, 1), MOST_EXCESS);
     target->excess = smooth(target->excess, excess, EXCESS_WEIGHT);
     target->excess_ns = now_ns;
+    target->faults = 0;
+}
+
+/* Takes note of a call that the target answered with an error or broke off.
+ * One that fails at once is idle and says that it is quick, so that every
+ * search would find it first. */
+void
+rp_sync_probe_faulted(struct rp_sync_probe_target *target, int64_t now_ns)
+{
+    target->faults += target->faults < MOST_FAULTS ? 1 : 0;
+    target->fault_ns = now_ns;
+}
+
+/* Returns for how much longer a target rests after faults; 0 for one that does
+ * not. A resting one is the last choice, not excluded: all may have faults. */
+int64_t
+rp_sync_probe_rest_ns(const struct rp_sync_probe_target *target,
+                      int64_t now_ns)
+{
+    if (target->faults == 0) {
+        return 0;
+    }
+    int64_t end_ns =
+        target->fault_ns + (FIRST_REST_NS << (target->faults - 1));
+    return end_ns > now_ns ? end_ns - now_ns : 0;
 }
 
 /* Returns whether one more request crowds a target with that load. */
--- a/src/balance/sync_probe.h
+++ b/src/balance/sync_probe.h
@@ -48,6 +48,8 @@
     int64_t probe_ns;  /* when the probe in progress was sent; 0 for none */
     double excess;     /* own times as a multiple of what was expected */
     int64_t excess_ns; /* when an answer last said so */
+    uint32_t faults;   /* calls in a row that it failed or broke off */
+    int64_t fault_ns;  /* of the latest */
     uint32_t failures; /* probes in a row without an answer */
     int64_t failed_ns;
     double probe_tokens;
@@ -70,6 +72,10 @@
                             struct rp_sync_probe_pool *pool,
                             double expected_slowness, bool crowded,
                             int64_t response_ns, int64_t now_ns);
+void rp_sync_probe_faulted(struct rp_sync_probe_target *target,
+                           int64_t now_ns);
+int64_t rp_sync_probe_rest_ns(const struct rp_sync_probe_target *target,
+                              int64_t now_ns);
 bool rp_sync_probe_is_crowded(double load, double slots);
 double rp_sync_probe_most_load(const struct rp_sync_probe_pool *pool,
                                double slots);
--- a/tests/test_sync_probe.cc
+++ b/tests/test_sync_probe.cc
@@ -522,6 +522,101 @@
     rp_balancer_free(balancer);
 }
 
+// Guards against orders that all go to a target that breaks them off at once:
+// it is idle and says that it is quick. One that answers again is used again.
+TEST(sync_probe_start, targets_rest_after_faults)
+{
+    struct {
+        const char *what;
+        std::vector<int64_t> faults_ms;
+        int64_t at_ms;
+        int64_t rest_ms;
+    } cases[] = {
+        {"none", {}, 10, 0},
+        {"one", {0}, 100, 400},
+        {"one, over", {0}, 500, 0},
+        {"two in a row", {0, 600}, 700, 900},
+        {"many in a row", {0, 1, 2, 3, 4, 5, 6}, 6, 4000},
+    };
+    for (const auto &entry : cases) {
+        struct rp_sync_probe_pool pool = learned_pool();
+        struct rp_sync_probe_target target;
+        rp_sync_probe_init(&target, 0);
+        for (int64_t fault_ms : entry.faults_ms) {
+            rp_sync_probe_faulted(&target, fault_ms * MS);
+        }
+        EXPECT_EQ(rp_sync_probe_rest_ns(&target, entry.at_ms * MS) / MS,
+                  entry.rest_ms)
+            << entry.what;
+        rp_sync_probe_answered(&target, &pool, 1, false, 100 * MS,
+                               entry.at_ms * MS);
+        EXPECT_EQ(rp_sync_probe_rest_ns(&target, entry.at_ms * MS), 0);
+    }
+}
+
+// The same through the balancer: the other target gets the next calls, and the
+// resting one is used when there is no other.
+TEST(sync_probe_start, next_calls_avoid_a_target_with_faults)
+{
+    for (int targets : {2, 1}) {
+        struct rp_balancer_config config = {};
+        config.domain = "d0";
+        config.fleet_size = 1;
+        config.queue_limit = 100;
+        config.probes_per_s = 1000;
+        struct rp_balancer *balancer = rp_balancer_new(&config);
+        struct rp_snapshot *snapshot = rp_snapshot_new();
+        struct rp_service *service = rp_snapshot_add_service(snapshot, "a");
+        service->ask_before_calls = true;
+        for (int i = 0; i < targets; i++) {
+            std::string address = "10.0.0." + std::to_string(i + 1) + ":1";
+            rp_service_add_target(service, address.c_str(), address.c_str(),
+                                  "d0", "e")
+                ->slots = 6;
+        }
+        service->estates[0].share_permille = 1000;
+        rp_balancer_set_service(balancer, service, 0);
+        int broken = 0;
+        int whole = 0;
+        uint64_t id = 0;
+        for (int64_t now_ns = 0; now_ns < 1000 * MS; now_ns += 10 * MS) {
+            struct rp_balancer_call call = {};
+            struct rp_balancer_verdict verdict;
+            call.call_id = ++id;
+            call.aim_ns = 300 * MS;
+            call.deadline_ns = now_ns + 1000 * MS;
+            if (now_ns % (50 * MS) == 0) {
+                rp_balancer_offer(balancer, &call, now_ns, &verdict);
+            }
+            while (rp_balancer_next(balancer, now_ns, &verdict)) {
+                struct rp_load_report quick = report(0, 100);
+                if (verdict.action == RP_BALANCER_PROBE) {
+                    rp_balancer_probed(balancer, verdict.target, true, &quick,
+                                       now_ns);
+                    continue;
+                }
+                struct rp_attempt_report ended = {};
+                ended.target = verdict.target;
+                ended.outcome =
+                    verdict.target == 0 ? RP_ATTEMPT_BROKEN : RP_ATTEMPT_OK;
+                ended.sent_ns = now_ns;
+                ended.slowness = 1;
+                (verdict.target == 0 ? broken : whole)++;
+                rp_balancer_finish(balancer, &ended, now_ns);
+            }
+        }
+        if (targets == 2) {
+            EXPECT_LE(broken, 2) << "20 calls";
+            EXPECT_GE(whole, 17);
+        }
+        else {
+            EXPECT_GE(broken, 2) << "the only target is still used";
+        }
+        rp_snapshot_unref(snapshot);
+        rp_balancer_free(balancer);
+    }
+}
+
 // Guards against budgets that grow with the fleet: a hundred entry VMs have
 // the same allowance as one.
 TEST_F(sync_probe_balancer, allowance_is_divided_by_the_fleet)
