Call the VMs that all others are told of seeds

The parameter of rp_watch_set_unlisted said that a VM begins, which no reader knows; the settings and the members' table say seed. No change of behaviour.

--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -602,7 +602,7 @@
                                                     : settings->protocol;
     platform->watch = rp_watch_new(platform->context->identity.id, now_ns);
     if (platform->protocol->vms_path == NULL) {
-        rp_watch_set_unlisted(platform->watch, settings->begins_watching);
+        rp_watch_set_unlisted(platform->watch, settings->is_seed);
     }
     platform->url = g_strdup(settings->url);
     while (g_str_has_suffix(platform->url, "/")) {
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -24,9 +24,9 @@
     int64_t timeout_ms;       /* of a read, above the time it may wait; 2000 */
     uint32_t page_size;       /* records asked for at once; 256 */
     int64_t answer_max_bytes; /* 8 MiB */
-    /* On a platform without a list of VMs: whether this VM watches before it
-     * knows any other. */
-    bool begins_watching;
+    /* Whether all others are given the peer address of this VM. On a platform
+     * without a list of VMs, seeds watch before any member is known. */
+    bool is_seed;
 };
 
 struct rp_platform;
--- a/src/config/watch.c
+++ b/src/config/watch.c
@@ -31,8 +31,8 @@
 #define UNLISTED_RETRY_NS INT64_C(500000000)
 #define UNLISTED_BACKOFF_NS INT64_C(1000000000)
 /* Until this time after its start a VM knows too few others to tell whether it
- * is chosen: news of members need ceil(log2 fleet) heartbeats. Those that
- * begin watch meanwhile. */
+ * is chosen: news of members need ceil(log2 fleet) heartbeats. The seeds watch
+ * meanwhile. */
 #define UNLISTED_SETTLE_NS INT64_C(3000000000)
 /* Wait of each watcher for those of lower rank to spread what changed; a push
  * takes some milliseconds for each of the ceil(log2 fleet) steps. */
@@ -51,7 +51,7 @@
     double hash; /* of the own id, from 0 to 1 */
     enum rp_watch_role role;
     bool chosen;
-    bool begins;       /* watches before others are known */
+    bool is_seed;      /* watches before others are known */
     int64_t settle_ns; /* until then the choice does not count */
     uint32_t rank;     /* among the chosen */
     bool has_vms;
@@ -200,15 +200,15 @@
     watch->check_interval_ns = MAX(CHECK_NS, entry_vms * CHECK_SHARE_NS);
 }
 
-/* Takes note that the platform has no list of VMs. Until rp_watch_set_vms
- * has told of the others, those watch that begin: a fleet that starts at once
- * has a few, which all others know. */
+/* Takes note that the platform has no list of VMs. Until rp_watch_set_vms has
+ * told of the others, only seeds watch, whose addresses all others are given:
+ * a fleet that starts at once has a few of them. */
 void
-rp_watch_set_unlisted(struct rp_watch *watch, bool begins)
+rp_watch_set_unlisted(struct rp_watch *watch, bool is_seed)
 {
     watch->unlisted = true;
     watch->has_vms = true;
-    watch->begins = begins;
+    watch->is_seed = is_seed;
     watch->check_interval_ns = CHECK_NS;
 }
 
@@ -277,7 +277,7 @@
 static bool
 is_chosen(const struct rp_watch *watch, int64_t now_ns)
 {
-    return watch->unlisted && now_ns < watch->settle_ns ? watch->begins
+    return watch->unlisted && now_ns < watch->settle_ns ? watch->is_seed
                                                         : watch->chosen;
 }
 
--- a/src/config/watch.h
+++ b/src/config/watch.h
@@ -49,7 +49,7 @@
 struct rp_watch *rp_watch_new(const char *own_id, int64_t now_ns);
 void rp_watch_free(struct rp_watch *watch);
 void rp_watch_set_vms(struct rp_watch *watch, const struct rp_vm_list *list);
-void rp_watch_set_unlisted(struct rp_watch *watch, bool begins);
+void rp_watch_set_unlisted(struct rp_watch *watch, bool is_seed);
 int64_t rp_watch_turn_ns(const struct rp_watch *watch);
 void rp_watch_set_behind(struct rp_watch *watch, bool behind, int64_t now_ns);
 void rp_watch_hear_fresh(struct rp_watch *watch, int64_t fresh_ns,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -263,7 +263,7 @@
     }
     struct rp_platform_settings platform = {
         .url = rp_settings_text(settings, RP_SETTING_PLATFORM),
-        .begins_watching = is_seed(settings),
+        .is_seed = is_seed(settings),
     };
     if (node->adapter != NULL) {
         node->protocol = node->adapter->protocol_new();
--- a/tests/test_watch_unlisted.cc
+++ b/tests/test_watch_unlisted.cc
@@ -108,15 +108,15 @@
     return "";
 }
 
-// Guards against a fleet that starts with a watch by everyone: only the VMs
-// that all others know begin, the rest read once and wait for news of peers.
-// Who knows only a few of the others does not take itself for chosen.
-TEST(watch_unlisted, few_begin)
+// Guards against a fleet that starts with a watch by everyone: only the seeds
+// watch at first, the rest read once and wait for news of peers. Who knows
+// only a few of the others does not take itself for chosen.
+TEST(watch_unlisted, seeds_begin)
 {
     struct rp_vm_list *some = make_list(2, 1); // vm-0 and vm-1
-    for (bool begins : {false, true}) {
+    for (bool is_seed : {false, true}) {
         struct rp_watch *watch = rp_watch_new("vm-1", 0);
-        rp_watch_set_unlisted(watch, begins);
+        rp_watch_set_unlisted(watch, is_seed);
         int listings = 0;
         int watches = 0;
         for (int64_t now_ns = 0; now_ns < 2900 * MS; now_ns += 5 * MS) {
@@ -133,8 +133,8 @@
             }
             rp_watch_finish(watch, true, true, false, 0.5, now_ns);
         }
-        EXPECT_EQ(listings, 1) << begins;
-        EXPECT_EQ(watches > 0, begins);
+        EXPECT_EQ(listings, 1) << is_seed;
+        EXPECT_EQ(watches > 0, is_seed);
         rp_watch_free(watch);
     }
     rp_vm_list_unref(some);
