Ask a target again only while it takes new requests

A reused connection whose bytes nobody acknowledges is ended by TCP_USER_TIMEOUT after 3.0 s. It then counted as closed while idle, and the same target was asked again over a fresh connection, whatever had become of the target meanwhile. A target that began to drain 0.3 to 0.5 s after the first attempt got the second one 2.5 to 2.7 s after its notice. The attempt beside a late one (no byte in time) had the same fault.

Ruled out: TCP sending the same bytes again (the second arrival is a new attempt), a transfer queued inside libcurl, news of the draining that comes late.

The new test runs the dispatch task alone; 4 of its 6 cases failed before, none after.

The 3 s themselves are weighed next: a large answer is never tried elsewhere before.

--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -435,6 +435,16 @@
     }
 }
 
+/* Returns whether the target of an attempt may get a further one. It may have
+ * begun to drain since the first, and then takes no new request. */
+static bool
+may_ask_again(const struct dispatch_call *call,
+              const struct dispatch_attempt *attempt)
+{
+    return dispatch_call_passed_on(call) ||
+           rp_balancer_target_usable(call->service->balancer, attempt->target);
+}
+
 /* A reused connection that closes without an answer byte was most likely
  * closed by the target while it was idle. The same target is tried once over
  * a fresh connection, and this is not held against it. */
@@ -446,7 +456,7 @@
     struct rp_stream *request = call->call->request;
     if (!done->reused || done->first_byte_ns != 0 ||
         done->end != RP_END_BROKEN || !call->repeatable || call->tried_stale ||
-        call->attempts_left == 0 ||
+        call->attempts_left == 0 || !may_ask_again(call, stale) ||
         call->attempt_count == RP_DISPATCH_ATTEMPTS ||
         (request != NULL && !rp_stream_can_rewind(request)) ||
         !rp_balancer_take_retry(call->service->balancer, now_ns))
@@ -715,15 +725,47 @@
     return found;
 }
 
+static void
+try_hedge(struct dispatch_call *call, int64_t now_ns)
+{
+    call->hedge_at_ns = RP_KERNEL_NEVER_NS;
+    if (call->state != CALL_RUNNING || call->hedge_waits ||
+        call->attempts_left == 0 ||
+        find_silent(call) == RP_DISPATCH_ATTEMPTS ||
+        call->attempt_count == RP_DISPATCH_ATTEMPTS)
+    {
+        return;
+    }
+    struct rp_balancer_call offer;
+    struct rp_balancer_verdict verdict;
+    fill_offer(call, RP_CALL_HEDGE, &offer);
+    rp_balancer_offer(call->service->balancer, &offer, now_ns, &verdict);
+    if (verdict.action == RP_BALANCER_WAIT) {
+        call->hedge_waits = true;
+    }
+    else if (verdict.action == RP_BALANCER_SEND) {
+        send_hedge(call, &verdict, now_ns);
+    }
+}
+
 /* No byte came in time: the connection may be silent, so that the same
- * target is tried over a fresh one. Without a body the late attempt goes on
- * beside it, and the first answer counts. */
+ * target is tried over a fresh one, or another target where that one takes no
+ * new request. Without a body the late attempt goes on beside it, and the
+ * first answer counts. */
 static void
 try_fresh(struct dispatch_call *call, int64_t now_ns)
 {
     call->first_byte_at_ns = RP_KERNEL_NEVER_NS;
     uint32_t index = find_silent(call);
     struct rp_stream *request = call->call->request;
+    if (index != RP_DISPATCH_ATTEMPTS &&
+        !may_ask_again(call, &call->attempts[index]))
+    {
+        if (request == NULL) {
+            try_hedge(call, now_ns);
+        }
+        return;
+    }
     if (index == RP_DISPATCH_ATTEMPTS || call->attempts_left == 0 ||
         call->attempt_count == RP_DISPATCH_ATTEMPTS ||
         call->service->fresh_trials < 1.0 ||
@@ -756,28 +798,6 @@
     send_start(call, attempt, true, now_ns);
 }
 
-static void
-try_hedge(struct dispatch_call *call, int64_t now_ns)
-{
-    call->hedge_at_ns = RP_KERNEL_NEVER_NS;
-    if (call->state != CALL_RUNNING || call->attempts_left == 0 ||
-        find_silent(call) == RP_DISPATCH_ATTEMPTS ||
-        call->attempt_count == RP_DISPATCH_ATTEMPTS)
-    {
-        return;
-    }
-    struct rp_balancer_call offer;
-    struct rp_balancer_verdict verdict;
-    fill_offer(call, RP_CALL_HEDGE, &offer);
-    rp_balancer_offer(call->service->balancer, &offer, now_ns, &verdict);
-    if (verdict.action == RP_BALANCER_WAIT) {
-        call->hedge_waits = true;
-    }
-    else if (verdict.action == RP_BALANCER_SEND) {
-        send_hedge(call, &verdict, now_ns);
-    }
-}
-
 /* Does what is due: the deadline, a retry, a fresh connection or a hedge. */
 void
 dispatch_call_due(struct dispatch_call *call, int64_t now_ns)
--- /dev/null
+++ b/tests/test_dispatch.cc
@@ -0,0 +1,183 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "call.h"
+#include "dispatch.h"
+#include "snapshot.h"
+}
+
+namespace {
+
+const int64_t MS = 1000000;
+const int64_t START_NS = 1000000 * MS;
+const char *const ADDRESSES[] = {"10.0.0.1:1", "10.0.0.2:1"};
+
+// A process with the task "dispatch" alone; the tasks around it keep what
+// they are sent.
+class process {
+  public:
+    process()
+    {
+        struct rp_identity identity = {};
+        identity.fleet_size = 1;
+        g_strlcpy(identity.domain, "bilbo", sizeof(identity.domain));
+        context = rp_context_new(&identity, 1);
+        kernel = rp_kernel_new(context);
+        struct rp_dispatch_config config = {};
+        entry = rp_kernel_add_task(kernel, RP_TASK_ENTRY, &ops, this, nullptr);
+        upstream =
+            rp_kernel_add_task(kernel, RP_TASK_UPSTREAM, &ops, this, nullptr);
+        rp_dispatch_new(kernel, &config, START_NS, nullptr);
+    }
+
+    ~process()
+    {
+        for (auto &start : starts) {
+            rp_attempt_start_release(&start);
+        }
+        rp_kernel_free(kernel);
+        rp_context_free(context);
+    }
+
+    struct rp_task *dispatch()
+    {
+        return rp_kernel_find_task(kernel, RP_TASK_DISPATCH);
+    }
+
+    // Puts a service of two targets in force. The one that the first attempt
+    // went to is left out or drains.
+    void configure(bool draining, bool gone)
+    {
+        struct rp_snapshot_message message = {rp_snapshot_new(), true};
+        struct rp_service *service =
+            rp_snapshot_add_service(message.snapshot, "maps");
+        for (const char *address : ADDRESSES) {
+            bool first =
+                !starts.empty() && starts[0].address == std::string(address);
+            if (first && gone) {
+                continue;
+            }
+            rp_service_add_target(service, address, address, "bilbo", "new")
+                ->draining = first && draining;
+        }
+        struct rp_route *route =
+            rp_snapshot_add_route(message.snapshot, "maps", "", "/");
+        route->timeout_ms = route->max_timeout_ms = 10000;
+        route->repeatable_methods = RP_METHODS_ALL;
+        rp_route_add_part(route, "maps", 1);
+        rp_task_send_owned(nullptr, dispatch(), RP_MSG_SNAPSHOT, &message,
+                           sizeof(message), rp_snapshot_message_release);
+        run();
+    }
+
+    void start_call()
+    {
+        struct rp_call *call = rp_call_new(1, "GET", "/a", "");
+        call->received_ns = now_ns;
+        call->attempts_left = RP_ATTEMPTS_UNSET;
+        struct rp_call_start start = {call};
+        rp_task_send_owned(entry, dispatch(), RP_MSG_CALL_START, &start,
+                           sizeof(start), rp_call_start_release);
+        run();
+    }
+
+    // Ends the first attempt as a reused connection does that the target
+    // closed while it was idle.
+    void lose_connection()
+    {
+        struct rp_attempt_done done = {};
+        done.call_id = 1;
+        done.generation = starts[0].generation;
+        done.end = RP_END_BROKEN;
+        done.reused = true;
+        rp_task_send(upstream, dispatch(), RP_MSG_ATTEMPT_DONE, &done,
+                     sizeof(done));
+        run();
+    }
+
+    void run()
+    {
+        due_ns = rp_kernel_run(kernel, now_ns);
+    }
+
+    // Lets time pass until the task's timers have run until at_ns.
+    void run_until(int64_t at_ns)
+    {
+        while (due_ns <= at_ns) {
+            now_ns = std::max(now_ns + 1, due_ns);
+            run();
+        }
+        now_ns = at_ns;
+        run();
+    }
+
+    int64_t now_ns = START_NS;
+    std::vector<struct rp_attempt_start> starts;
+
+  private:
+    static void on_message(struct rp_task *, const struct rp_message *message,
+                           int64_t, void *data)
+    {
+        if (message->kind != RP_MSG_ATTEMPT_START) {
+            return;
+        }
+        auto start = *static_cast<const rp_attempt_start *>(message->body);
+        rp_call_ref(start.call);
+        rp_stream_ref(start.body);
+        static_cast<process *>(data)->starts.push_back(start);
+    }
+
+    static const struct rp_task_ops ops;
+    struct rp_context *context;
+    struct rp_kernel *kernel;
+    struct rp_task *entry;
+    struct rp_task *upstream;
+    int64_t due_ns = 0;
+};
+
+const struct rp_task_ops process::ops = {process::on_message, nullptr,
+                                         nullptr};
+
+// Guards against a further attempt at the same target, over a fresh
+// connection, after the target has begun to drain or has gone.
+TEST(dispatch, asks_again_only_where_new_requests_may_go)
+{
+    enum { NOWHERE, SAME, OTHER };
+    struct {
+        const char *name;
+        bool late; /* no byte in time; else the reused connection closed */
+        bool draining;
+        bool gone;
+        int second; /* where the second attempt goes */
+    } cases[] = {
+        {"closed, serving", false, false, false, SAME},
+        {"closed, draining", false, true, false, OTHER},
+        {"closed, gone", false, false, true, OTHER},
+        {"late, serving", true, false, false, SAME},
+        /* Without a budget for hedges yet, the first may still answer. */
+        {"late, draining", true, true, false, NOWHERE},
+        {"late, gone", true, false, true, NOWHERE},
+    };
+    for (const auto &entry : cases) {
+        process one;
+        one.configure(false, false);
+        one.start_call();
+        ASSERT_EQ(one.starts.size(), 1u) << entry.name;
+        one.configure(entry.draining, entry.gone);
+        if (!entry.late) {
+            one.lose_connection();
+        }
+        one.run_until(START_NS + 3000 * MS);
+        int second = NOWHERE;
+        if (one.starts.size() > 1) {
+            std::string first = one.starts[0].address;
+            second = first == one.starts[1].address ? SAME : OTHER;
+        }
+        EXPECT_EQ(second, entry.second) << entry.name;
+    }
+}
+
+} // namespace
