Let callers keep the first answers of a process for 0.4 s

An answer of the directory names members that its process knows.

Ruled out: members that are learned late (all are known after 2 s since the last change).

The new test has the times to live by age. The script's check of the set time now waits until the process is 2 s old; it expects the same value as before.

--- a/scripts/gateway_path.sh
+++ b/scripts/gateway_path.sh
@@ -103,7 +103,8 @@
 check ready "$(await '^200$' status_of "$ready")" '^200$'
 check directory "$(await "$second" curl -s "$resolve")" \
     "\"$front\".*\"$second\"|\"$second\".*\"$front\""
-check directory-ttl "$(curl -s "$resolve")" '"ttl":"500ms"'
+# Answers of the first 2 s are kept for a shorter time.
+check directory-ttl "$(await '"500ms"' curl -s "$resolve")" '"ttl":"500ms"'
 check safe "$(await 'i-a 200' ask /a/x id-1)" '^i-a 200$'
 check unsafe "$(ask /b/x id-2 -d body)" '^i-b 200$'
 check ran-once "$(curl -s "http://127.0.0.1:$((base + 2))/ran?id=id-2")" '^1$'
--- a/src/balance/address_book.c
+++ b/src/balance/address_book.c
@@ -6,9 +6,17 @@
 #include "snapshot.h"
 #include "steering.h"
 
+/* A process learns of the other members within this time of its start, and
+ * names those that it knows until then. Callers keep such an answer for a
+ * short time only, or many of them would stay with entry VMs that are not
+ * meant for their service. */
+#define LEARNING_NS INT64_C(2000000000)
+#define LEARNING_TTL_MS 400
+
 struct rp_address_book {
     struct rp_context *context;
     uint32_t ttl_ms;
+    int64_t started_ns;
     struct rp_snapshot *snapshot;   /* NULL before the first */
     struct rp_member_view *members; /* NULL before the first */
     struct rp_steering *steering;
@@ -19,11 +27,13 @@
 /* Creates a book without members. Answers may be kept for ttl_ms. Free it
  * with rp_address_book_free. */
 struct rp_address_book *
-rp_address_book_new(struct rp_context *context, uint32_t ttl_ms)
+rp_address_book_new(struct rp_context *context, uint32_t ttl_ms,
+                    int64_t now_ns)
 {
     struct rp_address_book *book = g_new0(struct rp_address_book, 1);
     book->context = context;
     book->ttl_ms = ttl_ms;
+    book->started_ns = now_ns;
     book->steering = rp_steering_new();
     return book;
 }
@@ -41,6 +51,15 @@
     g_free(book);
 }
 
+/* Returns how long callers may keep an answer, in ms. */
+uint32_t
+rp_address_book_ttl_ms(const struct rp_address_book *book, int64_t now_ns)
+{
+    return now_ns - book->started_ns < LEARNING_NS
+               ? MIN(book->ttl_ms, LEARNING_TTL_MS)
+               : book->ttl_ms;
+}
+
 /* Takes over members, configuration and a stop from a message; others are
  * passed over. */
 void
@@ -223,7 +242,7 @@
         .members = (const struct rp_address_member *)members->data,
         .member_count = members->len,
         .subset = choice.width,
-        .ttl_ms = book->ttl_ms,
+        .ttl_ms = rp_address_book_ttl_ms(book, now_ns),
         .random = g_rand_int(book->context->random),
     };
     if (book->snapshot != NULL) {
@@ -237,5 +256,5 @@
         return;
     }
     reply->status = 200;
-    reply->max_age_s = book->ttl_ms / 1000;
+    reply->max_age_s = question.ttl_ms / 1000;
 }
--- a/src/balance/address_book.h
+++ b/src/balance/address_book.h
@@ -25,7 +25,9 @@
 #endif
 
 struct rp_address_book *rp_address_book_new(struct rp_context *context,
-                                            uint32_t ttl_ms);
+                                            uint32_t ttl_ms, int64_t now_ns);
+uint32_t rp_address_book_ttl_ms(const struct rp_address_book *book,
+                                int64_t now_ns);
 void rp_address_book_free(struct rp_address_book *book);
 void rp_address_book_take(struct rp_address_book *book,
                           const struct rp_message *message);
--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -320,7 +320,8 @@
     entry->requests = g_hash_table_new(NULL, NULL);
     entry->connections = g_hash_table_new(NULL, NULL);
     entry->closed = g_ptr_array_new();
-    entry->addresses = rp_address_book_new(context, config->answer_ttl_ms);
+    entry->addresses =
+        rp_address_book_new(context, config->answer_ttl_ms, rp_loop_now_ns());
     struct rp_snapshot *none = rp_snapshot_new();
     entry->limits = *rp_snapshot_limits(none);
     rp_snapshot_unref(none);
--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -23,17 +23,18 @@
                  const char *domain, struct rp_page *page)
 {
     const char *addresses[ADDRESSES];
+    int64_t now_ns = rp_loop_now_ns();
     uint32_t count = rp_address_book_list(
         directory->book, name == NULL ? "" : name,
-        domain == NULL ? "" : domain, addresses, ADDRESSES, rp_loop_now_ns());
+        domain == NULL ? "" : domain, addresses, ADDRESSES, now_ns);
     if (count == 0) {
         page->status = 503;
         return;
     }
     page->status = 200;
     page->type = "application/json";
-    page->body = directory->config.pages->format(addresses, count,
-                                                 directory->config.ttl_ms);
+    page->body = directory->config.pages->format(
+        addresses, count, rp_address_book_ttl_ms(directory->book, now_ns));
 }
 
 static void
@@ -89,8 +90,8 @@
     struct rp_kernel *kernel = rp_loop_kernel(loop);
     struct rp_directory *directory = g_new0(struct rp_directory, 1);
     directory->config = *config;
-    directory->book =
-        rp_address_book_new(rp_kernel_context(kernel), config->ttl_ms);
+    directory->book = rp_address_book_new(rp_kernel_context(kernel),
+                                          config->ttl_ms, rp_loop_now_ns());
     directory->answers =
         rp_page_server_new(loop, config->address, on_page, directory, error);
     if (directory->answers != NULL) {
--- a/tests/test_address_nearest.cc
+++ b/tests/test_address_nearest.cc
@@ -6,6 +6,7 @@
 
 extern "C" {
 #include "address_answer.h"
+#include "address_book.h"
 }
 
 namespace {
@@ -104,4 +105,32 @@
     EXPECT_GE(all.size(), 24u);
 }
 
+// Guards against callers that stay with what a process names that has just
+// started and knows few others, and against a longer time than is set.
+TEST(address_book, answers_of_the_first_seconds_are_kept_shortly)
+{
+    const int64_t START_NS = 5000000000;
+    struct {
+        uint32_t set_ms;
+        int64_t age_ms;
+        uint32_t expected_ms;
+    } cases[] = {
+        {2000, 0, 400},      {2000, 1999, 400}, {2000, 2000, 2000},
+        {300, 0, 300},       {300, 5000, 300},  {5000, 1000, 400},
+        {5000, 60000, 5000},
+    };
+    struct rp_identity identity = {};
+    struct rp_context *context = rp_context_new(&identity, 1);
+    for (const auto &entry : cases) {
+        struct rp_address_book *book =
+            rp_address_book_new(context, entry.set_ms, START_NS);
+        EXPECT_EQ(
+            rp_address_book_ttl_ms(book, START_NS + entry.age_ms * 1000000),
+            entry.expected_ms)
+            << entry.set_ms << " ms set, " << entry.age_ms << " ms old";
+        rp_address_book_free(book);
+    }
+    rp_context_free(context);
+}
+
 } // namespace
