Let watchers that an outage promoted step down

A VM that is promoted because no watcher was heard of stops when it hears of freshness later than its own by 0.3 s. After an outage of the store 64 to 85 of 129 VMs watch at once; each reads every 0.7 s or less, and what it hears through its peers is older. Then most of them went on watching for 30 s and longer.

Ruled out: a second outage (platform_lost only at 4 s), lost chosen watchers (all eight announced themselves).

A promoted VM now stops after 5 to 10 s in any case, by its hash. If nobody else watches, the freshness gets stale and it is promoted again; checks of the revision go on meanwhile. Both cases of the new test failed before.

--- a/src/config/watch.c
+++ b/src/config/watch.c
@@ -28,6 +28,7 @@
 #define UNLISTED_STALE_NS INT64_C(3500000000)
 #define UNLISTED_STALE_SPREAD_NS INT64_C(500000000)
 #define UNLISTED_PROMOTED_NS INT64_C(5000000000)
+#define UNLISTED_TRIAL_SPREAD_NS INT64_C(5000000000)
 #define UNLISTED_RETRY_NS INT64_C(500000000)
 #define UNLISTED_BACKOFF_NS INT64_C(1000000000)
 /* Until this time after its start a VM knows too few others to tell whether it
@@ -274,6 +275,20 @@
            (int64_t)(watch->hash * (double)PROMOTED_NS);
 }
 
+/* When a promoted VM stops although nobody is known to be fresher. Where many
+ * watch, what it hears through its peers is older than what it reads itself,
+ * and may be an echo of the own. If nobody else watches, the freshness gets
+ * stale and this VM is promoted again. */
+static int64_t
+promotion_trial_ns(const struct rp_watch *watch)
+{
+    if (!watch->unlisted) {
+        return INT64_MAX;
+    }
+    return promotion_end_ns(watch) +
+           (int64_t)(watch->hash * (double)UNLISTED_TRIAL_SPREAD_NS);
+}
+
 static bool
 is_chosen(const struct rp_watch *watch, int64_t now_ns)
 {
@@ -296,8 +311,9 @@
         watch->promoted_ns = now_ns;
     }
     if (watch->role == RP_WATCH_PROMOTED &&
-        now_ns >= promotion_end_ns(watch) &&
-        now_ns - watch->others_ns < RP_WATCH_STALE_NS)
+        ((now_ns >= promotion_end_ns(watch) &&
+          now_ns - watch->others_ns < RP_WATCH_STALE_NS) ||
+         now_ns >= promotion_trial_ns(watch)))
     {
         watch->role = RP_WATCH_IDLE;
         watch->idle_ns = now_ns + watch->idle_interval_ns;
--- a/tests/test_watch_unlisted.cc
+++ b/tests/test_watch_unlisted.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <memory>
 #include <set>
@@ -219,6 +220,48 @@
     rp_vm_list_unref(list);
 }
 
+// Guards against watchers that stay after an outage of the platform: where
+// many watch, none hears through its peers of later news than its own. Where
+// the chosen ones are lost, watching must begin again.
+TEST(watch_unlisted, watchers_of_an_outage_step_down)
+{
+    struct rp_vm_list *list = make_list(14, 4);
+    std::string id = find_idle(list, 14);
+    ASSERT_NE(id, "");
+    for (bool chosen_lost : {false, true}) {
+        reader one(id.c_str(), list);
+        one.step(one.now_ns + 5 * SECOND); // hears nothing
+        ASSERT_EQ(rp_watch_role(one.watch), RP_WATCH_PROMOTED);
+        int64_t own_ns = one.now_ns;
+        int64_t longest_ns = 0;
+        bool stepped_down = false;
+        for (int64_t end_ns = one.now_ns + 30 * SECOND; one.now_ns < end_ns;
+             one.now_ns += 50 * MS)
+        {
+            int64_t wait_ms = 0;
+            enum rp_watch_read read =
+                rp_watch_next(one.watch, one.now_ns, &wait_ms);
+            if (read != RP_WATCH_READ_NONE) {
+                rp_watch_finish(one.watch, true, true, false, 0.5, one.now_ns);
+            }
+            if (read == RP_WATCH_READ_RECORDS) {
+                longest_ns = std::max(longest_ns, one.now_ns - own_ns);
+                own_ns = one.now_ns;
+            }
+            int64_t others_ns = chosen_lost ? own_ns : one.now_ns - 800 * MS;
+            rp_watch_hear_fresh(one.watch, others_ns, one.now_ns);
+            stepped_down |= rp_watch_role(one.watch) == RP_WATCH_IDLE &&
+                            one.now_ns < end_ns - 15 * SECOND;
+        }
+        EXPECT_TRUE(stepped_down) << chosen_lost;
+        if (chosen_lost) {
+            // The time after which a way to the platform counts as lost.
+            EXPECT_LE(longest_ns, 4500 * MS);
+        }
+    }
+    rp_vm_list_unref(list);
+}
+
 // Guards against a store that is back and not read for long.
 TEST(watch_unlisted, first_retries_are_quick)
 {
