--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -31,7 +31,12 @@
 /* Hints sent for one list of VMs; a heartbeat holds 16. */
 #define LEAVING_HINTS 64u
 
-enum config_timer { TIMER_PHASE, TIMER_RESEND };
+/* Changes that come within this time are built into one snapshot. A build
+ * costs milliseconds on a small VM, and a series of changes comes as a message
+ * for each: those that waited during a build are all in the next one. */
+#define BUILD_DELAY_NS INT64_C(10000000)
+
+enum config_timer { TIMER_PHASE, TIMER_RESEND, TIMER_BUILD };
 
 struct rp_config_task {
     struct rp_task *task;
@@ -46,6 +51,7 @@
     GPtrArray *warnings;         /* about the snapshot in force; may be NULL */
     int64_t agreed_ns;           /* last time that a peer held the same */
     bool differs;                /* as told to the platform task */
+    bool build_due;              /* TIMER_BUILD is set */
     char want_peer[RP_ID_BYTES]; /* of the comparison that is under way */
     uint32_t want_part;
     int64_t want_ns;
@@ -339,15 +345,32 @@
     bool phase_changed = update_phase(config, now_ns);
     bool first =
         config->snapshot == NULL && config->phase != RP_CONFIG_STARTING;
-    if (records_changed || revision_changed || first) {
+    bool changed = records_changed || revision_changed;
+    if (changed && !first && !config->build_due) {
+        config->build_due = true;
+        rp_task_set_timer(config->task, TIMER_BUILD, now_ns + BUILD_DELAY_NS);
+    }
+    if (first) {
         build_snapshot(config, now_ns);
     }
-    if (records_changed || revision_changed || phase_changed || first) {
+    if (phase_changed || first) {
         send_snapshot(config, now_ns);
         send_state(config);
     }
 }
 
+static void
+build_changed(struct rp_config_task *config, int64_t now_ns)
+{
+    config->build_due = false;
+    if (config->snapshot == NULL) {
+        return; /* not yet ready to hold one; all is built then */
+    }
+    build_snapshot(config, now_ns);
+    send_snapshot(config, now_ns);
+    send_state(config);
+}
+
 /* An answer counts as whole when no part of it was lost on the way. */
 static void
 take_part(struct rp_config_task *config,
@@ -634,6 +657,10 @@
         send_snapshot(config, now_ns);
         return;
     }
+    if (timer == TIMER_BUILD) {
+        build_changed(config, now_ns);
+        return;
+    }
     publish(config, false, false, now_ns);
 }
 
