Plan a stop from the time at which the process is killed

The stop timeout of 5.5 s was the same on all deployments: with a grace period of 10 s, requests in progress would be cut 4 s too early.

Change: stop_plan.c decides from the address ttl and the kill time.

--- a/src/base/setting_list.h
+++ b/src/base/setting_list.h
@@ -16,7 +16,7 @@
 RP_SETTING(PEER_ALLOWED_KEYS, "peer-allowed-keys", CURVE_KEY_LIST, "", 0, "public keys of peers that may connect, separated by commas")
 RP_SETTING(ADDRESS_TTL_MS, "address-ttl-ms", TIME(500, 300000), "5000", 0, "time that callers may cache an address answer, in ms")
 RP_SETTING(BOOT_WAIT_MS, "boot-wait-ms", TIME(0, 600000), "30000", 0, "time to wait at start for a peer's state, in ms")
-RP_SETTING(STOP_TIMEOUT_MS, "stop-timeout-ms", TIME(0, 600000), "30000", 0, "time for requests to finish after SIGTERM, in ms")
+RP_SETTING(STOP_TIMEOUT_MS, "stop-timeout-ms", TIME(0, 600000), "30000", 0, "time between SIGTERM and SIGKILL, in which requests finish, in ms")
 RP_SETTING(MAX_CALLS, "max-calls", NUMBER(1, 1000000), "8192", 0, "maximum number of requests in progress")
 RP_SETTING(MAX_CONNECTIONS, "max-connections", NUMBER(16, 1000000), "20000", 0, "maximum number of connections from callers")
 RP_SETTING(LOG_FORMAT, "log-format", CHOICE("text|json"), "text", 0, "text or json")
--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -10,9 +10,6 @@
 #include "entry_private.h"
 #include "error.h"
 
-/* Added to the time to live of address answers before the listener closes: for
- * an answer to reach the caller and its last request to arrive. */
-#define STOP_MARGIN_MS 1000
 /* Interval of the checks of time limits: an eighth of the shortest usual
  * limit, 2 s for a header. */
 #define MAINTENANCE_INTERVAL_S 0.25
@@ -141,7 +138,8 @@
     (void)events;
     struct rp_entry *entry = watcher->data;
     int64_t now_ns = rp_loop_now_ns();
-    if (entry->stopping && !entry->closing && now_ns >= entry->stop_accept_ns)
+    if (entry->stopping && !entry->closing &&
+        now_ns >= entry->stop.accept_until_ns)
     {
         entry->closing = true;
         close_listener(entry);
@@ -208,9 +206,9 @@
         break;
     case RP_MSG_STOP:
         entry->stopping = true;
-        entry->stop_accept_ns =
-            now_ns +
-            ((int64_t)entry->config.address_ttl_ms + STOP_MARGIN_MS) * 1000000;
+        rp_stop_plan_init(&entry->stop,
+                          (int64_t)entry->config.address_ttl_ms * 1000000,
+                          entry->config.stop_timeout_ns, now_ns);
         break;
     default:
         break;
@@ -340,8 +338,8 @@
     return entry->port;
 }
 
-/* Returns whether a requested stop can be completed: every address answer that
- * contains this VM has expired and no request is in progress. */
+/* Returns whether a requested stop can be completed: no new connection is
+ * accepted and no request is in progress. */
 bool
 rp_entry_finished(const struct rp_entry *entry)
 {
--- a/src/call/entry.h
+++ b/src/call/entry.h
@@ -11,6 +11,7 @@
     const struct rp_dialect *dialect;
     uint32_t max_connections;
     uint32_t address_ttl_ms; /* time to live of address answers */
+    int64_t stop_timeout_ns;
 };
 
 #ifdef __cplusplus
--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -122,6 +122,33 @@
            (route->repeatable_methods & request->call->method_flag) != 0;
 }
 
+static int64_t
+latest_end_ns(const struct entry_request *request, int64_t now_ns)
+{
+    const struct rp_entry *entry = request->connection->entry;
+    const struct rp_call *call = request->call;
+    const struct rp_route *route =
+        entry->snapshot == NULL
+            ? NULL
+            : rp_snapshot_match(entry->snapshot, call->host, call->target);
+    int64_t timeout_ms = call->timeout_ms;
+    if (route != NULL) {
+        timeout_ms = MIN(timeout_ms > 0 ? timeout_ms : route->timeout_ms,
+                         route->max_timeout_ms);
+    }
+    return now_ns + timeout_ms * 1000000;
+}
+
+/* Returns whether a stopping VM leaves a request to another one. */
+static bool
+is_too_late(const struct entry_request *request, int64_t now_ns)
+{
+    const struct rp_entry *entry = request->connection->entry;
+    return entry->stopping &&
+           !rp_stop_plan_accepts(&entry->stop, latest_end_ns(request, now_ns),
+                                 now_ns);
+}
+
 static void
 start_requests(struct entry_connection *connection, int64_t now_ns)
 {
@@ -135,7 +162,10 @@
             if (!may_start(request, first)) {
                 return;
             }
-            if (!entry_start_call(request, now_ns)) {
+            if (is_too_late(request, now_ns)) {
+                entry_request_fail(request, 503, "this entry VM is stopping");
+            }
+            else if (!entry_start_call(request, now_ns)) {
                 entry_request_fail(request, 503,
                                    "this entry VM is overloaded");
             }
--- a/src/call/entry_private.h
+++ b/src/call/entry_private.h
@@ -10,6 +10,7 @@
 #include "entry.h"
 #include "http_rules.h"
 #include "snapshot.h"
+#include "stop_plan.h"
 
 /* State of the entry task. */
 struct rp_entry {
@@ -30,10 +31,9 @@
     struct rp_address_book *addresses;
     struct rp_snapshot *snapshot; /* NULL until received */
     struct rp_caller_limits limits;
-    bool stopping; /* RP_MSG_STOP was received */
-    bool closing;  /* the listener is closed, since every address answer that
-                    * contains this VM has expired */
-    int64_t stop_accept_ns;
+    bool stopping;            /* RP_MSG_STOP was received */
+    bool closing;             /* the listener is closed */
+    struct rp_stop_plan stop; /* when stopping is set */
 };
 
 enum entry_phase {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -19,6 +19,7 @@
 #include "platform.h"
 #include "prober.h"
 #include "record_file.h"
+#include "stop_plan.h"
 #include "upstream.h"
 #include "wire.h"
 
@@ -127,7 +128,9 @@
     int64_t now_ns = rp_loop_now_ns();
     rp_event_add(node->context->events, RP_EVENT_STOPPING, now_ns,
                  node->context->identity.id);
-    node->stop_at_ns = now_ns + node->stop_timeout_ns;
+    struct rp_stop_plan plan;
+    rp_stop_plan_init(&plan, 0, node->stop_timeout_ns, now_ns);
+    node->stop_at_ns = plan.end_ns;
     rp_kernel_request_stop(node->kernel);
     ev_timer_start(ev, &node->stop_check);
 }
@@ -307,6 +310,7 @@
             (uint32_t)rp_settings_number(settings, RP_SETTING_MAX_CONNECTIONS),
         .address_ttl_ms =
             (uint32_t)rp_settings_number(settings, RP_SETTING_ADDRESS_TTL_MS),
+        .stop_timeout_ns = node->stop_timeout_ns,
     };
     struct rp_dispatch_config dispatch = {
         .max_calls =
