Keep large bodies in the failure domain and time routes on their own

Only answers counted when a target was chosen, so that a third of the uploads of 60 kB crossed; a remote target that had just answered was taken where asking a local one costs 1 to 3 ms; and one usual time for a service with lookups of 31 ms and uploads of 94 ms made targets with uploads look slow, which sent calls elsewhere. A call that waited for a target held back all others.

Change: request bodies count by their length, or the route's mean if chunked (transfer_size.c); the rate is the setting remote-cost-us-per-kb. Local targets are probed first where crossing costs more than a probe, and waited for where it costs 50 ms or more. Usual times are kept by route (usual_time.c). A waiting call holds back its own route only.

--- a/src/balance/backlog.c
+++ b/src/balance/backlog.c
@@ -107,15 +107,31 @@
     return a_late != b_late && b_late;
 }
 
-/* Returns the next call, or NULL. It belongs to the backlog. */
+static bool
+is_held(const struct waiting_call *waiting, const uint64_t *held_routes,
+        uint32_t held_count)
+{
+    for (uint32_t i = 0; i < held_count; i++) {
+        if (waiting->call.route == held_routes[i]) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the next call that is not of one of the held routes, or NULL. It
+ * belongs to the backlog. */
 const struct rp_balancer_call *
-rp_backlog_peek(struct rp_backlog *backlog, int64_t now_ns)
+rp_backlog_peek(struct rp_backlog *backlog, const uint64_t *held_routes,
+                uint32_t held_count, int64_t now_ns)
 {
     const struct waiting_call *best = NULL;
     for (const GList *link = backlog->calls.head; link != NULL;
          link = link->next) {
         const struct waiting_call *waiting = link->data;
-        if (best == NULL || goes_before(waiting, best, now_ns)) {
+        if (!is_held(waiting, held_routes, held_count) &&
+            (best == NULL || goes_before(waiting, best, now_ns)))
+        {
             best = waiting;
         }
     }
--- a/src/balance/backlog.h
+++ b/src/balance/backlog.h
@@ -23,6 +23,8 @@
                                  const struct rp_balancer_call *call,
                                  double usual_ns, int64_t now_ns);
 const struct rp_balancer_call *rp_backlog_peek(struct rp_backlog *backlog,
+                                               const uint64_t *held_routes,
+                                               uint32_t held_count,
                                                int64_t now_ns);
 void rp_backlog_pop(struct rp_backlog *backlog, uint64_t call_id,
                     int64_t now_ns);
--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -12,6 +12,8 @@
 #define NO_TARGET_RETRY_AFTER_NS 1000000000
 #define MIN_RETRY_AFTER_NS 100000000
 #define MAX_RETRY_AFTER_NS 5000000000
+/* Routes of a service whose calls are considered at a time. */
+#define MAX_HELD_ROUTES 4
 
 static void
 clear_target(gpointer data)
@@ -339,41 +341,50 @@
     waiting.offered_ns = now_ns;
     enum rp_refusal refusal = rp_backlog_offer(
         balancer->backlog, &waiting,
-        rp_sync_probe_usual_ns(&balancer->sync_probe), now_ns);
+        rp_sync_probe_usual_ns(&balancer->sync_probe, call->route), now_ns);
     verdict->action = RP_BALANCER_WAIT;
     if (refusal != RP_REFUSAL_NONE) {
         refuse(balancer, refusal, false, verdict);
     }
 }
 
-/* Decides the next call in the backlog: starts a probe or sends the call.
- * Returns false when there is nothing to do yet. */
+/* Decides the next call of the backlog that can go on: starts a probe for it
+ * or sends it. A call that still waits for a target holds back later calls of
+ * its route only, since other routes may use targets that it does not. Returns
+ * false when there is nothing to do yet. */
 static bool
 advance_backlog(struct rp_balancer *balancer, int64_t now_ns,
                 struct rp_balancer_verdict *verdict)
 {
-    const struct rp_balancer_call *call =
-        rp_backlog_peek(balancer->backlog, now_ns);
+    uint64_t held_routes[MAX_HELD_ROUTES];
+    uint32_t held_count = 0;
+    const struct rp_balancer_call *call;
     balancer->probe_due_ns = INT64_MAX;
-    if (call == NULL) {
-        return false;
-    }
-    uint32_t target = RP_BALANCER_NO_TARGET;
-    enum rp_balancer_action action = rp_balancer_sync_probe(
-        balancer, call, rp_backlog_count(balancer->backlog), now_ns, &target,
-        &balancer->probe_due_ns);
-    if (action == RP_BALANCER_WAIT) {
-        return false;
-    }
-    init_verdict(call, false, verdict);
-    if (action == RP_BALANCER_PROBE) {
-        verdict->action = RP_BALANCER_PROBE;
-        verdict->target = target;
+    while (held_count < MAX_HELD_ROUTES &&
+           (call = rp_backlog_peek(balancer->backlog, held_routes, held_count,
+                                   now_ns)) != NULL)
+    {
+        uint32_t target = RP_BALANCER_NO_TARGET;
+        int64_t due_ns = INT64_MAX;
+        enum rp_balancer_action action = rp_balancer_sync_probe(
+            balancer, call, rp_backlog_count(balancer->backlog), now_ns,
+            &target, &due_ns);
+        balancer->probe_due_ns = MIN(balancer->probe_due_ns, due_ns);
+        if (action == RP_BALANCER_WAIT) {
+            held_routes[held_count++] = call->route;
+            continue;
+        }
+        init_verdict(call, false, verdict);
+        if (action == RP_BALANCER_PROBE) {
+            verdict->action = RP_BALANCER_PROBE;
+            verdict->target = target;
+            return true;
+        }
+        assign_target(balancer, target, false, now_ns, verdict);
+        rp_backlog_pop(balancer->backlog, call->call_id, now_ns);
         return true;
     }
-    assign_target(balancer, target, false, now_ns, verdict);
-    rp_backlog_pop(balancer->backlog, call->call_id, now_ns);
-    return true;
+    return false;
 }
 
 /* Decides whether a call is sent to a target, queued or refused. A hedge is
@@ -500,7 +511,8 @@
         return INT64_MAX;
     }
     return rp_sync_probe_in_use(&balancer->sync_probe)
-               ? rp_sync_probe_hedge_delay_ns(&balancer->sync_probe)
+               ? rp_sync_probe_hedge_delay_ns(&balancer->sync_probe,
+                                              call->route)
                : rp_hedge_delay_ns(&balancer->hedge,
                                    slot_utilization(balancer));
 }
@@ -527,8 +539,8 @@
     }
     rp_hedge_record_response(&balancer->hedge, response_ns);
     rp_sync_probe_record_answer(&target->sync_probe, &balancer->sync_probe,
-                                report->slowness, report->near_capacity,
-                                response_ns, now_ns);
+                                report->route, report->slowness,
+                                report->near_capacity, response_ns, now_ns);
     rp_route_record_answer(&target->route, &balancer->pool, response_ns,
                            now_ns);
     double requests =
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -45,6 +45,7 @@
     uint64_t call_id;
     /* Hash of what separates long from short calls, such as the path. */
     uint64_t kind;
+    uint64_t route; /* hash of the route's name */
     int64_t deadline_ns;
     int64_t aim_ns;            /* latency goal; 0: unknown */
     int64_t remote_penalty_ns; /* extra cost of remote targets */
@@ -101,6 +102,7 @@
     enum rp_attempt_outcome outcome;
     uint32_t flags; /* of the call */
     uint64_t kind;
+    uint64_t route;
     int64_t sent_ns;
     int64_t first_byte_ns; /* 0 when there was none */
     double slowness;       /* copied from the verdict */
--- a/src/balance/balancer_sync_probe.c
+++ b/src/balance/balancer_sync_probe.c
@@ -8,6 +8,11 @@
 /* A target that did not answer a probe gets no calls or probes for this time.
  */
 #define FAILED_PROBE_COOLDOWN_NS INT64_C(500000000)
+/* Time of a probe to a local target. */
+#define PROBE_COST_NS INT64_C(3000000)
+/* Targets change their speed about every 150 ms. For a smaller remote penalty
+ * it is not worth waiting for that. */
+#define MIN_RECOVERY_WAIT_NS INT64_C(50000000)
 /* Interval between searches while all targets are busy. */
 #define BUSY_RETRY_NS INT64_C(20000000)
 
@@ -25,8 +30,18 @@
     double available_ns;
     uint32_t stale; /* no fresh report, may be probed */
     double stale_ns;
+    uint32_t stale_local; /* the same in the local failure domain */
+    double stale_local_ns;
+    bool probing_local; /* a probe to a local target is in flight */
+    bool has_local;     /* a local target may get the call */
 };
 
+static bool
+is_remote(const struct balancer_target *target)
+{
+    return target->route.cross_domain_ns > 0;
+}
+
 static bool
 is_candidate(const struct balancer_target *target, int64_t now_ns)
 {
@@ -49,6 +64,45 @@
     return now_ns - probe->report_ns > CONNECTION_IDLE_NS;
 }
 
+static double
+expected_ns(const struct rp_balancer *balancer,
+            const struct rp_balancer_call *call,
+            const struct balancer_target *target, int64_t now_ns)
+{
+    double expected =
+        rp_sync_probe_expected_ns(&target->sync_probe, &balancer->sync_probe,
+                                  call->route, target->route.slots, now_ns);
+    if (is_remote(target)) {
+        expected +=
+            target->route.cross_domain_ns + (double)call->remote_penalty_ns;
+    }
+    if (needs_connection(target, now_ns)) {
+        expected += NEW_CONNECTION_COST_NS;
+    }
+    return expected +
+           (double)rp_sync_probe_cooldown_ns(&target->sync_probe, now_ns);
+}
+
+static void
+evaluate_stale(const struct rp_balancer *balancer, uint32_t index,
+               double expected, int64_t now_ns, struct scan *scan)
+{
+    const struct balancer_target *target = balancer_get(balancer, index);
+    if (!rp_sync_probe_may_probe(&target->sync_probe,
+                                 balancer->local_probes_per_s, now_ns))
+    {
+        return;
+    }
+    if (expected < scan->stale_ns) {
+        scan->stale = index;
+        scan->stale_ns = expected;
+    }
+    if (!is_remote(target) && expected < scan->stale_local_ns) {
+        scan->stale_local = index;
+        scan->stale_local_ns = expected;
+    }
+}
+
 static void
 evaluate_target(const struct rp_balancer *balancer,
                 const struct rp_balancer_call *call, uint32_t index,
@@ -58,16 +112,7 @@
     const struct rp_sync_probe_pool *pool = &balancer->sync_probe;
     double slots = target->route.slots;
     double load = rp_sync_probe_load(&target->sync_probe, pool, slots, now_ns);
-    double expected =
-        rp_sync_probe_expected_ns(&target->sync_probe, pool, slots, now_ns) +
-        target->route.cross_domain_ns;
-    if (target->route.cross_domain_ns > 0) {
-        expected += (double)call->remote_penalty_ns;
-    }
-    if (needs_connection(target, now_ns)) {
-        expected += NEW_CONNECTION_COST_NS;
-    }
-    expected += (double)rp_sync_probe_cooldown_ns(&target->sync_probe, now_ns);
+    double expected = expected_ns(balancer, call, target, now_ns);
     bool cooling_down =
         target->sync_probe.probe_failures > 0 &&
         now_ns - target->sync_probe.probe_failed_ns < FAILED_PROBE_COOLDOWN_NS;
@@ -75,8 +120,13 @@
     if (cooling_down) {
         return;
     }
+    if (!is_remote(target)) {
+        scan->has_local = true;
+        scan->probing_local |= target->sync_probe.probe_ns != 0;
+    }
     if (fresh && load + 1 <= slots &&
-        expected <= RP_SYNC_PROBE_FAST_RATIO * rp_sync_probe_usual_ns(pool) +
+        expected <= RP_SYNC_PROBE_FAST_RATIO *
+                            rp_sync_probe_usual_ns(pool, call->route) +
                         target->route.cross_domain_ns &&
         expected < scan->fast_ns)
     {
@@ -89,12 +139,8 @@
         scan->available = index;
         scan->available_ns = expected;
     }
-    if (!fresh && expected < scan->stale_ns &&
-        rp_sync_probe_may_probe(&target->sync_probe,
-                                balancer->local_probes_per_s, now_ns))
-    {
-        scan->stale = index;
-        scan->stale_ns = expected;
+    if (!fresh) {
+        evaluate_stale(balancer, index, expected, now_ns, scan);
     }
 }
 
@@ -122,17 +168,33 @@
     return call->offered_ns + search_ns;
 }
 
-/* Decides the next step for the first waiting call: send it to *target, probe
- * *target, or wait until *due_ns at the latest. waiting is the number of
- * waiting calls. */
-enum rp_balancer_action
-rp_balancer_sync_probe(struct rp_balancer *balancer,
-                       const struct rp_balancer_call *call, uint32_t waiting,
-                       int64_t now_ns, uint32_t *target, int64_t *due_ns)
+/* Returns whether a call waits for a local target rather than go to the remote
+ * target now: while a local one can be probed, if crossing failure domains
+ * costs more than a probe, and while busy or slow local ones may recover, if
+ * crossing costs much more. */
+static bool
+waits_for_local(const struct rp_balancer *balancer,
+                const struct rp_balancer_call *call, const struct scan *scan,
+                uint32_t target, int64_t now_ns)
+{
+    if (!is_remote(balancer_get(balancer, target)) || !scan->has_local) {
+        return false;
+    }
+    if (call->remote_penalty_ns >= MIN_RECOVERY_WAIT_NS &&
+        now_ns < call->offered_ns + call->remote_penalty_ns)
+    {
+        return true;
+    }
+    return call->remote_penalty_ns > PROBE_COST_NS &&
+           now_ns < search_deadline_ns(call) &&
+           (scan->probing_local || scan->stale_local != RP_BALANCER_NO_TARGET);
+}
+
+static void
+scan_targets(const struct rp_balancer *balancer,
+             const struct rp_balancer_call *call, int64_t now_ns,
+             struct scan *scan)
 {
-    struct scan scan = {RP_BALANCER_NO_TARGET, INFINITY,
-                        RP_BALANCER_NO_TARGET, INFINITY,
-                        RP_BALANCER_NO_TARGET, INFINITY};
     bool skip_avoided =
         call->avoided_count > 0 && has_untried(balancer, call, now_ns);
     uint32_t count = balancer->targets->len;
@@ -141,33 +203,55 @@
         if (is_candidate(balancer_get(balancer, index), now_ns) &&
             !(skip_avoided && balancer_is_avoided(call, index)))
         {
-            evaluate_target(balancer, call, index, now_ns, &scan);
+            evaluate_target(balancer, call, index, now_ns, scan);
         }
         index = index + 1 < count ? index + 1 : 0;
     }
-    if (scan.fast != RP_BALANCER_NO_TARGET) {
-        *target = scan.fast;
-        return RP_BALANCER_SEND;
-    }
+}
+
+/* Decides the next step for a waiting call: send it to *target, probe *target,
+ * or wait until *due_ns at the latest. waiting is the number of waiting calls.
+ */
+enum rp_balancer_action
+rp_balancer_sync_probe(struct rp_balancer *balancer,
+                       const struct rp_balancer_call *call, uint32_t waiting,
+                       int64_t now_ns, uint32_t *target, int64_t *due_ns)
+{
+    struct scan scan = {.fast = RP_BALANCER_NO_TARGET,
+                        .fast_ns = INFINITY,
+                        .available = RP_BALANCER_NO_TARGET,
+                        .available_ns = INFINITY,
+                        .stale = RP_BALANCER_NO_TARGET,
+                        .stale_ns = INFINITY,
+                        .stale_local = RP_BALANCER_NO_TARGET,
+                        .stale_local_ns = INFINITY};
+    scan_targets(balancer, call, now_ns, &scan);
     int64_t until_ns = search_deadline_ns(call);
-    if (now_ns >= until_ns && scan.available != RP_BALANCER_NO_TARGET) {
+    *target = scan.fast;
+    if (*target == RP_BALANCER_NO_TARGET && now_ns >= until_ns) {
         *target = scan.available;
+    }
+    bool waits = *target != RP_BALANCER_NO_TARGET &&
+                 waits_for_local(balancer, call, &scan, *target, now_ns);
+    if (*target != RP_BALANCER_NO_TARGET && !waits) {
         return RP_BALANCER_SEND;
     }
     *due_ns = now_ns < until_ns ? until_ns : now_ns + BUSY_RETRY_NS;
     uint32_t max_probes =
         waiting < MAX_PROBES_IN_FLIGHT ? waiting : MAX_PROBES_IN_FLIGHT;
-    if (scan.stale != RP_BALANCER_NO_TARGET &&
+    uint32_t probed = waits ? scan.stale_local : scan.stale;
+    if (probed != RP_BALANCER_NO_TARGET &&
         balancer->sync_probe.probes_in_flight < max_probes)
     {
-        struct balancer_target *probed = balancer_get(balancer, scan.stale);
-        rp_sync_probe_record_start(&probed->sync_probe, &balancer->sync_probe,
+        rp_sync_probe_record_start(&balancer_get(balancer, probed)->sync_probe,
+                                   &balancer->sync_probe,
                                    balancer->local_probes_per_s, now_ns);
-        *target = scan.stale;
+        *target = probed;
         return RP_BALANCER_PROBE;
     }
-    if (balancer->sync_probe.probes_in_flight == 0 &&
-        scan.available != RP_BALANCER_NO_TARGET)
+    if (balancer->sync_probe.probes_in_flight == 0 && !waits &&
+        scan.available != RP_BALANCER_NO_TARGET &&
+        !waits_for_local(balancer, call, &scan, scan.available, now_ns))
     {
         *target = scan.available; /* no target is left to probe */
         return RP_BALANCER_SEND;
--- a/src/balance/sync_probe.c
+++ b/src/balance/sync_probe.c
@@ -58,6 +58,7 @@
 {
     memset(pool, 0, sizeof(*pool));
     pool->slowness = 1;
+    rp_usual_time_init(&pool->routes);
     pool->near_capacity_cost = INITIAL_NEAR_CAPACITY_COST;
 }
 
@@ -128,31 +129,34 @@
         now_ns;
 }
 
-/* Records the response time of a request. expected_slowness and near_capacity
- * are those of the target when the request was sent. */
+/* Records the response time of a request of a route. expected_slowness and
+ * near_capacity are those of the target when the request was sent. */
 void
 rp_sync_probe_record_answer(struct rp_sync_probe_target *target,
-                            struct rp_sync_probe_pool *pool,
+                            struct rp_sync_probe_pool *pool, uint64_t route,
                             double expected_slowness, bool near_capacity,
                             int64_t response_ns, int64_t now_ns)
 {
-    double usual = (double)response_ns / fmax(expected_slowness, MIN_SLOWNESS);
+    double time = (double)response_ns / fmax(expected_slowness, MIN_SLOWNESS);
     if (near_capacity && pool->samples >= MIN_SAMPLES) {
-        double cost = fmin(usual / pool->usual_ns, 2 * MAX_NEAR_CAPACITY_COST);
+        double cost = fmin(time / rp_sync_probe_usual_ns(pool, route),
+                           2 * MAX_NEAR_CAPACITY_COST);
         pool->near_capacity_cost =
             smooth(pool->near_capacity_cost, cost, NEAR_CAPACITY_WEIGHT);
         pool->near_capacity_cost =
             fmax(1, fmin(pool->near_capacity_cost, MAX_NEAR_CAPACITY_COST));
-        usual /= pool->near_capacity_cost;
+        time /= pool->near_capacity_cost;
     }
     if (pool->samples == 0) {
-        pool->usual_ns = usual;
+        pool->usual_ns = time;
     }
     pool->samples++;
     double step =
         pool->samples < MIN_SAMPLES ? INITIAL_MEDIAN_STEP : MEDIAN_STEP;
-    pool->usual_ns *= usual > pool->usual_ns ? 1 + step : 1 - step;
-    double excess = fmin(usual / fmax(pool->usual_ns, 1), MAX_EXCESS_RATIO);
+    pool->usual_ns *= time > pool->usual_ns ? 1 + step : 1 - step;
+    rp_usual_time_record(&pool->routes, route, time);
+    double usual = rp_sync_probe_usual_ns(pool, route);
+    double excess = fmin(time / fmax(usual, 1), MAX_EXCESS_RATIO);
     target->excess_ratio = smooth(target->excess_ratio, excess, EXCESS_WEIGHT);
     target->excess_ns = now_ns;
     target->consecutive_faults = 0;
@@ -205,14 +209,25 @@
     return slots + MAX_REQUESTS_BEYOND_SLOTS;
 }
 
-/* Returns the time of a call at usual speed, or a default before the first
- * answer. */
-double
-rp_sync_probe_usual_ns(const struct rp_sync_probe_pool *pool)
+static double
+mean_usual_ns(const struct rp_sync_probe_pool *pool)
 {
     return pool->samples > 0 ? pool->usual_ns : DEFAULT_USUAL_NS;
 }
 
+/* Returns the time of a route's calls at usual speed. It is that of all calls
+ * of the service while the route has few answers, and a default before the
+ * first answer. */
+double
+rp_sync_probe_usual_ns(const struct rp_sync_probe_pool *pool, uint64_t route)
+{
+    double usual_ns = rp_usual_time_ns(&pool->routes, route);
+    if (usual_ns > 0) {
+        return usual_ns;
+    }
+    return mean_usual_ns(pool);
+}
+
 /* Returns whether the target's report is recent enough to use without a probe.
  */
 bool
@@ -266,14 +281,14 @@
     return weight * target->slowness + (1 - weight) * pool->slowness;
 }
 
-/* Returns the expected response time: the time of a call, longer on a slow
- * target or near capacity, and the wait for a slot. */
+/* Returns the expected response time: the time of a route's call, longer on a
+ * slow target or near capacity, and the wait for a slot. */
 double
 rp_sync_probe_expected_ns(const struct rp_sync_probe_target *target,
-                          const struct rp_sync_probe_pool *pool, double slots,
-                          int64_t now_ns)
+                          const struct rp_sync_probe_pool *pool,
+                          uint64_t route, double slots, int64_t now_ns)
 {
-    double usual = rp_sync_probe_usual_ns(pool);
+    double usual = rp_sync_probe_usual_ns(pool, route);
     double load = rp_sync_probe_load(target, pool, slots, now_ns);
     double expected_ns = usual * rp_sync_probe_slowness(target, pool, now_ns);
     double trust =
@@ -286,7 +301,8 @@
         expected_ns *= pool->near_capacity_cost;
     }
     double queued = fmax(load + 1 - slots, 0);
-    return expected_ns + queued * usual * pool->slowness / fmax(slots, 1);
+    return expected_ns +
+           queued * mean_usual_ns(pool) * pool->slowness / fmax(slots, 1);
 }
 
 /* Returns whether utilization is low enough for hedges. */
@@ -296,15 +312,16 @@
     return pool->mean_utilization < HEDGE_MAX_UTILIZATION;
 }
 
-/* Returns how long a call to a fast target may go without an answer before a
- * hedge is worthwhile, or INT64_MAX while that is unknown. */
+/* Returns how long a route's call to a fast target may go without an answer
+ * before a hedge is worthwhile, or INT64_MAX while that is unknown. */
 int64_t
-rp_sync_probe_hedge_delay_ns(const struct rp_sync_probe_pool *pool)
+rp_sync_probe_hedge_delay_ns(const struct rp_sync_probe_pool *pool,
+                             uint64_t route)
 {
     if (pool->samples < MIN_SAMPLES) {
         return INT64_MAX;
     }
-    return (int64_t)(HEDGE_DELAY_RATIO * pool->usual_ns);
+    return (int64_t)(HEDGE_DELAY_RATIO * rp_sync_probe_usual_ns(pool, route));
 }
 
 /* Returns whether the target's budget allows a probe and none is in flight. */
--- a/src/balance/sync_probe.h
+++ b/src/balance/sync_probe.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "load.h"
+#include "usual_time.h"
 
 /* Synchronous probes: a target is probed right before a call is sent to it.
  * For services whose targets report how slow their machine is at the moment. A
@@ -29,10 +30,11 @@
     bool enabled;      /* the service's record allows probes */
     bool has_slowness; /* a report with a slowness has arrived */
     uint32_t answers_without_slowness; /* before the first with one */
-    double usual_ns;           /* median time of a call at usual speed */
-    double slowness;           /* mean over the reports; 1: usual speed */
-    double near_capacity_cost; /* call time near capacity / usual time */
-    double mean_utilization;   /* mean requests per slot over the reports */
+    double usual_ns;             /* median time of a call at usual speed */
+    struct rp_usual_time routes; /* the same for each route */
+    double slowness;             /* mean over the reports; 1: usual speed */
+    double near_capacity_cost;   /* call time near capacity / usual time */
+    double mean_utilization;     /* mean requests per slot over the reports */
     uint32_t samples;
     uint32_t probes_in_flight;
 };
@@ -73,8 +75,9 @@
                                int64_t now_ns);
 void rp_sync_probe_record_answer(struct rp_sync_probe_target *target,
                                  struct rp_sync_probe_pool *pool,
-                                 double expected_slowness, bool near_capacity,
-                                 int64_t response_ns, int64_t now_ns);
+                                 uint64_t route, double expected_slowness,
+                                 bool near_capacity, int64_t response_ns,
+                                 int64_t now_ns);
 void rp_sync_probe_record_fault(struct rp_sync_probe_target *target,
                                 int64_t now_ns);
 int64_t rp_sync_probe_cooldown_ns(const struct rp_sync_probe_target *target,
@@ -82,7 +85,8 @@
 bool rp_sync_probe_is_near_capacity(double load, double slots);
 double rp_sync_probe_max_load(const struct rp_sync_probe_pool *pool,
                               double slots);
-double rp_sync_probe_usual_ns(const struct rp_sync_probe_pool *pool);
+double rp_sync_probe_usual_ns(const struct rp_sync_probe_pool *pool,
+                              uint64_t route);
 bool rp_sync_probe_is_fresh(const struct rp_sync_probe_target *target,
                             int64_t now_ns);
 double rp_sync_probe_load(const struct rp_sync_probe_target *target,
@@ -93,9 +97,10 @@
                               int64_t now_ns);
 double rp_sync_probe_expected_ns(const struct rp_sync_probe_target *target,
                                  const struct rp_sync_probe_pool *pool,
-                                 double slots, int64_t now_ns);
+                                 uint64_t route, double slots, int64_t now_ns);
 bool rp_sync_probe_allows_hedge(const struct rp_sync_probe_pool *pool);
-int64_t rp_sync_probe_hedge_delay_ns(const struct rp_sync_probe_pool *pool);
+int64_t rp_sync_probe_hedge_delay_ns(const struct rp_sync_probe_pool *pool,
+                                     uint64_t route);
 bool rp_sync_probe_may_probe(const struct rp_sync_probe_target *target,
                              double probes_per_s, int64_t now_ns);
 void rp_sync_probe_record_start(struct rp_sync_probe_target *target,
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -210,6 +210,7 @@
     new_call->call = rp_call_ref(call);
     new_call->service = service;
     new_call->route.name = g_strdup(route->name);
+    new_call->route.hash = XXH3_64bits(route->name, strlen(route->name));
     new_call->route.aim_ms = route->aim_ms;
     new_call->route.rank = route->rank;
     new_call->route.repeat_errors = route->repeat_errors;
--- a/src/call/dispatch.h
+++ b/src/call/dispatch.h
@@ -16,6 +16,8 @@
     double retry_allowance;
     int64_t retry_window_ns; /* 0 for the defaults */
     double probes_per_s;     /* to one target, from all entry VMs together */
+    int64_t remote_cost_ns_per_kb;   /* delay that a kilobyte across failure
+                                      * domains is worth */
     struct rp_ticket_key ticket_key; /* no bytes: tickets are refused;
                                       * borrowed */
 };
--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -133,14 +133,16 @@
     *offer = (struct rp_balancer_call){
         .call_id = call->call->id,
         .kind = call->kind,
+        .route = call->route.hash,
         .deadline_ns = call->deadline_ns,
         .aim_ns = (int64_t)call->route.aim_ms * 1000000,
         .rank = call->route.rank,
         .flags = call->flags | flags,
     };
-    offer->remote_penalty_ns = rp_answer_size_remote_penalty_ns(
-        &dispatch_route_state(call->dispatch, call->route.name)->answer_size,
-        offer->aim_ns);
+    offer->remote_penalty_ns = rp_transfer_size_remote_penalty_ns(
+        &dispatch_route_state(call->dispatch, call->route.name)->transfer_size,
+        call->call->request == NULL ? 0 : call->call->body_bytes,
+        call->dispatch->config.remote_cost_ns_per_kb, offer->aim_ns);
     uint32_t first = call->attempt_count > RP_BALANCER_MAX_AVOIDED
                          ? call->attempt_count - RP_BALANCER_MAX_AVOIDED
                          : 0;
@@ -676,16 +678,21 @@
 }
 
 static void
-record_answer_size(struct dispatch_call *call,
-                   const struct dispatch_attempt *attempt,
-                   const struct rp_attempt_done *done)
+record_transfer_size(struct dispatch_call *call,
+                     const struct dispatch_attempt *attempt,
+                     const struct rp_attempt_done *done)
 {
-    if (done->end == RP_END_COMPLETE && attempt->answer != NULL &&
-        attempt->answer->status < 300)
+    if (done->end != RP_END_COMPLETE || attempt->answer == NULL ||
+        attempt->answer->status >= 300)
     {
-        struct dispatch_route_state *route =
-            dispatch_route_state(call->dispatch, call->route.name);
-        rp_answer_size_record(&route->answer_size, done->body_bytes);
+        return;
+    }
+    struct rp_transfer_size *size =
+        &dispatch_route_state(call->dispatch, call->route.name)->transfer_size;
+    const struct rp_stream *request = call->call->request;
+    rp_transfer_size_record_answer(size, done->body_bytes);
+    if (request != NULL && rp_stream_state(request) == RP_STREAM_ENDED) {
+        rp_transfer_size_record_request(size, rp_stream_written(request));
     }
 }
 
@@ -699,7 +706,7 @@
         return;
     }
     struct dispatch_attempt *attempt = &call->attempts[index];
-    record_answer_size(call, attempt, done);
+    record_transfer_size(call, attempt, done);
     if (call->state != CALL_REPLIED) {
         if (now_ns >= call->deadline_ns) {
             fail_deadline(call, now_ns);
--- a/src/call/dispatch_call.h
+++ b/src/call/dispatch_call.h
@@ -1,13 +1,13 @@
 #ifndef RP_DISPATCH_CALL_H
 #define RP_DISPATCH_CALL_H
 
-#include "answer_size.h"
 #include "call.h"
 #include "dispatch.h"
 #include "due_queue.h"
 #include "member.h"
 #include "split.h"
 #include "ticket.h"
+#include "transfer_size.h"
 
 /* Maximum number of attempts of one call, including those over a fresh
  * connection. */
@@ -30,12 +30,13 @@
 /* State of a route, kept as long as its name is in the configuration. */
 struct dispatch_route_state {
     struct rp_split split;
-    struct rp_answer_size answer_size;
+    struct rp_transfer_size transfer_size;
 };
 
 /* Copy of the properties of a route, which may change while the call runs. */
 struct dispatch_route {
     char *name;
+    uint64_t hash;   /* of the name */
     uint32_t aim_ms; /* 0 when unknown */
     uint32_t rank;
     bool repeat_errors;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -326,6 +326,9 @@
             rp_settings_number(settings, RP_SETTING_RETRY_WINDOW_MS) * 1000000,
         .probes_per_s =
             (double)rp_settings_number(settings, RP_SETTING_PROBES_PER_S),
+        .remote_cost_ns_per_kb =
+            rp_settings_number(settings, RP_SETTING_REMOTE_COST_US_PER_KB) *
+            1000,
     };
     uint8_t key[FLEET_KEY_BYTES];
     if (read_fleet_key(settings, key)) {
--- a/tests/test_backlog.cc
+++ b/tests/test_backlog.cc
@@ -66,7 +66,9 @@
         }
         std::vector<uint64_t> order;
         while (rp_backlog_count(backlog) > 0) {
-            uint64_t id = rp_backlog_peek(backlog, entry.now_ms * MS)->call_id;
+            uint64_t id =
+                rp_backlog_peek(backlog, nullptr, 0, entry.now_ms * MS)
+                    ->call_id;
             order.push_back(id);
             rp_backlog_pop(backlog, id, entry.now_ms * MS);
         }
@@ -98,7 +100,7 @@
             refused++;
         }
         const struct rp_balancer_call *next =
-            rp_backlog_peek(backlog, ms * MS);
+            rp_backlog_peek(backlog, nullptr, 0, ms * MS);
         if (ms % 10 == 0 && next != nullptr) {
             rp_backlog_pop(backlog, next->call_id, ms * MS);
         }
--- a/tests/test_sync_probe.cc
+++ b/tests/test_sync_probe.cc
@@ -59,7 +59,7 @@
         struct rp_sync_probe_pool unused = pool;
         rp_sync_probe_record_report(&target, &unused, &load, 0);
         double expected =
-            rp_sync_probe_expected_ns(&target, &pool, 6, entry.age_ms * MS);
+            rp_sync_probe_expected_ns(&target, &pool, 0, 6, entry.age_ms * MS);
         EXPECT_GT(expected, previous_ns) << entry.what;
         previous_ns = expected;
     }
@@ -94,16 +94,18 @@
     rp_sync_probe_init(&usual, 0);
     struct rp_load_report load = report(0, 100);
     for (int i = 0; i < 5; i++) {
-        rp_sync_probe_record_answer(&slow, &pool, 1, false, 600 * MS, i * MS);
-        rp_sync_probe_record_answer(&usual, &pool, 1, false, 100 * MS, i * MS);
+        rp_sync_probe_record_answer(&slow, &pool, 0, 1, false, 600 * MS,
+                                    i * MS);
+        rp_sync_probe_record_answer(&usual, &pool, 0, 1, false, 100 * MS,
+                                    i * MS);
     }
     rp_sync_probe_record_report(&slow, &pool, &load, 5 * MS);
     rp_sync_probe_record_report(&usual, &pool, &load, 5 * MS);
-    EXPECT_GT(rp_sync_probe_expected_ns(&slow, &pool, 6, 5 * MS),
-              2 * rp_sync_probe_expected_ns(&usual, &pool, 6, 5 * MS));
+    EXPECT_GT(rp_sync_probe_expected_ns(&slow, &pool, 0, 6, 5 * MS),
+              2 * rp_sync_probe_expected_ns(&usual, &pool, 0, 6, 5 * MS));
     // The target is used again when these response times are old.
-    EXPECT_LT(rp_sync_probe_expected_ns(&slow, &pool, 6, 8000 * MS),
-              1.2 * rp_sync_probe_expected_ns(&usual, &pool, 6, 8000 * MS));
+    EXPECT_LT(rp_sync_probe_expected_ns(&slow, &pool, 0, 6, 8000 * MS),
+              1.2 * rp_sync_probe_expected_ns(&usual, &pool, 0, 6, 8000 * MS));
 }
 
 // Guards against filling targets whose throughput falls near capacity: above
@@ -122,7 +124,7 @@
             bool near_capacity = i % 3 == 0;
             int64_t usual_ms = 90 + i % 20;
             rp_sync_probe_record_answer(
-                &target, &pool, 1, near_capacity,
+                &target, &pool, 0, 1, near_capacity,
                 (int64_t)((near_capacity ? entry.cost : 1) * usual_ms * MS),
                 i * MS);
         }
--- a/tests/test_sync_probe_search.cc
+++ b/tests/test_sync_probe_search.cc
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "answer_size.h"
 #include "balancer.h"
 #include "sync_probe.h"
+#include "transfer_size.h"
 
 // The balancer's search for a target with synchronous probes, from the first
 // call of a process on.
@@ -107,27 +107,36 @@
     }
 }
 
-// Guards against large answers that cross failure domains although a target in
-// the local one is nearly as fast, and against small answers that avoid remote
-// targets as well.
-TEST(answer_size, large_answers_stay_near)
+// Guards against large bodies that cross failure domains although a target in
+// the local one is nearly as fast, and against small ones that avoid remote
+// targets as well. Uploads count by their own size, chunked ones by the mean.
+TEST(transfer_size, large_bodies_stay_near)
 {
     struct {
         const char *what;
         uint64_t answer_bytes;
+        uint64_t mean_request_bytes;
+        int64_t request_bytes; // -1: unknown
         int64_t aim_ms;
         int64_t remote_penalty_ms;
     } cases[] = {
-        {"unknown", 0, 300, 0},       {"lookup", 400, 250, 0},
-        {"page", 5000, 250, 5},       {"map", 90000, 300, 90},
-        {"film", 90000000, 600, 300}, // half of the aim at most
+        {"unknown", 0, 0, 0, 300, 0},
+        {"lookup", 400, 0, 0, 250, 0},
+        {"page", 5000, 0, 0, 250, 5},
+        {"map", 90000, 0, 0, 300, 90},
+        {"film", 90000000, 0, 0, 600, 300}, // half of the aim at most
+        {"photo upload", 1500, 20000, 60000, 400, 61},
+        {"chunked upload", 1500, 20000, -1, 400, 21},
+        {"first upload, chunked", 1500, 0, -1, 400, 1},
     };
     for (const auto &entry : cases) {
-        struct rp_answer_size size = {};
+        struct rp_transfer_size size = {};
         for (int i = 0; i < 50; i++) {
-            rp_answer_size_record(&size, entry.answer_bytes);
+            rp_transfer_size_record_answer(&size, entry.answer_bytes);
+            rp_transfer_size_record_request(&size, entry.mean_request_bytes);
         }
-        EXPECT_EQ(rp_answer_size_remote_penalty_ns(&size, entry.aim_ms * MS) /
+        EXPECT_EQ(rp_transfer_size_remote_penalty_ns(
+                      &size, entry.request_bytes, MS, entry.aim_ms * MS) /
                       MS,
                   entry.remote_penalty_ms)
             << entry.what;
@@ -245,7 +254,7 @@
         EXPECT_EQ(rp_sync_probe_cooldown_ns(&target, entry.at_ms * MS) / MS,
                   entry.cooldown_ms)
             << entry.what;
-        rp_sync_probe_record_answer(&target, &pool, 1, false, 100 * MS,
+        rp_sync_probe_record_answer(&target, &pool, 0, 1, false, 100 * MS,
                                     entry.at_ms * MS);
         EXPECT_EQ(rp_sync_probe_cooldown_ns(&target, entry.at_ms * MS), 0);
     }
