Let small machines that start get their records from peers

Callers are directed to 18 greater machines only.

Greater VMs and seeds read at once. If no peer sends records, the VMs read spread over 3 s. A stale peer is not asked, so that a VM that restarts does not use targets that have left.

Hedges of calls with a latency goal under 2.9 times their usual time start earlier, so that the hedge can still meet it.

--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -512,7 +512,7 @@
     }
     return rp_sync_probe_in_use(&balancer->sync_probe)
                ? rp_sync_probe_hedge_delay_ns(&balancer->sync_probe,
-                                              call->route)
+                                              call->route, call->aim_ns)
                : rp_hedge_delay_ns(&balancer->hedge,
                                    slot_utilization(balancer));
 }
--- a/src/balance/sync_probe.c
+++ b/src/balance/sync_probe.c
@@ -37,6 +37,12 @@
 /* A call that takes longer than this multiple of the usual time either runs
  * several times as long or runs on a machine that has just become slow. */
 #define HEDGE_DELAY_RATIO 1.7
+/* Most calls end before this multiple, so that an earlier hedge is wasted. */
+#define MIN_HEDGE_DELAY_RATIO 1.3
+/* Time that most hedges take as a multiple of the usual time, and the time for
+ * the request and the answer to travel, which the latency goal includes. */
+#define HEDGE_DURATION_RATIO 1.2
+#define HEDGE_TRANSIT_NS INT64_C(20000000)
 /* Mean utilization above which hedges would displace fresh calls. */
 #define HEDGE_MAX_UTILIZATION 0.7
 /* After this many answers without a slowness, the service's targets are
@@ -313,15 +319,24 @@
 }
 
 /* Returns how long a route's call to a fast target may go without an answer
- * before a hedge is worthwhile, or INT64_MAX while that is unknown. */
+ * before a hedge is worthwhile, or INT64_MAX while that is unknown. It is
+ * sooner if the hedge would otherwise miss the latency goal aim_ns, 0 for
+ * none. */
 int64_t
 rp_sync_probe_hedge_delay_ns(const struct rp_sync_probe_pool *pool,
-                             uint64_t route)
+                             uint64_t route, int64_t aim_ns)
 {
     if (pool->samples < MIN_SAMPLES) {
         return INT64_MAX;
     }
-    return (int64_t)(HEDGE_DELAY_RATIO * rp_sync_probe_usual_ns(pool, route));
+    double usual_ns = rp_sync_probe_usual_ns(pool, route);
+    double latest_ns =
+        (double)(aim_ns - HEDGE_TRANSIT_NS) - HEDGE_DURATION_RATIO * usual_ns;
+    double delay_ns = HEDGE_DELAY_RATIO * usual_ns;
+    if (aim_ns > 0 && latest_ns < delay_ns) {
+        delay_ns = fmax(latest_ns, MIN_HEDGE_DELAY_RATIO * usual_ns);
+    }
+    return (int64_t)delay_ns;
 }
 
 /* Returns whether the target's budget allows a probe and none is in flight. */
--- a/src/balance/sync_probe.h
+++ b/src/balance/sync_probe.h
@@ -100,7 +100,7 @@
                                  uint64_t route, double slots, int64_t now_ns);
 bool rp_sync_probe_allows_hedge(const struct rp_sync_probe_pool *pool);
 int64_t rp_sync_probe_hedge_delay_ns(const struct rp_sync_probe_pool *pool,
-                                     uint64_t route);
+                                     uint64_t route, int64_t aim_ns);
 bool rp_sync_probe_may_probe(const struct rp_sync_probe_target *target,
                              double probes_per_s, int64_t now_ns);
 void rp_sync_probe_record_start(struct rp_sync_probe_target *target,
--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -57,6 +57,8 @@
     char request_peer[RP_ID_BYTES]; /* of the pending request; "" for none */
     uint32_t expected_part;
     int64_t request_ns;
+    /* Until then a starting VM requests records from fresh peers only. */
+    int64_t fresh_peers_until_ns;
 };
 
 /* Changes made by one batch. */
@@ -484,7 +486,11 @@
     bool is_settling = config->phase != RP_CONFIG_STARTING &&
                        peer->revision <= rp_record_set_revision(config->set) &&
                        now_ns - config->last_agreement_ns < DIGEST_SETTLE_NS;
-    if (!equal && !request_pending && !is_settling &&
+    /* A peer that is cut off from the platform may still have targets that
+     * have left. */
+    bool is_stale = config->phase == RP_CONFIG_STARTING && !peer->fresh &&
+                    now_ns < config->fresh_peers_until_ns;
+    if (!equal && !request_pending && !is_settling && !is_stale &&
         peer->phase != RP_CONFIG_STARTING)
     {
         send_request(config, peer->id, now_ns);
@@ -727,6 +733,15 @@
     return config;
 }
 
+/* Makes a starting VM request records only from peers that are fresh, until
+ * until_ns, when it reads the platform itself. */
+void
+rp_config_task_require_fresh_peers(struct rp_config_task *config,
+                                   int64_t until_ns)
+{
+    config->fresh_peers_until_ns = until_ns;
+}
+
 /* Returns the accepted records, for status pages and tests. */
 const struct rp_record_set *
 rp_config_task_set(const struct rp_config_task *config)
--- a/src/config/config_task.h
+++ b/src/config/config_task.h
@@ -43,6 +43,7 @@
     enum rp_config_phase phase;
     uint64_t digest;
     uint64_t revision; /* greatest of its records */
+    bool fresh;        /* it has recently had all changes of the platform */
 };
 
 /* Body of RP_MSG_CONFIG_SYNC_REQUEST: a request for the records that differ.
@@ -102,6 +103,8 @@
 struct rp_config_task *rp_config_task_add(struct rp_kernel *kernel,
                                           int64_t boot_wait_ns, int64_t now_ns,
                                           GError **error);
+void rp_config_task_require_fresh_peers(struct rp_config_task *config,
+                                        int64_t until_ns);
 const struct rp_record_set *
 rp_config_task_set(const struct rp_config_task *config);
 enum rp_config_phase rp_config_task_phase(const struct rp_config_task *config);
--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -504,6 +504,24 @@
     finish_read(platform, result, rp_loop_now_ns());
 }
 
+/* Continues from the records that peers have sent: the first read watches for
+ * changes after their revision. */
+static void
+use_peer_records(struct rp_platform *platform, uint64_t revision,
+                 int64_t now_ns)
+{
+    const struct rp_platform_protocol *protocol = platform->protocol;
+    if (protocol->skip_listing == NULL || revision == 0 ||
+        platform->read_revision > 0 ||
+        platform->reading != RP_WATCH_READ_NONE ||
+        !protocol->skip_listing(protocol->data))
+    {
+        return;
+    }
+    platform->read_revision = revision;
+    rp_watch_record_peer_records(platform->watch, now_ns);
+}
+
 static void
 on_message(struct rp_task *task, const struct rp_message *message,
            int64_t now_ns, void *data)
@@ -522,6 +540,9 @@
             MAX(platform->latest_revision, body->revision);
         platform->accepted_revision =
             MAX(platform->accepted_revision, body->revision);
+        if (body->phase != RP_CONFIG_STARTING) {
+            use_peer_records(platform, body->revision, now_ns);
+        }
     }
     else if (message->kind == RP_MSG_CONFIG_DISAGREEMENT) {
         const struct rp_config_disagreement *body = message->body;
@@ -622,6 +643,8 @@
     platform->watch = rp_watch_new(platform->context->identity.id, now_ns);
     if (platform->protocol->vms_path == NULL) {
         rp_watch_set_no_vm_list(platform->watch, settings->is_seed);
+        rp_watch_delay_first_read(platform->watch,
+                                  now_ns + settings->first_read_delay_ns);
     }
     platform->url = g_strdup(settings->url);
     while (g_str_has_suffix(platform->url, "/")) {
--- a/src/config/platform_protocol.h
+++ b/src/config/platform_protocol.h
@@ -18,6 +18,10 @@
      * wait_ms. The caller frees the string. */
     char *(*records_path)(void *data, uint64_t after, int64_t wait_ms,
                           uint32_t limit);
+    /* Makes the next read return changes after its revision although nothing
+     * was listed: peers have sent the records up to there. Returns false while
+     * a listing has begun. NULL when the platform needs no listing. */
+    bool (*skip_listing)(void *data);
     /* Path of a cheap read that returns only the revision, which may lag; NULL
      * when the platform has none, and always when it has a list of VMs. */
     const char *revision_path;
--- a/src/config/watch.c
+++ b/src/config/watch.c
@@ -29,7 +29,7 @@
 #define CATCH_UP_SPREAD_NS INT64_C(300000000)
 /* A watcher's freshness reaches every VM within one wait time and two hops
  * between peers. */
-#define NO_LIST_MAX_FRESHNESS_AGE_NS INT64_C(3500000000)
+#define NO_LIST_MAX_FRESHNESS_AGE_NS RP_WATCH_MAX_PEER_AGE_NS
 #define NO_LIST_PROMOTION_SPREAD_NS INT64_C(500000000)
 #define NO_LIST_MIN_PROMOTED_NS INT64_C(5000000000)
 #define NO_LIST_DEMOTION_SPREAD_NS INT64_C(5000000000)
@@ -43,6 +43,14 @@
  * before it. A push takes some milliseconds for each of the ceil(log2 fleet)
  * hops. */
 #define NO_LIST_SPREAD_DELAY_PER_RANK_NS INT64_C(100000000)
+/* A starting VM with less capacity than this, in permille of a core, gets its
+ * records from peers and reads the platform only if they send none: callers
+ * are directed to greater VMs, which read at once. Otherwise hundreds of VMs
+ * that start together would each read all records. The wait covers a few
+ * heartbeats on the way from the first VM that has read. */
+#define IMMEDIATE_READ_CAPACITY_PERMILLE 200u
+#define PEER_RECORDS_WAIT_NS INT64_C(3000000000)
+#define PEER_RECORDS_SPREAD_NS INT64_C(3000000000)
 static const int64_t cycle_wait_ms[CYCLE_READS - 1] = {333, 667, 1000};
 
 /* A promoted VM watches for at least one to two times this long, by the hash
@@ -153,6 +161,14 @@
     return count;
 }
 
+/* Returns a hash of an id as a number from 0 to 1. */
+static double
+hash_of_id(const char *id)
+{
+    uint64_t hash = XXH3_64bits_withSeed(id, strlen(id), 1);
+    return (double)(hash >> 11) / (double)(UINT64_C(1) << 53);
+}
+
 /* Creates the state of a VM that starts now; local_id is copied. Free it with
  * rp_watch_free. */
 struct rp_watch *
@@ -161,7 +177,7 @@
     struct rp_watch *watch = g_new0(struct rp_watch, 1);
     watch->local_id = g_strdup(local_id);
     uint64_t hash = XXH3_64bits_withSeed(local_id, strlen(local_id), 1);
-    watch->id_hash = (double)(hash >> 11) / (double)(UINT64_C(1) << 53);
+    watch->id_hash = hash_of_id(local_id);
     watch->cycle_slot = (uint32_t)(hash % CYCLE_READS);
     watch->min_read_start_ns = now_ns;
     watch->settle_end_ns = now_ns + NO_LIST_SETTLE_NS;
@@ -362,6 +378,40 @@
     return RP_WATCH_READ_REVISION;
 }
 
+/* Returns how long after its start a VM leaves the first read of a platform
+ * without a list of VMs to others. */
+int64_t
+rp_watch_first_read_delay_ns(const char *local_id, bool is_seed,
+                             uint32_t capacity_permille)
+{
+    if (is_seed || capacity_permille >= IMMEDIATE_READ_CAPACITY_PERMILLE) {
+        return 0;
+    }
+    return PEER_RECORDS_WAIT_NS +
+           (int64_t)(hash_of_id(local_id) * (double)PEER_RECORDS_SPREAD_NS);
+}
+
+/* Keeps this VM from its first read until a time, unless peers send it their
+ * records before. */
+void
+rp_watch_delay_first_read(struct rp_watch *watch, int64_t until_ns)
+{
+    watch->min_read_start_ns = MAX(watch->min_read_start_ns, until_ns);
+}
+
+/* Records that this VM has all records of a peer and needs no listing of its
+ * own. */
+void
+rp_watch_record_peer_records(struct rp_watch *watch, int64_t now_ns)
+{
+    if (watch->has_records) {
+        return;
+    }
+    watch->has_records = true;
+    watch->min_read_start_ns = now_ns;
+    watch->revision_read_ns = now_ns + MIN_REVISION_INTERVAL_NS;
+}
+
 static enum rp_watch_read
 choose_read(struct rp_watch *watch, int64_t now_ns, int64_t *wait_ms)
 {
--- a/src/config/watch.h
+++ b/src/config/watch.h
@@ -22,6 +22,9 @@
  * in total. */
 #define RP_WATCH_MIN_IDLE_INTERVAL_NS INT64_C(4000000000)
 #define RP_WATCH_IDLE_INTERVAL_PER_VM_NS INT64_C(250000000)
+/* A peer whose freshness is older than this may lack removals that the
+ * platform has. */
+#define RP_WATCH_MAX_PEER_AGE_NS INT64_C(3500000000)
 /* Delay after failed reads. */
 #define RP_WATCH_MAX_BACKOFF_NS INT64_C(4000000000)
 
@@ -55,6 +58,10 @@
 void rp_watch_free(struct rp_watch *watch);
 void rp_watch_set_vms(struct rp_watch *watch, const struct rp_vm_list *list);
 void rp_watch_set_no_vm_list(struct rp_watch *watch, bool is_seed);
+int64_t rp_watch_first_read_delay_ns(const char *local_id, bool is_seed,
+                                     uint32_t capacity_permille);
+void rp_watch_delay_first_read(struct rp_watch *watch, int64_t until_ns);
+void rp_watch_record_peer_records(struct rp_watch *watch, int64_t now_ns);
 int64_t rp_watch_spread_delay_ns(const struct rp_watch *watch);
 void rp_watch_set_behind(struct rp_watch *watch, bool behind, int64_t now_ns);
 void rp_watch_record_peer_freshness(struct rp_watch *watch, int64_t fresh_ns,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -21,6 +21,7 @@
 #include "record_file.h"
 #include "stop_plan.h"
 #include "upstream.h"
+#include "watch.h"
 #include "wire.h"
 
 /* Fraction of the additional attempts allowed by the settings that is used.
@@ -263,8 +264,9 @@
     int64_t boot_wait_ns =
         rp_settings_number(settings, RP_SETTING_BOOT_WAIT_MS) * 1000000;
     int64_t now_ns = rp_loop_now_ns();
-    if (rp_config_task_add(node->kernel, boot_wait_ns, now_ns, error) == NULL)
-    {
+    struct rp_config_task *config =
+        rp_config_task_add(node->kernel, boot_wait_ns, now_ns, error);
+    if (config == NULL) {
         return false;
     }
     const char *files = rp_settings_text(settings, RP_SETTING_RECORDS);
@@ -278,6 +280,11 @@
     if (node->adapter != NULL) {
         node->protocol = node->adapter->protocol_new();
         platform.protocol = node->protocol;
+        const struct rp_identity *identity = &node->context->identity;
+        platform.first_read_delay_ns = rp_watch_first_read_delay_ns(
+            identity->id, platform.is_seed, identity->capacity_permille);
+        rp_config_task_require_fresh_peers(
+            config, now_ns + platform.first_read_delay_ns);
     }
     return platform.url[0] == '\0' ||
            rp_platform_add(node->loop, &platform, now_ns, error) != NULL;
--- a/src/peers/gossip_receive.c
+++ b/src/peers/gossip_receive.c
@@ -3,6 +3,7 @@
 #include "gossip_internal.h"
 #include "platform.h"
 #include "record_batch.h"
+#include "watch.h"
 #include "wire.h"
 
 /* Minimum interval between answers to one peer. It limits the traffic while
@@ -163,11 +164,13 @@
     struct rp_config_peer_state peer = {.phase = config->phase,
                                         .digest = config->digest,
                                         .revision = config->revision};
+    int64_t age_ms = (int64_t)config->platform_age_ms + delay_ms;
+    peer.fresh =
+        config->has_platform && age_ms * 1000000 <= RP_WATCH_MAX_PEER_AGE_NS;
     g_strlcpy(peer.id, id, sizeof(peer.id));
     rp_task_send(gossip->task, rp_kernel_find_task(gossip->kernel, "config"),
                  RP_MSG_CONFIG_PEER_STATE, &peer, sizeof(peer));
     if (config->has_platform) {
-        int64_t age_ms = (int64_t)config->platform_age_ms + delay_ms;
         rp_gossip_record_platform(gossip, now_ns - age_ms * 1000000,
                                   config->platform_revision, true);
     }
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -273,6 +273,31 @@
     rp_gateway_store_free(store);
 }
 
+// Guards against a listing by a VM whose peers have sent it all records, and
+// against a gap after a listing that has begun.
+TEST(gateway, watches_from_the_records_of_peers)
+{
+    std::string page = R"({"items":[)" +
+                       item("servers/i-1", 3, target("ready")) +
+                       R"(],"morePages":true,"storeRevision":50})";
+    for (bool began : {false, true}) {
+        struct rp_platform_protocol *store = rp_gateway_store_new();
+        if (began) {
+            struct rp_platform_answer answer;
+            g_free(store->records_path(store->data, 0, 0, 10));
+            ASSERT_TRUE(store->parse_answer(store->data, 200, page.c_str(),
+                                            page.size(), &answer, nullptr));
+            rp_record_batch_unref(answer.batch);
+        }
+        EXPECT_EQ(store->skip_listing(store->data), !began);
+        char *path = store->records_path(store->data, 50, 700, 10);
+        EXPECT_STREQ(path, began ? "/v1/kv-range?prefix=&after=servers%2Fi-1"
+                                 : watch_path);
+        g_free(path);
+        rp_gateway_store_free(store);
+    }
+}
+
 // Guards against changes lost between pages, at the end of the store's
 // history, or when an entry is removed while no VM watches.
 TEST(gateway, lists_then_watches_the_store)
--- a/tests/test_sync_probe.cc
+++ b/tests/test_sync_probe.cc
@@ -134,6 +134,30 @@
     }
 }
 
+// Guards against hedges that start so late that they cannot meet the latency
+// goal, and against hedges of calls that take the usual time.
+TEST(sync_probe, hedges_can_meet_the_latency_goal)
+{
+    struct {
+        const char *what;
+        int64_t aim_ms;
+        int64_t min_ms;
+        int64_t max_ms;
+    } cases[] = {
+        {"no goal", 0, 170, 170},
+        {"goal of three times the usual time", 330, 170, 170},
+        {"goal of 2.7 times: the hedge ends in time", 270, 130, 150},
+        {"goal that no hedge can meet", 200, 130, 130},
+    };
+    for (const auto &entry : cases) {
+        struct rp_sync_probe_pool pool = make_pool();
+        int64_t delay_ns =
+            rp_sync_probe_hedge_delay_ns(&pool, 1, entry.aim_ms * MS);
+        EXPECT_GE(delay_ns, entry.min_ms * MS - 1) << entry.what;
+        EXPECT_LE(delay_ns, entry.max_ms * MS) << entry.what;
+    }
+}
+
 // Guards against more probes of a target than its rate allows in any period.
 TEST(sync_probe, probe_rate_is_limited)
 {
--- a/tests/test_usual_time.cc
+++ b/tests/test_usual_time.cc
@@ -44,8 +44,8 @@
         EXPECT_LE(usual_ns, entry.max_ms * MS) << entry.what;
     }
     EXPECT_LT(busy.excess_ratio, 1.2) << "uploads do not make a target slow";
-    EXPECT_LT(rp_sync_probe_hedge_delay_ns(&pool, LOOKUP), 60 * MS);
-    EXPECT_GT(rp_sync_probe_hedge_delay_ns(&pool, UPLOAD), 150 * MS);
+    EXPECT_LT(rp_sync_probe_hedge_delay_ns(&pool, LOOKUP, 0), 60 * MS);
+    EXPECT_GT(rp_sync_probe_hedge_delay_ns(&pool, UPLOAD, 0), 150 * MS);
 }
 
 // Guards against times of a removed route that are taken for those of another
--- a/tests/test_watch_no_vm_list.cc
+++ b/tests/test_watch_no_vm_list.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -315,4 +316,62 @@
     }
 }
 
+// Returns the second in which a starting VM lists the records, or -1 when it
+// has them from peers before.
+int64_t
+listing_second(const std::string &id, bool is_seed, uint32_t capacity_permille,
+               bool peers_send_records)
+{
+    constexpr int64_t PEER_RECORDS_AT_NS = 2 * SECOND;
+    struct rp_watch *watch = rp_watch_new(id.c_str(), 0);
+    rp_watch_set_no_vm_list(watch, is_seed);
+    rp_watch_delay_first_read(
+        watch,
+        rp_watch_first_read_delay_ns(id.c_str(), is_seed, capacity_permille));
+    int64_t at_ns = rp_watch_due_ns(watch);
+    if (peers_send_records && at_ns > PEER_RECORDS_AT_NS) {
+        rp_watch_record_peer_records(watch, PEER_RECORDS_AT_NS);
+        at_ns = rp_watch_due_ns(watch);
+    }
+    int64_t wait_ms = 0;
+    enum rp_watch_read read = rp_watch_next(watch, at_ns, &wait_ms);
+    rp_watch_free(watch);
+    return read == RP_WATCH_READ_RECORDS ? at_ns / SECOND : -1;
+}
+
+// Guards against a herd at the platform: 472 VMs start together, of which 18
+// have enough capacity to serve callers. The others get their records from
+// peers, or read themselves, spread out, if none come.
+TEST(watch_no_vm_list, fleet_that_starts_reads_little)
+{
+    struct {
+        const char *what;
+        bool peers_send_records;
+        int reads;
+        int max_reads_per_s;
+    } cases[] = {
+        {"peers send records", true, 21, 21},
+        {"no peer has records", false, 472, 200},
+    };
+    constexpr int FLEET = 472;
+    constexpr int GREAT = 18;
+    constexpr int SEEDS = 3; // small ones
+    for (const auto &entry : cases) {
+        std::map<int64_t, int> reads_by_second;
+        int reads = 0;
+        for (int i = 0; i < FLEET; i++) {
+            int64_t second = listing_second(
+                "vm-" + std::to_string(i), i >= GREAT && i < GREAT + SEEDS,
+                i < GREAT ? 500 : 100, entry.peers_send_records);
+            reads += second >= 0 ? 1 : 0;
+            reads_by_second[second]++;
+        }
+        EXPECT_EQ(reads, entry.reads) << entry.what;
+        reads_by_second.erase(-1);
+        for (const auto &second : reads_by_second) {
+            EXPECT_LE(second.second, entry.max_reads_per_s) << entry.what;
+        }
+    }
+}
+
 } // namespace
