--- a/src/peers/gossip_members.c
+++ b/src/peers/gossip_members.c
@@ -7,8 +7,11 @@
 
 /* A peer that reports this many more live members is queried for all. */
 #define MIN_MISSING_MEMBERS 4
-/* Between two of these requests; allows the answer to arrive. */
+/* Between two of these requests: allows the answer to arrive, and grows with
+ * its size, so that lists of hundreds of members do not fill the links of a
+ * fleet that starts as a whole. */
 #define MIN_REQUEST_INTERVAL_NS INT64_C(100000000)
+#define REQUEST_INTERVAL_PER_MEMBER_NS INT64_C(1000000)
 
 /* Requests all members from a random contact: an entry VM of the platform's
  * list, or a seed if the list is empty. */
@@ -35,8 +38,10 @@
                      int64_t now_ns)
 {
     uint32_t local_count = rp_member_count(gossip->members, RP_MEMBER_ALIVE);
+    int64_t interval_ns = MAX(MIN_REQUEST_INTERVAL_NS,
+                              alive_count * REQUEST_INTERVAL_PER_MEMBER_NS);
     if (alive_count < local_count + MIN_MISSING_MEMBERS ||
-        now_ns - gossip->members_requested_ns < MIN_REQUEST_INTERVAL_NS)
+        now_ns - gossip->members_requested_ns < interval_ns)
     {
         return;
     }
