Count bytes between failure domains; let seeds spread changes in turn

remote_request_bytes_total, remote_answer_bytes_total and platform_read_bytes_total show what crosses. While a fleet starts, only the seeds watch, and all pushed each change at once; they now take turns by their place in the list, as later watchers do.

--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -717,6 +717,14 @@
     return balancer_get(balancer, target)->instance;
 }
 
+/* Returns whether a target is outside of this entry VM's failure domain. */
+bool
+rp_balancer_target_is_remote(const struct rp_balancer *balancer,
+                             uint32_t target)
+{
+    return balancer_get(balancer, target)->route.cross_domain_ns > 0;
+}
+
 /* Returns whether a target may get new calls at present. */
 bool
 rp_balancer_target_usable(const struct rp_balancer *balancer, uint32_t target)
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -164,6 +164,8 @@
                                        uint32_t target);
 const char *rp_balancer_target_instance(const struct rp_balancer *balancer,
                                         uint32_t target);
+bool rp_balancer_target_is_remote(const struct rp_balancer *balancer,
+                                  uint32_t target);
 bool rp_balancer_target_usable(const struct rp_balancer *balancer,
                                uint32_t target);
 void rp_balancer_view(const struct rp_balancer *balancer, uint32_t target,
--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -696,6 +696,27 @@
     }
 }
 
+/* Counts the bodies of an attempt that crossed failure domains. */
+static void
+count_remote_bytes(const struct dispatch_call *call,
+                   const struct dispatch_attempt *attempt,
+                   const struct rp_attempt_done *done)
+{
+    if (dispatch_call_passed_on(call) ||
+        !rp_balancer_target_is_remote(call->service->balancer,
+                                      attempt->target))
+    {
+        return;
+    }
+    struct rp_counters *counters = &call->dispatch->context->counters;
+    const struct rp_stream *request = call->call->request;
+    rp_counter_add(counters, RP_COUNTER_REMOTE_ANSWER_BYTES, done->body_bytes);
+    if (request != NULL) {
+        rp_counter_add(counters, RP_COUNTER_REMOTE_REQUEST_BYTES,
+                       rp_stream_written(request));
+    }
+}
+
 /* Handles the end of an attempt. That of a cancelled attempt is ignored. */
 void
 dispatch_call_done(struct dispatch_call *call,
@@ -707,6 +728,7 @@
     }
     struct dispatch_attempt *attempt = &call->attempts[index];
     record_transfer_size(call, attempt, done);
+    count_remote_bytes(call, attempt, done);
     if (call->state != CALL_REPLIED) {
         if (now_ns >= call->deadline_ns) {
             fail_deadline(call, now_ns);
--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -469,6 +469,8 @@
     bool ok = check_answer(platform, code, &error) &&
               process_answer(platform, &fresh, &has_more, now_ns, &error);
     bool read_revision_only = platform->reading == RP_WATCH_READ_REVISION;
+    rp_counter_add(&platform->context->counters,
+                   RP_COUNTER_PLATFORM_READ_BYTES, platform->answer->len);
     platform->reading = RP_WATCH_READ_NONE;
     platform->needs_new_connection = code != CURLE_OK;
     if (!read_revision_only) {
@@ -643,6 +645,7 @@
     platform->watch = rp_watch_new(platform->context->identity.id, now_ns);
     if (platform->protocol->vms_path == NULL) {
         rp_watch_set_no_vm_list(platform->watch, settings->is_seed);
+        rp_watch_set_seed_rank(platform->watch, settings->seed_rank);
         rp_watch_delay_first_read(platform->watch,
                                   now_ns + settings->first_read_delay_ns);
     }
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -28,6 +28,7 @@
      * On a platform without a list of VMs, seeds watch before any member is
      * known. */
     bool is_seed;
+    uint32_t seed_rank; /* position among the seeds */
     /* How long the first read is left to other VMs, whose records this VM gets
      * from its peers; see rp_watch_first_read_delay_ns. */
     int64_t first_read_delay_ns;
--- a/src/config/watch.c
+++ b/src/config/watch.c
@@ -241,6 +241,14 @@
     watch->revision_interval_ns = MIN_REVISION_INTERVAL_NS;
 }
 
+/* Sets the position of this VM among the seeds, which all watch for the first
+ * 3 s and spread changes in this order. */
+void
+rp_watch_set_seed_rank(struct rp_watch *watch, uint32_t rank)
+{
+    watch->chosen_rank = rank;
+}
+
 /* Returns how long this VM delays spreading the changes that it has read. It
  * then spreads only those that no other watcher has spread meanwhile. */
 int64_t
--- a/src/config/watch.h
+++ b/src/config/watch.h
@@ -60,6 +60,7 @@
 void rp_watch_set_no_vm_list(struct rp_watch *watch, bool is_seed);
 int64_t rp_watch_first_read_delay_ns(const char *local_id, bool is_seed,
                                      uint32_t capacity_permille);
+void rp_watch_set_seed_rank(struct rp_watch *watch, uint32_t rank);
 void rp_watch_delay_first_read(struct rp_watch *watch, int64_t until_ns);
 void rp_watch_record_peer_records(struct rp_watch *watch, int64_t now_ns);
 int64_t rp_watch_spread_delay_ns(const struct rp_watch *watch);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -240,18 +240,20 @@
     return true;
 }
 
-/* Returns whether the peer address of this VM is in its list of seed peers, or
- * the list is empty. */
+/* Returns whether the peer address of this VM is in its list of seed peers, at
+ * *rank, or the list is empty. */
 static bool
-is_seed(const struct rp_settings *settings)
+is_seed(const struct rp_settings *settings, uint32_t *rank)
 {
     const char *local_address =
         rp_settings_text(settings, RP_SETTING_PEER_ADDRESS);
     const char *peers = rp_settings_text(settings, RP_SETTING_PEERS);
     char **seeds = g_strsplit(peers, ",", -1);
     bool found = seeds[0] == NULL;
-    for (char **seed = seeds; *seed != NULL && !found; seed++) {
-        found = strcmp(g_strstrip(*seed), local_address) == 0;
+    *rank = 0;
+    for (uint32_t i = 0; seeds[i] != NULL && !found; i++) {
+        found = strcmp(g_strstrip(seeds[i]), local_address) == 0;
+        *rank = found ? i : 0;
     }
     g_strfreev(seeds);
     return found;
@@ -275,8 +277,8 @@
     }
     struct rp_platform_settings platform = {
         .url = rp_settings_text(settings, RP_SETTING_PLATFORM),
-        .is_seed = is_seed(settings),
     };
+    platform.is_seed = is_seed(settings, &platform.seed_rank);
     if (node->adapter != NULL) {
         node->protocol = node->adapter->protocol_new();
         platform.protocol = node->protocol;
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -49,7 +49,7 @@
 
     // Applies a configuration of a service with two targets, in which the
     // target of the first attempt may be draining or removed.
-    void configure(bool draining, bool removed)
+    void configure(bool draining, bool removed, const char *domain = "bilbo")
     {
         struct rp_snapshot_message message = {rp_snapshot_new(), true};
         struct rp_service *service =
@@ -60,7 +60,7 @@
             if (first && removed) {
                 continue;
             }
-            rp_service_add_target(service, address, address, "bilbo", "new")
+            rp_service_add_target(service, address, address, domain, "new")
                 ->draining = first && draining;
         }
         struct rp_route *route =
@@ -98,6 +98,25 @@
         run();
     }
 
+    // Ends the first attempt after body_bytes of its answer.
+    void receive_body(uint64_t body_bytes)
+    {
+        struct rp_attempt_done done = {};
+        done.call_id = 1;
+        done.generation = starts[0].generation;
+        done.end = RP_END_BROKEN;
+        done.first_byte_ns = now_ns;
+        done.body_bytes = body_bytes;
+        rp_task_send(upstream, dispatch(), RP_MSG_ATTEMPT_DONE, &done,
+                     sizeof(done));
+        run();
+    }
+
+    uint64_t counter(enum rp_counter counter)
+    {
+        return rp_counter_get(&context->counters, counter);
+    }
+
     void run()
     {
         due_ns = rp_kernel_run(kernel, now_ns);
@@ -180,4 +199,25 @@
     }
 }
 
+// Guards against bytes between failure domains that no metric shows: those of
+// broken answers are transferred as well.
+TEST(dispatch, counts_bytes_between_failure_domains)
+{
+    struct {
+        const char *target_domain;
+        uint64_t expected;
+    } cases[] = {{"bilbo", 0}, {"donosti", 5000}};
+    for (const auto &entry : cases) {
+        process instance;
+        instance.configure(false, false, entry.target_domain);
+        instance.start_call();
+        ASSERT_EQ(instance.starts.size(), 1u);
+        instance.receive_body(5000);
+        EXPECT_EQ(instance.counter(RP_COUNTER_REMOTE_ANSWER_BYTES),
+                  entry.expected)
+            << entry.target_domain;
+        EXPECT_EQ(instance.counter(RP_COUNTER_REMOTE_REQUEST_BYTES), 0u);
+    }
+}
+
 } // namespace
--- a/tests/test_watch_no_vm_list.cc
+++ b/tests/test_watch_no_vm_list.cc
@@ -316,6 +316,21 @@
     }
 }
 
+// Guards against as many pushes of each change as there are seeds while a
+// fleet starts, when only the seeds watch and all see the same changes.
+TEST(watch_no_vm_list, seeds_spread_one_after_the_other)
+{
+    for (uint32_t rank : {0u, 1u, 2u}) {
+        struct rp_watch *watch = rp_watch_new("vm-1", 0);
+        int64_t wait_ms = 0;
+        rp_watch_set_no_vm_list(watch, true);
+        rp_watch_set_seed_rank(watch, rank);
+        EXPECT_EQ(rp_watch_next(watch, 0, &wait_ms), RP_WATCH_READ_RECORDS);
+        EXPECT_EQ(rp_watch_spread_delay_ns(watch), rank * 100 * MS);
+        rp_watch_free(watch);
+    }
+}
+
 // Returns the second in which a starting VM lists the records, or -1 when it
 // has them from peers before.
 int64_t
