Announce records that a peer sent on request instead of pushing them

Heartbeats with a later revision overtake the push of a record; who hears of it requests the record and, having newly accepted it, pushed it to all members along both trees: a broadcast by each of 472 members.

Change: records that came as the answer to a request are announced to the neighbours, which request what they lack; only what a watcher read from the platform is pushed.

Ruled out: member lists (18 MB), three seeds that push at once (no change).

--- a/src/peers/gossip_records.c
+++ b/src/peers/gossip_records.c
@@ -89,14 +89,18 @@
     }
 }
 
-/* Pushes newly accepted records to all members. Large batches, and records
- * accepted right after a pause or while starting, are announced instead. */
+/* Pushes newly accepted records to all members. Announced to the neighbours
+ * instead are large batches, records accepted right after a pause or while
+ * starting, and those that a peer sent on request: the push of these is under
+ * way, and in a series of changes a push by each member that requested them
+ * would be a broadcast for every member. */
 void
 rp_gossip_push_records(struct rp_gossip *gossip,
                        const struct rp_config_records *records, int64_t now_ns)
 {
     if (now_ns < gossip->grace_until_ns ||
-        gossip->config.phase == RP_CONFIG_STARTING)
+        gossip->config.phase == RP_CONFIG_STARTING ||
+        records->peer[0] != '\0')
     {
         announce(gossip, records->peer, now_ns);
         return;
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -240,6 +240,41 @@
     }
 }
 
+// Guards against a broadcast by every VM in a series of changes: heartbeats
+// with a later revision overtake the pushes, the VMs that hear of it request
+// the records, and each of them pushed what it got to the whole fleet. Each
+// record is pushed to each VM twice; as many bytes again are allowed for
+// repair, and 4.5 kB/s for heartbeats.
+TEST_F(gossip, series_of_changes_is_not_broadcast_by_every_vm)
+{
+    constexpr uint32_t CHANGES = 100;
+    for (int64_t max_delay_ms : {2, 100}) {
+        start(130);
+        fleet->max_delay_ns = max_delay_ms * FAKE_MS;
+        uint64_t before =
+            fake_fleet_counter_sum(fleet, RP_COUNTER_PEER_SENT_BYTES);
+        int64_t start_ns = fleet->now_ns;
+        uint64_t record_bytes = 0;
+        for (uint32_t i = 0; i < CHANGES; i++) {
+            std::string key = "service/s" + std::to_string(i);
+            std::string value = R"({"schema":2,"kind":"service","name":"s)" +
+                                std::to_string(i) +
+                                R"(","version":1,"comment":")" +
+                                std::string(200, 'x') + "\"}";
+            record_bytes += value.size();
+            fake_fleet_publish(fleet, 0, key.c_str(), i + 1, value.c_str());
+            fake_fleet_run(fleet, 20 * FAKE_MS);
+        }
+        EXPECT_GE(time_until([&] { return same_records(); }, 8), 0);
+        double seconds = (double)(fleet->now_ns - start_ns) / FAKE_S;
+        double sent = (double)(fake_fleet_counter_sum(
+                                   fleet, RP_COUNTER_PEER_SENT_BYTES) -
+                               before) /
+                      fleet->count;
+        EXPECT_LE(sent, 4.0 * record_bytes + 4500 * seconds) << max_delay_ms;
+    }
+}
+
 // Guards against a record that comes into force late or not on all VMs, also
 // when messages are lost, duplicated and reordered.
 TEST_F(gossip, records_reach_all_within_8_s)
