--- a/src/peers/gossip_records.c
+++ b/src/peers/gossip_records.c
@@ -99,8 +99,7 @@
                        const struct rp_config_records *records, int64_t now_ns)
 {
     if (now_ns < gossip->grace_until_ns ||
-        gossip->config.phase == RP_CONFIG_STARTING ||
-        records->peer[0] != '\0')
+        gossip->config.phase == RP_CONFIG_STARTING || records->peer[0] != '\0')
     {
         announce(gossip, records->peer, now_ns);
         return;
