--- a/src/peers/gossip.h
+++ b/src/peers/gossip.h
@@ -32,20 +32,24 @@
 /* At 570 changes a day the mean rates are below 1 byte/s. These limits bound
  * the share of a 10 Mbit/s link that a rapid series of changes or a mass
  * restart may use. */
-#define RP_GOSSIP_PUSH_BYTES_PER_S 65536u
+#define RP_GOSSIP_PUSH_BYTES_PER_S 131072u
 #define RP_GOSSIP_REPAIR_BYTES_PER_S 65536u
 #define RP_GOSSIP_ANSWER_BYTES_PER_S 1000u
 #define RP_GOSSIP_MEMBERS_BYTES_PER_S 65536u
 /* Bursts above these rates: answers while a partition heals, the member list
- * sent to 40 members in a fleet of 130, one change pushed to all neighbours,
- * and the whole configuration sent to a booting VM. */
+ * sent to 40 members in a fleet of 130, two configurations of 1,400 routes
+ * pushed to all neighbours, and the whole configuration sent to a booting VM.
+ */
 #define RP_GOSSIP_ANSWER_BURST_BYTES 32768u
 #define RP_GOSSIP_MEMBERS_BURST_BYTES 262144u
-#define RP_GOSSIP_PUSH_BURST_BYTES 524288u
+#define RP_GOSSIP_PUSH_BURST_BYTES 1048576u
 #define RP_GOSSIP_REPAIR_BURST_BYTES 1048576u
-/* Batches with a larger compressed size are not pushed but announced, and sent
- * to the members that request them. */
-#define RP_GOSSIP_PUSH_MAX_BYTES 32768u
+/* Batches up to this compressed size are pushed along both trees, larger ones
+ * along one, so that every member gets a large configuration once. Those above
+ * the second limit are announced, and sent to the members that request them.
+ */
+#define RP_GOSSIP_DOUBLE_PUSH_MAX_BYTES 32768u
+#define RP_GOSSIP_PUSH_MAX_BYTES 131072u
 
 struct rp_gossip;
 
--- a/src/peers/gossip_records.c
+++ b/src/peers/gossip_records.c
@@ -8,8 +8,9 @@
 
 /* Dissemination of records. Newly accepted records are pushed along two trees
  * over the ring of members, one in each direction, so that every member gets
- * two copies on different paths. Anti-entropy repairs losses: a member that
- * finds a different digest in a heartbeat requests the records it lacks. */
+ * two copies on different paths, or one of a large batch. Anti-entropy repairs
+ * losses: a member that finds a different digest in a heartbeat requests the
+ * records it lacks. */
 
 /* Smaller batches gain too little from compression. */
 #define MIN_COMPRESS_BYTES 512u
@@ -112,8 +113,10 @@
     }
     else {
         rp_gossip_forward_records(gossip, &pushed, now_ns);
-        pushed.backward = true;
-        rp_gossip_forward_records(gossip, &pushed, now_ns);
+        if (pushed.byte_count <= RP_GOSSIP_DOUBLE_PUSH_MAX_BYTES) {
+            pushed.backward = true;
+            rp_gossip_forward_records(gossip, &pushed, now_ns);
+        }
     }
     g_byte_array_unref(encoded);
 }
--- a/tests/test_budget_share.cc
+++ b/tests/test_budget_share.cc
@@ -58,4 +58,33 @@
     }
 }
 
+// Guards against more further attempts than the budget of the fleet in the
+// first seconds of traffic: loads of others spread slowly among hundreds of
+// members, and each of those with callers saw itself as the only one.
+TEST(budget_share, unknown_loads_do_not_multiply_a_budget)
+{
+    constexpr uint32_t FLEET = 472;
+    constexpr uint32_t GREAT = 18;
+    auto *view = (struct rp_member_view *)g_malloc0(
+        sizeof(struct rp_member_view) + FLEET * sizeof(struct rp_member));
+    view->count = FLEET;
+    for (uint32_t i = 0; i < FLEET; i++) {
+        struct rp_member_info *info = &view->members[i].info;
+        info->capacity_permille = i < GREAT ? 500 : 100;
+        g_snprintf(info->domain, sizeof(info->domain), "d%u", i % 6);
+    }
+    double total = 0;
+    for (uint32_t i = 0; i < FLEET; i++) {
+        view->members[i].is_self = true;
+        view->members[i].info.load_permille = i < GREAT ? 9 : 0;
+        double share = rp_budget_share(view, 14);
+        total += share;
+        EXPECT_GE(share, i < GREAT ? 0.5 / GREAT : 0.1 / FLEET);
+        view->members[i].is_self = false;
+        view->members[i].info.load_permille = 0; // unknown to the next
+    }
+    EXPECT_LE(total, 1.5 + 1e-9);
+    g_free(view);
+}
+
 } // namespace
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -337,6 +337,36 @@
     EXPECT_LE(time_ms, 8000);
 }
 
+// Guards against a configuration of 1,400 routes that spreads from VM to VM by
+// requests, each of which costs a small VM a tenth of a second: it is in force
+// everywhere within the time of a few hops, and sent to each VM once.
+TEST_F(gossip, large_configuration_is_pushed_once_to_each)
+{
+    for (uint32_t count : {14u, 130u}) {
+        start(count);
+        GRand *random = g_rand_new_with_seed(count);
+        std::string noise; // does not compress below 45 kB
+        while (noise.size() < 60000) {
+            noise += (char)('A' + g_rand_int_range(random, 0, 50));
+        }
+        g_rand_free(random);
+        std::replace(noise.begin(), noise.end(), '\\', '/');
+        uint64_t bytes =
+            fake_fleet_counter_sum(fleet, RP_COUNTER_PEER_SENT_BYTES);
+        std::string value =
+            R"({"schema":2,"kind":"service","name":"a","version":1,"comment":")" +
+            noise + "\"}";
+        fake_fleet_publish(fleet, 0, "service/a", 1, value.c_str());
+        fake_fleet_run(fleet, FAKE_MS);
+        int64_t ms = time_until([&] { return same_records(); }, 8);
+        bytes =
+            fake_fleet_counter_sum(fleet, RP_COUNTER_PEER_SENT_BYTES) - bytes;
+        EXPECT_GE(ms, 0) << count;
+        EXPECT_LE(ms, 300) << count;
+        EXPECT_LE(bytes, 1.2 * count * value.size()) << count;
+    }
+}
+
 // Guards against large records that are sent several times to each VM, or that
 // don't spread at all.
 TEST_F(gossip, large_records_are_sent_once_to_each)
