--- a/src/balance/budget_share.c
+++ b/src/balance/budget_share.c
@@ -80,10 +80,11 @@
     great = MAX(great + unknown, 1);
     double equal = (1 - GREAT_MEMBER_PART) / members +
                    (is_local_great ? GREAT_MEMBER_PART / great : 0);
-    if (total <= 0) {
-        return equal;
+    double by_load = is_local_great ? 1.0 / great : 0;
+    if (total > 0) {
+        uint32_t serving =
+            MIN(great, MEMBERS_PER_DOMAIN * count_domains(view));
+        by_load = MIN(local / total, MAX_LOAD_RATIO / serving);
     }
-    uint32_t serving = MIN(great, MEMBERS_PER_DOMAIN * count_domains(view));
-    double by_load = MIN(local / total, MAX_LOAD_RATIO / serving);
     return EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * by_load;
 }
