Promote few watchers of a large fleet while the platform is down

Change: while peers are heard and none has news, VMs are promoted over 70 ms for each VM of the fleet, 14 a second, beyond the 0.5 s of small fleets. A VM that hears no peer for three heartbeats does not wait. In the test, 472 VMs and an outage of 9 s: 0.1 to 0.2 of them are promoted, all before.

--- a/src/config/watch.c
+++ b/src/config/watch.c
@@ -31,6 +31,13 @@
  * between peers. */
 #define NO_LIST_MAX_FRESHNESS_AGE_NS RP_WATCH_MAX_PEER_AGE_NS
 #define NO_LIST_PROMOTION_SPREAD_NS INT64_C(500000000)
+/* While peers are heard and none of them has news, most likely the platform is
+ * down for all: the VMs are then promoted over this time for each of them, 14
+ * a second, so that hundreds do not call a platform that is down. */
+#define PROMOTION_SPREAD_PER_VM_NS INT64_C(70000000)
+/* Three heartbeat intervals without one: this VM is cut off from its peers,
+ * and does not wait for them. */
+#define MAX_PEER_SILENCE_NS INT64_C(1500000000)
 #define NO_LIST_MIN_PROMOTED_NS INT64_C(5000000000)
 #define NO_LIST_DEMOTION_SPREAD_NS INT64_C(5000000000)
 #define NO_LIST_MIN_BACKOFF_NS INT64_C(500000000)
@@ -80,6 +87,8 @@
     int64_t idle_interval_ns;
     int64_t latest_fresh_ns; /* latest, from reads of this VM or its peers */
     int64_t local_fresh_ns;  /* from reads of this VM */
+    int64_t peer_heard_ns;   /* last time that a peer reported a freshness */
+    int64_t fleet_spread_ns; /* of promotions while peers are heard */
     int64_t peer_fresher_ns; /* last time that a peer's freshness was later */
     int64_t promotion_start_ns;
     int64_t revision_interval_ns;
@@ -185,6 +194,8 @@
     watch->latest_fresh_ns = now_ns;
     watch->local_fresh_ns = now_ns;
     watch->peer_fresher_ns = now_ns;
+    watch->peer_heard_ns = now_ns;
+    watch->fleet_spread_ns = NO_LIST_PROMOTION_SPREAD_NS;
     return watch;
 }
 
@@ -226,6 +237,9 @@
             entry_vms * RP_WATCH_IDLE_INTERVAL_PER_VM_NS);
     watch->revision_interval_ns =
         MAX(MIN_REVISION_INTERVAL_NS, entry_vms * REVISION_INTERVAL_PER_VM_NS);
+    watch->fleet_spread_ns = MAX(NO_LIST_PROMOTION_SPREAD_NS,
+                                 entry_vms * PROMOTION_SPREAD_PER_VM_NS -
+                                     NO_LIST_PROMOTION_SPREAD_NS);
 }
 
 /* Configures the watch for a platform that has no list of VMs; the caller
@@ -278,6 +292,7 @@
 rp_watch_record_peer_freshness(struct rp_watch *watch, int64_t fresh_ns,
                                int64_t now_ns)
 {
+    watch->peer_heard_ns = now_ns;
     watch->latest_fresh_ns =
         MAX(watch->latest_fresh_ns, MIN(fresh_ns, now_ns));
     if (fresh_ns > watch->local_fresh_ns + MIN_FRESHNESS_LEAD_NS) {
@@ -292,14 +307,21 @@
 {
     watch->latest_fresh_ns += gap_ns;
     watch->local_fresh_ns += gap_ns;
+    watch->peer_heard_ns += gap_ns;
 }
 
 static int64_t
 promotion_due_ns(const struct rp_watch *watch)
 {
     if (watch->no_vm_list) {
-        return watch->latest_fresh_ns + NO_LIST_MAX_FRESHNESS_AGE_NS +
-               (int64_t)(watch->id_hash * (double)NO_LIST_PROMOTION_SPREAD_NS);
+        int64_t stale_ns =
+            watch->latest_fresh_ns + NO_LIST_MAX_FRESHNESS_AGE_NS;
+        int64_t silent_ns =
+            MAX(stale_ns, watch->peer_heard_ns + MAX_PEER_SILENCE_NS);
+        return MIN(stale_ns + (int64_t)(watch->id_hash *
+                                        (double)watch->fleet_spread_ns),
+                   silent_ns + (int64_t)(watch->id_hash *
+                                         (double)NO_LIST_PROMOTION_SPREAD_NS));
     }
     return watch->latest_fresh_ns + RP_WATCH_MAX_FRESHNESS_AGE_NS +
            (int64_t)(watch->id_hash * (double)RP_WATCH_MAX_PROMOTION_DELAY_NS);
--- a/src/peers/gossip_receive.c
+++ b/src/peers/gossip_receive.c
@@ -137,17 +137,17 @@
 }
 
 /* Records when the platform's state was last fresh, if that is later than the
- * recorded time. notify_platform also sends it to the platform task. */
+ * recorded time. notify_platform: it comes from a peer, and the platform task
+ * hears of it in any case, since it also shows that peers are heard. */
 void
 rp_gossip_record_platform(struct rp_gossip *gossip, int64_t fresh_ns,
                           uint64_t revision, bool notify_platform)
 {
-    if (gossip->has_platform && fresh_ns <= gossip->platform_fresh_ns) {
-        return;
+    if (!gossip->has_platform || fresh_ns > gossip->platform_fresh_ns) {
+        gossip->has_platform = true;
+        gossip->platform_fresh_ns = fresh_ns;
+        gossip->platform_revision = MAX(gossip->platform_revision, revision);
     }
-    gossip->has_platform = true;
-    gossip->platform_fresh_ns = fresh_ns;
-    gossip->platform_revision = MAX(gossip->platform_revision, revision);
     if (notify_platform) {
         struct rp_platform_freshness freshness = {fresh_ns, revision};
         rp_task_send(gossip->task,
--- a/tests/test_watch_no_vm_list.cc
+++ b/tests/test_watch_no_vm_list.cc
@@ -271,6 +271,44 @@
     rp_vm_list_unref(list);
 }
 
+// Guards against calls of the whole fleet to a platform that is down for all:
+// VMs that hear their peers, but no news from any of them, are promoted
+// slowly. One that hears nobody is promoted at once.
+TEST(watch_no_vm_list, outage_promotes_few_of_a_large_fleet)
+{
+    struct {
+        int vms;
+        bool peers_heard;
+        int64_t outage_s;
+        double min_promoted; // share of the fleet
+        double max_promoted;
+    } cases[] = {
+        {14, true, 9, 0.6, 1.0},     {98, true, 9, 0.5, 1.0},
+        {472, true, 4, 0.005, 0.03}, {472, true, 9, 0.1, 0.2},
+        {472, false, 5, 0.95, 1.0},
+    };
+    for (const auto &entry : cases) {
+        struct rp_vm_list *list = make_list(entry.vms, 6);
+        int promoted = 0;
+        for (int i = 0; i < entry.vms; i++) {
+            reader each(("vm-" + std::to_string(i)).c_str(), list);
+            int64_t fresh_ns = each.now_ns;
+            each.platform_up = false;
+            while (each.now_ns < fresh_ns + entry.outage_s * SECOND) {
+                each.step(each.now_ns + SECOND / 2);
+                if (entry.peers_heard) {
+                    rp_watch_record_peer_freshness(each.watch, fresh_ns,
+                                                   each.now_ns);
+                }
+            }
+            promoted += rp_watch_role(each.watch) == RP_WATCH_PROMOTED;
+        }
+        EXPECT_GE(promoted, entry.min_promoted * entry.vms) << entry.vms;
+        EXPECT_LE(promoted, entry.max_promoted * entry.vms) << entry.vms;
+        rp_vm_list_unref(list);
+    }
+}
+
 // Guards against a store that is available again but isn't read for long.
 TEST(watch_no_vm_list, first_retries_are_fast)
 {
