Work out what all targets of a decision share once

bench.instructions failed on aarch64 (gcc 12.2, RelWithDebInfo): 10 targets 2,338 instructions a decision, 25: 4,107, 50: 7,084 (bound 6,000), 200: 24,827. Callers saw nothing; the figure in docs/CAPACITY.md came from another machine.

Cause: callgrind shows 84% of the instructions for 50 targets in rp_balancer_choose, 118 a target, and no library call among them. The loop was too branchy for the compiler to keep the constants, the pool's figures and the derived thresholds in registers, so that it loaded them, worked them out and converted the number of requests again for each target.

rp_route_terms now holds what depends on the pool and the time only. A fleet of one decider has a trust of 0 instead of a branch for each target. A rank's cost starts at infinity, and only targets without room are marked, which saves a store and a comparison. The targets are walked in two runs instead of by an index that wraps. rp_route_is_straggler no longer looks at sampled, as a target without an answer has a response time of 0. No operation on floating-point numbers changes, nor their order.

Neither the script nor its bound changes.

--- a/src/balance/balancer_choose.c
+++ b/src/balance/balancer_choose.c
@@ -22,14 +22,15 @@
 struct choice {
     uint32_t target[RANK_COUNT];
     double cost[RANK_COUNT];
-    bool has_target[RANK_COUNT]; /* a target exists, even without room */
+    bool has_full[RANK_COUNT]; /* a target without room exists */
     double slots_total;
     double limit_total;
     double load_total;
 };
 
-/* Limits that are the same for all targets of one choice. */
+/* What is the same for all targets of one choice. */
 struct bounds {
+    struct rp_route_terms route;
     double inverse_deciders;
     bool within_local_share; /* local requests are below the static share */
     bool within_local_long_share; /* local long requests are below theirs */
@@ -101,37 +102,56 @@
 }
 
 static void
-evaluate_target(const struct rp_balancer *balancer, uint32_t index,
-                bool is_long, const struct bounds *bounds, int64_t now_ns,
+evaluate_target(const struct balancer_target *target, uint32_t index,
+                bool is_long, const struct bounds *bounds,
                 struct choice *choice)
 {
-    const struct balancer_target *target = balancer_get(balancer, index);
-    bool ejected = rp_outlier_is_ejected(&target->outlier, now_ns);
-    enum rank rank =
-        ejected ? RANK_EJECTED : bounds->estate_rank[target->estate];
-    double remote =
-        rp_route_remote_in_flight(&target->route, &balancer->pool, now_ns);
-    choice->has_target[rank] = true;
-    if (!ejected) {
+    double remote = rp_route_remote_by_terms(&target->route, &bounds->route);
+    enum rank rank = RANK_EJECTED;
+    if (!rp_outlier_is_ejected(&target->outlier, bounds->route.now_ns)) {
         double load = target->route.in_flight + remote;
+        rank = bounds->estate_rank[target->estate];
         choice->slots_total += target->route.slots;
         choice->limit_total += target->limit.limit;
         choice->load_total += MIN(load, target->route.slots);
     }
     if (!has_room(target, remote, is_long, bounds)) {
+        choice->has_full[rank] = true;
         return;
     }
     double cost =
-        rp_route_cost_ns(&target->route, &balancer->pool, remote, now_ns) +
+        rp_route_cost_by_terms(&target->route, &bounds->route, remote) +
         target->outlier.failure_rate * FAILURE_COST *
-            balancer->pool.response_ns;
-    if (choice->target[rank] == RP_BALANCER_NO_TARGET ||
-        cost < choice->cost[rank]) {
+            bounds->route.response_ns;
+    if (cost < choice->cost[rank]) {
         choice->target[rank] = index;
         choice->cost[rank] = cost;
     }
 }
 
+/* Evaluates each target from the next index of the round robin up to the last,
+ * then those before. */
+static void
+evaluate_targets(const struct rp_balancer *balancer,
+                 const struct rp_balancer_call *call, bool is_long,
+                 const struct bounds *bounds, struct choice *choice)
+{
+    bool skip_avoided = call->avoided_count > 0 && has_untried(balancer, call);
+    uint32_t count = balancer->targets->len;
+    uint32_t index = balancer->next_index < count ? balancer->next_index : 0;
+    uint32_t ends[] = {count, index};
+    for (int part = 0; part < 2; part++) {
+        const struct balancer_target *target = balancer_get(balancer, index);
+        for (; index < ends[part]; index++, target++) {
+            if (is_usable(target) &&
+                !(skip_avoided && balancer_is_avoided(call, index))) {
+                evaluate_target(target, index, is_long, bounds, choice);
+            }
+        }
+        index = 0;
+    }
+}
+
 static uint32_t
 best_target(const struct choice *choice)
 {
@@ -140,11 +160,12 @@
             return choice->target[rank];
         }
     }
-    if (choice->has_target[RANK_IN_SHARE] ||
-        choice->has_target[RANK_OVER_SHARE]) {
+    if (choice->has_full[RANK_IN_SHARE] || choice->has_full[RANK_OVER_SHARE]) {
         return RP_BALANCER_NO_TARGET;
     }
-    if (choice->has_target[RANK_NO_SHARE]) {
+    if (choice->target[RANK_NO_SHARE] != RP_BALANCER_NO_TARGET ||
+        choice->has_full[RANK_NO_SHARE])
+    {
         return choice->target[RANK_NO_SHARE];
     }
     return choice->target[RANK_EJECTED];
@@ -161,8 +182,10 @@
     struct choice choice = {0};
     for (int rank = 0; rank < RANK_COUNT; rank++) {
         choice.target[rank] = RP_BALANCER_NO_TARGET;
+        choice.cost[rank] = INFINITY;
     }
     struct bounds bounds = {
+        .route = rp_route_terms(&balancer->pool, now_ns),
         .inverse_deciders = 1.0 / balancer->pool.deciders,
     };
     bounds.within_local_share =
@@ -177,18 +200,7 @@
     for (uint32_t i = 0; i < balancer->shares.count; i++) {
         bounds.estate_rank[i] = rank_of_estate(balancer, i);
     }
-    uint32_t count = balancer->targets->len;
-    bool skip_avoided = call->avoided_count > 0 && has_untried(balancer, call);
-    uint32_t index = balancer->next_index < count ? balancer->next_index : 0;
-    for (uint32_t i = 0; i < count; i++) {
-        const struct balancer_target *target = balancer_get(balancer, index);
-        if (is_usable(target) &&
-            !(skip_avoided && balancer_is_avoided(call, index))) {
-            evaluate_target(balancer, index, is_long, &bounds, now_ns,
-                            &choice);
-        }
-        index = index + 1 < count ? index + 1 : 0;
-    }
+    evaluate_targets(balancer, call, is_long, &bounds, &choice);
     balancer->slots_total = choice.slots_total;
     balancer->limit_total = choice.limit_total;
     balancer->load_total = choice.load_total;
--- a/src/balance/route.h
+++ b/src/balance/route.h
@@ -65,9 +65,35 @@
     bool sampled;
 };
 
+/* What is the same for all targets of one decision. */
+struct rp_route_terms {
+    int64_t now_ns;
+    double other_deciders; /* entry VMs besides this one that send */
+    double trust;          /* 0 without other deciders */
+    double response_ns;    /* usual response time */
+    double service_ns;     /* the same with its lower bound */
+    double straggler_ns;   /* response time above which a target is one */
+    double overdue_ns;     /* time after which an answer is overdue */
+};
+
 /* The functions below are inline because they run for each target in each
  * decision. */
 
+/* Returns the terms of a decision at now_ns. */
+static inline struct rp_route_terms
+rp_route_terms(const struct rp_route_pool *pool, int64_t now_ns)
+{
+    return (struct rp_route_terms){
+        .now_ns = now_ns,
+        .other_deciders = pool->deciders > 1 ? pool->deciders - 1 : 0,
+        .trust = pool->deciders > 1 ? pool->trust : 0,
+        .response_ns = pool->response_ns,
+        .service_ns = MAX(pool->response_ns, RP_ROUTE_MIN_RESPONSE_NS),
+        .straggler_ns = RP_ROUTE_STRAGGLER_RATIO * pool->response_ns,
+        .overdue_ns = RP_ROUTE_OVERDUE_RATIO * pool->response_ns,
+    };
+}
+
 /* Estimates the requests of other entry VMs at the target. A report loses
  * weight with its age in favour of the target's own average. Decaying to the
  * mean of all targets instead would send ever more calls to a target that has
@@ -75,32 +101,38 @@
  * Without trusted reports, the other entry VMs are assumed to send a fixed
  * share of what this one sends. */
 static inline double
-rp_route_remote_in_flight(const struct rp_route_target *target,
-                          const struct rp_route_pool *pool, int64_t now_ns)
+rp_route_remote_by_terms(const struct rp_route_target *target,
+                         const struct rp_route_terms *terms)
 {
-    if (pool->deciders <= 1) {
-        return 0;
-    }
     double assumed = RP_ROUTE_ASSUMED_REMOTE_RATIO * target->in_flight *
-                     (pool->deciders - 1);
+                     terms->other_deciders;
     if (!target->reported) {
         return assumed;
     }
-    double age = (double)(now_ns - target->report_ns);
-    double weight = pool->response_ns /
-                    (pool->response_ns + RP_ROUTE_REPORT_AGEING * age + 1);
+    double age = (double)(terms->now_ns - target->report_ns);
+    double weight = terms->response_ns /
+                    (terms->response_ns + RP_ROUTE_REPORT_AGEING * age + 1);
     double reported = target->remote_mean +
                       weight * (target->remote_last - target->remote_mean);
-    return assumed + pool->trust * (reported - assumed);
+    return assumed + terms->trust * (reported - assumed);
+}
+
+/* Returns rp_route_remote_by_terms for a single target. */
+static inline double
+rp_route_remote_in_flight(const struct rp_route_target *target,
+                          const struct rp_route_pool *pool, int64_t now_ns)
+{
+    struct rp_route_terms terms = rp_route_terms(pool, now_ns);
+    return rp_route_remote_by_terms(target, &terms);
 }
 
-/* Returns whether the target is slower than noise can explain. */
+/* Returns whether the target is slower than noise can explain. A target
+ * without answers has a response time of 0. */
 static inline bool
 rp_route_is_straggler(const struct rp_route_target *target,
                       const struct rp_route_pool *pool)
 {
-    return target->sampled &&
-           target->response_ns > RP_ROUTE_STRAGGLER_RATIO * pool->response_ns;
+    return target->response_ns > RP_ROUTE_STRAGGLER_RATIO * pool->response_ns;
 }
 
 /* Returns the expected response time of the target: network, wait for a slot,
@@ -110,14 +142,13 @@
  * queue and response time together follows C3 (NSDI 2015) and Prequal (NSDI
  * 2024). */
 static inline double
-rp_route_cost_ns(const struct rp_route_target *target,
-                 const struct rp_route_pool *pool, double remote,
-                 int64_t now_ns)
+rp_route_cost_by_terms(const struct rp_route_target *target,
+                       const struct rp_route_terms *terms, double remote)
 {
-    double service = MAX(pool->response_ns, RP_ROUTE_MIN_RESPONSE_NS);
-    if (rp_route_is_straggler(target, pool) &&
+    double service = terms->service_ns;
+    if (target->response_ns > terms->straggler_ns &&
         (target->in_flight > 0 ||
-         now_ns - target->sample_ns < RP_ROUTE_STRAGGLER_RETRY_NS))
+         terms->now_ns - target->sample_ns < RP_ROUTE_STRAGGLER_RETRY_NS))
     {
         service = target->response_ns;
     }
@@ -128,13 +159,23 @@
     double cost = target->cross_domain_ns +
                   service * (1 + waiting * target->slots_inverse);
     if (target->in_flight > target->long_in_flight) {
-        double overdue = (double)(now_ns - target->pending_since_ns) -
-                         RP_ROUTE_OVERDUE_RATIO * pool->response_ns;
+        double overdue = (double)(terms->now_ns - target->pending_since_ns) -
+                         terms->overdue_ns;
         cost += MAX(overdue, 0);
     }
     return cost;
 }
 
+/* Returns rp_route_cost_by_terms for a single target. */
+static inline double
+rp_route_cost_ns(const struct rp_route_target *target,
+                 const struct rp_route_pool *pool, double remote,
+                 int64_t now_ns)
+{
+    struct rp_route_terms terms = rp_route_terms(pool, now_ns);
+    return rp_route_cost_by_terms(target, &terms, remote);
+}
+
 #ifdef __cplusplus
 extern "C" {
 #endif
