Report a platform that comes back from an older copy

Change: the epoch in the header of the platform's answers is read. When it rises, the event platform_restored names both epochs and the revision up to which records had been read, and platform_restores_total counts it.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -62,5 +62,6 @@
            "Probes sent to targets to measure them")
 RP_COUNTER(PROBES_FAILED, "probes_failed_total", COUNTER,
            "Probes without a whole answer with a status below 500")
+RP_COUNTER(PLATFORM_RESTORES, "platform_restores_total", COUNTER, "Times the platform was seen to come back from an older copy of its data")
 RP_COUNTER(PLATFORM_MALFORMED, "platform_malformed_entries_total", COUNTER, "Entries of the platform's answers left out as malformed")
 RP_COUNTER(TICKET_REPLAYS, "ticket_replays_total", COUNTER, "Answers given again to a repeated ticket")
--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -44,6 +44,7 @@
     bool answer_too_large;
     bool needs_new_connection; /* for the next read */
     bool unreachable;
+    uint64_t epoch;             /* of the platform, 0 until known */
     uint64_t read_revision;     /* all records up to it were read */
     uint64_t latest_revision;   /* greatest known, also from peers */
     uint64_t accepted_revision; /* greatest of the accepted records */
@@ -99,6 +100,58 @@
     return byte_count;
 }
 
+/* Reads the epoch in the header of the current answer. An answer without one
+ * is of the epoch known so far. Returns false with RP_ERROR_PLATFORM set when
+ * the field is not a number. */
+static bool
+read_epoch(const struct rp_platform *platform, uint64_t *epoch, GError **error)
+{
+    const char *name = platform->protocol->epoch_field;
+    struct curl_header *field = NULL;
+    *epoch = platform->epoch;
+    if (name == NULL || curl_easy_header(platform->easy, name, 0, CURLH_HEADER,
+                                         -1, &field) != CURLHE_OK)
+    {
+        return true;
+    }
+    guint64 number;
+    if (!g_ascii_string_to_unsigned(field->value, 10, 1, G_MAXUINT64, &number,
+                                    NULL))
+    {
+        g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
+                    "the platform's epoch '%.40s' is not a number; check the "
+                    "header field %s of its answers",
+                    field->value, name);
+        return false;
+    }
+    *epoch = number;
+    return true;
+}
+
+static void
+record_epoch(struct rp_platform *platform, uint64_t epoch, int64_t now_ns)
+{
+    uint64_t previous = platform->epoch;
+    if (epoch == previous) {
+        return;
+    }
+    platform->epoch = epoch;
+    if (previous == 0) {
+        return;
+    }
+    count(platform, RP_COUNTER_PLATFORM_RESTORES);
+    struct rp_event *event =
+        rp_event_add(platform->context->events, RP_EVENT_PLATFORM_RESTORED,
+                     now_ns, platform->url);
+    event->value = (int64_t)epoch;
+    rp_event_set_detail(
+        event,
+        "the platform came back from an older copy of its "
+        "data: epoch %" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
+        "; records up to revision %" G_GUINT64_FORMAT " had been read",
+        epoch, previous, platform->read_revision);
+}
+
 static void
 start_read(struct rp_platform *platform, enum rp_watch_read read,
            int64_t wait_ms)
@@ -367,7 +420,12 @@
 {
     const char *text = (const char *)platform->answer->data;
     long status = 0;
+    uint64_t epoch;
     curl_easy_getinfo(platform->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (!read_epoch(platform, &epoch, error)) {
+        return false;
+    }
+    record_epoch(platform, epoch, now_ns);
     if (platform->reading == RP_WATCH_READ_REVISION) {
         const struct rp_platform_protocol *protocol = platform->protocol;
         uint64_t revision = protocol->parse_revision(
--- a/src/config/platform_protocol.h
+++ b/src/config/platform_protocol.h
@@ -13,6 +13,10 @@
     void *data;
     /* Path of the list of VMs; NULL when the platform has none. */
     const char *vms_path;
+    /* Name of the answers' header field with the platform's epoch, a number
+     * that rises when the platform comes back from an older copy of its data;
+     * NULL when it has none. */
+    const char *epoch_field;
     /* Returns the path and query of a read of at most limit records with
      * revisions above after. Without any, the platform waits for one up to
      * wait_ms. The caller frees the string. */
