Order records across epochs of the platform

Cause: records carry the store's revision as their version. The restored store gives lower revisions out again.

Change: a revision consists of the platform's epoch and its counter, so that all that orders, joins or passes on revisions, heartbeats and sync requests included, sees them rise. When the epoch rises, the position is abandoned for a listing, and removals wait as after an outage, since the copy lacks what is about to be reported again. Within one epoch nothing changes. Between epochs, records are ordered by the numbers of their writer, the operators' version or the target's start and sequence, so that the copy's older configuration, its draining targets that serve and its targets that had left move nothing back. A removal keeps the position of the target that it retires.

--- a/fuzz/fuzz_gateway.c
+++ b/fuzz/fuzz_gateway.c
@@ -52,8 +52,8 @@
     for (int round = 0; round < 3; round++) {
         struct rp_platform_answer answer;
         g_free(store->records_path(store->data, 1, 0, 1));
-        if (store->parse_answer(store->data, 200, (const char *)bytes, count,
-                                &answer, NULL))
+        if (store->parse_answer(store->data, 200, 0, (const char *)bytes,
+                                count, &answer, NULL))
         {
             rp_record_batch_unref(answer.batch);
             rp_record_batch_unref(answer.removed);
--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -6,6 +6,7 @@
 #include "config_status.h"
 #include "invariant.h"
 #include "readiness.h"
+#include "revision.h"
 #include "snapshot.h"
 #include "status.h"
 #include "target_hint.h"
@@ -184,8 +185,29 @@
                         peer[0] == '\0' ? "the platform" : peer);
 }
 
+/* Returns whether neither the number that the record's writer gave nor the
+ * platform's epoch shows that a record is older than the one before. */
+static bool
+is_newer_in_other_epoch(const struct rp_record_order *current,
+                        const struct rp_record_order *before)
+{
+    const struct rp_record_position *now = &current->position;
+    const struct rp_record_position *then = &before->position;
+    bool is_unknown = (now->started_ms == 0 && now->sequence == 0) ||
+                      (then->started_ms == 0 && then->sequence == 0);
+    bool has_passed = now->started_ms > then->started_ms ||
+                      (now->started_ms == then->started_ms &&
+                       now->sequence > then->sequence);
+    if (current->revision < before->revision) {
+        return has_passed || (current->retired && !before->retired);
+    }
+    return is_unknown || current->retired || has_passed ||
+           (now->sequence == then->sequence && !before->retired);
+}
+
 /* Invariant I7: the version of a key never decreases, nor does its revision
- * within one version, and no key is removed. Does not use
+ * within one version, and no key is removed. Versions that count the changes
+ * of the platform are compared within one of its epochs. Does not use
  * rp_record_order_compare, so that a fault in it is detected. */
 static void
 check_monotonic(struct rp_config_task *config, const char *key,
@@ -197,8 +219,12 @@
     bool found = rp_record_set_find(config->set, key, &current, NULL);
     bool same_version = current.version == before->version &&
                         current.revision >= before->revision;
-    bool is_monotonic = (before->version == 0 || found) &&
-                        (current.version > before->version || same_version) &&
+    bool is_newer =
+        current.epoch_bound &&
+                !rp_revision_same_epoch(current.revision, before->revision)
+            ? is_newer_in_other_epoch(&current, before)
+            : current.version > before->version || same_version;
+    bool is_monotonic = (before->version == 0 || (found && is_newer)) &&
                         rp_record_set_count(config->set) >= keys_before;
     rp_invariant_check(config->context, RP_INVARIANT_CONFIG_MONOTONIC,
                        is_monotonic, now_ns, key);
@@ -592,6 +618,7 @@
 }
 
 struct retirement {
+    const struct rp_record_set *set;
     const struct rp_config_listing *listing;
     struct rp_record_batch *retired;
 };
@@ -607,10 +634,10 @@
     {
         return;
     }
-    char *text = rp_record_format_retired(record, missing->listing->revision);
-    GBytes *value = g_bytes_new_take(text, strlen(text));
-    rp_record_batch_add(missing->retired, record->key,
-                        missing->listing->revision, value);
+    uint64_t revision = missing->listing->revision;
+    GBytes *value =
+        rp_record_set_format_removal(missing->set, record->key, revision);
+    rp_record_batch_add(missing->retired, record->key, revision, value);
     g_bytes_unref(value);
 }
 
@@ -619,7 +646,7 @@
 apply_listing(struct rp_config_task *config,
               const struct rp_config_listing *listing, int64_t now_ns)
 {
-    struct retirement missing = {listing, rp_record_batch_new()};
+    struct retirement missing = {config->set, listing, rp_record_batch_new()};
     rp_record_set_foreach(config->set, retire_missing, &missing);
     if (rp_record_batch_count(missing.retired) > 0) {
         struct rp_config_records records = {.batch = missing.retired};
@@ -628,6 +655,25 @@
     rp_record_batch_unref(missing.retired);
 }
 
+/* Retires the targets that the platform removed. */
+static void
+apply_removals(struct rp_config_task *config,
+               const struct rp_config_records *removals, int64_t now_ns)
+{
+    struct rp_config_records records = {.batch = rp_record_batch_new()};
+    for (uint32_t i = 0; i < rp_record_batch_count(removals->batch); i++) {
+        const struct rp_record_item *item =
+            rp_record_batch_get(removals->batch, i);
+        GBytes *value = rp_record_set_format_removal(config->set, item->key,
+                                                     item->revision);
+        rp_record_batch_add(records.batch, item->key, item->revision,
+                            value == NULL ? item->value : value);
+        g_bytes_unref(value);
+    }
+    apply_records(config, &records, true, now_ns);
+    rp_record_batch_unref(records.batch);
+}
+
 static void
 answer_status(struct rp_config_task *config, const struct rp_message *request)
 {
@@ -648,6 +694,9 @@
     case RP_MSG_PLATFORM_RECORDS:
         apply_records(config, message->body, true, now_ns);
         break;
+    case RP_MSG_PLATFORM_REMOVALS:
+        apply_removals(config, message->body, now_ns);
+        break;
     case RP_MSG_PLATFORM_LISTING:
         apply_listing(config, message->body, now_ns);
         break;
--- a/src/config/config_task.h
+++ b/src/config/config_task.h
@@ -64,6 +64,8 @@
  *
  * RP_MSG_PLATFORM_RECORDS (platform to config): one page of the platform's
  * answer; last is set when the answer reaches the platform's revision.
+ * RP_MSG_PLATFORM_REMOVALS (platform to config): records that retire targets
+ * which the platform removed.
  * RP_MSG_CONFIG_RECORDS (gossip to config): records that a peer sent, as an
  * answer to a sync request or pushed; last is set on the final part of a
  * complete answer and never on pushed records, and part shows whether one was
--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -8,6 +8,7 @@
 #include "member.h"
 #include "platform_answer.h"
 #include "platform_outage.h"
+#include "revision.h"
 #include "watch.h"
 
 #define DEFAULT_TIMEOUT_MS 2000
@@ -44,7 +45,8 @@
     bool answer_too_large;
     bool needs_new_connection; /* for the next read */
     bool unreachable;
-    uint64_t epoch;             /* of the platform, 0 until known */
+    uint64_t seen_epoch;        /* of the latest answer; 0 until known */
+    uint64_t read_epoch;        /* of the records read; 0 until known */
     uint64_t read_revision;     /* all records up to it were read */
     uint64_t latest_revision;   /* greatest known, also from peers */
     uint64_t accepted_revision; /* greatest of the accepted records */
@@ -63,6 +65,7 @@
 struct delayed_message {
     int64_t due_ns;
     struct rp_record_batch *batch; /* NULL for a listing */
+    enum rp_message_kind kind;     /* of a batch */
     bool reaches_revision; /* the batch is the last page of an answer */
     GHashTable *listed_keys;
     uint64_t revision;
@@ -100,58 +103,6 @@
     return byte_count;
 }
 
-/* Reads the epoch in the header of the current answer. An answer without one
- * is of the epoch known so far. Returns false with RP_ERROR_PLATFORM set when
- * the field is not a number. */
-static bool
-read_epoch(const struct rp_platform *platform, uint64_t *epoch, GError **error)
-{
-    const char *name = platform->protocol->epoch_field;
-    struct curl_header *field = NULL;
-    *epoch = platform->epoch;
-    if (name == NULL || curl_easy_header(platform->easy, name, 0, CURLH_HEADER,
-                                         -1, &field) != CURLHE_OK)
-    {
-        return true;
-    }
-    guint64 number;
-    if (!g_ascii_string_to_unsigned(field->value, 10, 1, G_MAXUINT64, &number,
-                                    NULL))
-    {
-        g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
-                    "the platform's epoch '%.40s' is not a number; check the "
-                    "header field %s of its answers",
-                    field->value, name);
-        return false;
-    }
-    *epoch = number;
-    return true;
-}
-
-static void
-record_epoch(struct rp_platform *platform, uint64_t epoch, int64_t now_ns)
-{
-    uint64_t previous = platform->epoch;
-    if (epoch == previous) {
-        return;
-    }
-    platform->epoch = epoch;
-    if (previous == 0) {
-        return;
-    }
-    count(platform, RP_COUNTER_PLATFORM_RESTORES);
-    struct rp_event *event =
-        rp_event_add(platform->context->events, RP_EVENT_PLATFORM_RESTORED,
-                     now_ns, platform->url);
-    event->value = (int64_t)epoch;
-    rp_event_set_detail(
-        event,
-        "the platform came back from an older copy of its "
-        "data: epoch %" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
-        "; records up to revision %" G_GUINT64_FORMAT " had been read",
-        epoch, previous, platform->read_revision);
-}
-
 static void
 start_read(struct rp_platform *platform, enum rp_watch_read read,
            int64_t wait_ms)
@@ -166,8 +117,9 @@
         path = g_strdup(protocol->revision_path);
         break;
     default:
-        path = protocol->records_path(protocol->data, platform->read_revision,
-                                      wait_ms, platform->current_page_size);
+        path = protocol->records_path(
+            protocol->data, rp_revision_counter(platform->read_revision),
+            wait_ms, platform->current_page_size);
         break;
     }
     char *url = g_strconcat(platform->url, path, NULL);
@@ -261,7 +213,7 @@
     struct rp_task *config =
         rp_kernel_find_task(rp_task_kernel(platform->task), "config");
     if (message->batch != NULL) {
-        rp_config_records_send(platform->task, config, RP_MSG_PLATFORM_RECORDS,
+        rp_config_records_send(platform->task, config, message->kind,
                                message->batch, "", 0,
                                message->reaches_revision);
         return;
@@ -369,6 +321,7 @@
             : now_ns + rp_watch_spread_delay_ns(platform->watch);
     struct delayed_message message = {
         .due_ns = spread_due_ns,
+        .kind = RP_MSG_PLATFORM_RECORDS,
         .batch = rp_record_batch_ref(answer->batch),
         .reaches_revision = !answer->has_more,
     };
@@ -382,6 +335,7 @@
             rp_platform_outage_removal_due_ns(&platform->outage, now_ns);
         struct delayed_message removed = {
             .due_ns = MAX(spread_due_ns, removal_due_ns),
+            .kind = RP_MSG_PLATFORM_REMOVALS,
             .batch = rp_record_batch_ref(answer->removed),
         };
         delay_message(platform, &removed, now_ns);
@@ -414,44 +368,135 @@
                             rp_vm_list_message_release);
 }
 
+/* Reads the epoch in the header of the current answer. An answer without one
+ * is of the latest known epoch. Returns false with RP_ERROR_PLATFORM set when
+ * the field is not an epoch. */
+static bool
+read_epoch(const struct rp_platform *platform, uint64_t *epoch, GError **error)
+{
+    const char *name = platform->protocol->epoch_field;
+    struct curl_header *field = NULL;
+    *epoch = platform->seen_epoch;
+    if (name == NULL || curl_easy_header(platform->easy, name, 0, CURLH_HEADER,
+                                         -1, &field) != CURLHE_OK)
+    {
+        return true;
+    }
+    guint64 number;
+    if (!g_ascii_string_to_unsigned(field->value, 10, 1, RP_REVISION_MAX_EPOCH,
+                                    &number, NULL))
+    {
+        g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
+                    "the platform's epoch '%.40s' is not a number from 1 to "
+                    "%" G_GUINT64_FORMAT "; check the field %s of its answers",
+                    field->value, RP_REVISION_MAX_EPOCH, name);
+        return false;
+    }
+    *epoch = number;
+    return true;
+}
+
+static void
+report_epoch(struct rp_platform *platform, uint64_t epoch, int64_t now_ns)
+{
+    uint64_t previous = platform->seen_epoch;
+    platform->seen_epoch = MAX(epoch, previous);
+    if (epoch <= previous || previous == 0) {
+        return;
+    }
+    count(platform, RP_COUNTER_PLATFORM_RESTORES);
+    struct rp_event *event =
+        rp_event_add(platform->context->events, RP_EVENT_PLATFORM_RESTORED,
+                     now_ns, platform->url);
+    event->value = (int64_t)epoch;
+    rp_event_set_detail(
+        event,
+        "the platform came back from an older copy of its "
+        "data: epoch %" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
+        "; records up to revision %" G_GUINT64_FORMAT " had been read",
+        epoch, previous, rp_revision_counter(platform->read_revision));
+}
+
+/* Abandons the position in the records of an earlier epoch: all records are
+ * listed again. */
+static void
+restart_in_epoch(struct rp_platform *platform, uint64_t epoch, int64_t now_ns)
+{
+    platform->read_epoch = epoch;
+    rp_platform_outage_record_restore(&platform->outage, now_ns);
+    platform->protocol->restart_listing(platform->protocol->data);
+    g_clear_pointer(&platform->listed_keys, g_hash_table_unref);
+}
+
+static bool
+process_vms(struct rp_platform *platform, long status, int64_t now_ns,
+            GError **error)
+{
+    if (status != 200) {
+        g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
+                    "%s answered with status %ld; check the platform",
+                    platform->url, status);
+        return false;
+    }
+    struct rp_vm_list *list = rp_vm_list_parse(
+        (const char *)platform->answer->data, platform->answer->len, error);
+    if (list == NULL) {
+        return false;
+    }
+    handle_vm_list(platform, list, now_ns);
+    rp_vm_list_unref(list);
+    return true;
+}
+
+static void
+process_revision(struct rp_platform *platform, long status, uint64_t epoch)
+{
+    const struct rp_platform_protocol *protocol = platform->protocol;
+    uint64_t counter = protocol->parse_revision(
+        protocol->data, (uint32_t)status, (const char *)platform->answer->data,
+        platform->answer->len);
+    if (counter > 0) {
+        platform->latest_revision =
+            MAX(platform->latest_revision, rp_revision_make(epoch, counter));
+    }
+}
+
 static bool
 process_answer(struct rp_platform *platform, bool *fresh, bool *has_more,
                int64_t now_ns, GError **error)
 {
-    const char *text = (const char *)platform->answer->data;
     long status = 0;
     uint64_t epoch;
     curl_easy_getinfo(platform->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (platform->reading == RP_WATCH_READ_VMS) {
+        return process_vms(platform, status, now_ns, error);
+    }
     if (!read_epoch(platform, &epoch, error)) {
         return false;
     }
-    record_epoch(platform, epoch, now_ns);
+    report_epoch(platform, epoch, now_ns);
     if (platform->reading == RP_WATCH_READ_REVISION) {
-        const struct rp_platform_protocol *protocol = platform->protocol;
-        uint64_t revision = protocol->parse_revision(
-            protocol->data, (uint32_t)status, text, platform->answer->len);
-        platform->latest_revision = MAX(platform->latest_revision, revision);
+        process_revision(platform, status, epoch);
         return true;
     }
-    if (platform->reading == RP_WATCH_READ_VMS) {
-        if (status != 200) {
-            g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
-                        "%s answered with status %ld; check the platform",
-                        platform->url, status);
-            return false;
-        }
-        struct rp_vm_list *list =
-            rp_vm_list_parse(text, platform->answer->len, error);
-        if (list == NULL) {
-            return false;
-        }
-        handle_vm_list(platform, list, now_ns);
-        rp_vm_list_unref(list);
+    if (epoch < platform->read_epoch) {
+        g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
+                    "the platform answered with epoch %" G_GUINT64_FORMAT
+                    " after %" G_GUINT64_FORMAT
+                    "; direct all reads to the restored platform",
+                    epoch, platform->read_epoch);
+        return false;
+    }
+    if (platform->read_epoch > 0 && epoch > platform->read_epoch) {
+        restart_in_epoch(platform, epoch, now_ns);
+        *has_more = true;
         return true;
     }
+    platform->read_epoch = epoch;
     struct rp_platform_answer answer;
     const struct rp_platform_protocol *protocol = platform->protocol;
-    if (!protocol->parse_answer(protocol->data, (uint32_t)status, text,
+    if (!protocol->parse_answer(protocol->data, (uint32_t)status, epoch,
+                                (const char *)platform->answer->data,
                                 platform->answer->len, &answer, error))
     {
         return false;
@@ -579,6 +624,7 @@
         return;
     }
     platform->read_revision = revision;
+    platform->read_epoch = rp_revision_epoch(revision);
     rp_watch_record_peer_records(platform->watch, now_ns);
 }
 
--- a/src/config/platform_protocol.c
+++ b/src/config/platform_protocol.c
@@ -12,10 +12,12 @@
 }
 
 static bool
-take_answer(void *data, uint32_t status, const char *text, size_t text_bytes,
-            struct rp_platform_answer *answer, GError **error)
+take_answer(void *data, uint32_t status, uint64_t epoch, const char *text,
+            size_t text_bytes, struct rp_platform_answer *answer,
+            GError **error)
 {
     (void)data;
+    (void)epoch; /* this protocol has none */
     if (status != 200) {
         g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
                     "the platform answered with status %u; check the platform",
--- a/src/config/platform_protocol.h
+++ b/src/config/platform_protocol.h
@@ -18,10 +18,13 @@
      * NULL when it has none. */
     const char *epoch_field;
     /* Returns the path and query of a read of at most limit records with
-     * revisions above after. Without any, the platform waits for one up to
-     * wait_ms. The caller frees the string. */
+     * revision counters above after. Without any, the platform waits for one
+     * up to wait_ms. The caller frees the string. */
     char *(*records_path)(void *data, uint64_t after, int64_t wait_ms,
                           uint32_t limit);
+    /* Makes the next read the first one of a new listing. NULL when the
+     * platform has no epochs. */
+    void (*restart_listing)(void *data);
     /* Makes the next read return changes after its revision although nothing
      * was listed: peers have sent the records up to there. Returns false while
      * a listing has begun. NULL when the platform needs no listing. */
@@ -29,14 +32,16 @@
     /* Path of a cheap read that returns only the revision, which may lag; NULL
      * when the platform has none, and always when it has a list of VMs. */
     const char *revision_path;
-    /* Returns the revision in the answer to revision_path, 0 for none. */
+    /* Returns the revision counter in the answer to revision_path, 0 for
+     * none. */
     uint64_t (*parse_revision)(void *data, uint32_t status, const char *text,
                                size_t text_bytes);
-    /* Parses the answer to records_path. Returns false with an error set when
-     * the read failed or the answer is malformed. */
-    bool (*parse_answer)(void *data, uint32_t status, const char *text,
-                         size_t text_bytes, struct rp_platform_answer *answer,
-                         GError **error);
+    /* Parses the answer to records_path, whose revisions are of an epoch.
+     * Returns false with an error set when the read failed or the answer is
+     * malformed. */
+    bool (*parse_answer)(void *data, uint32_t status, uint64_t epoch,
+                         const char *text, size_t text_bytes,
+                         struct rp_platform_answer *answer, GError **error);
 };
 
 #ifdef __cplusplus
--- a/src/config/record.c
+++ b/src/config/record.c
@@ -11,6 +11,8 @@
 #define MAX_SLOTS 1024
 #define MAX_CONNECTIONS 10000
 #define MAX_VERSION INT64_C(1000000000000)
+/* Greatest integer that all JSON libraries preserve. */
+#define MAX_POSITION INT64_C(9007199254740991)
 #define MAX_WEIGHT 1000000
 #define MAX_ATTEMPTS 100
 #define MAX_RANK 1000
@@ -32,15 +34,18 @@
     return kind_names[kind];
 }
 
-/* Returns the text of a record that retires a target of schema 3. The caller
- * frees it with g_free. */
+/* Returns the text of a record that retires a target of schema 3, with the
+ * position of the record that it replaces. The caller frees it with g_free. */
 char *
 rp_record_format_retired(const struct rp_record *target, uint64_t version)
 {
-    return g_strdup_printf("{\"schema\":3,\"kind\":\"target\","
-                           "\"version\":%" G_GUINT64_FORMAT
-                           ",\"name\":\"%s\",\"retired\":true}",
-                           version, target->targets[0].name);
+    return g_strdup_printf(
+        "{\"schema\":3,\"kind\":\"target\","
+        "\"version\":%" G_GUINT64_FORMAT
+        ",\"name\":\"%s\",\"started_ms\":%" G_GINT64_FORMAT
+        ",\"sequence\":%" G_GINT64_FORMAT ",\"retired\":true}",
+        version, target->targets[0].name, target->position.started_ms,
+        target->position.sequence);
 }
 
 static void
@@ -524,6 +529,8 @@
         {"version", rp_read_ignore, 0, 0, 0, 0, false},
         {"kind", rp_read_ignore, 0, 0, 0, 0, false},
         {"service", rp_read_ignore, 0, 0, 0, 0, false},
+        {"started_ms", rp_read_ignore, 0, 0, 0, 0, false},
+        {"sequence", rp_read_ignore, 0, 0, 0, 0, false},
         {"retired", rp_read_ignore, 0, 0, 0, 0, false},
         {"comment", rp_read_ignore, 0, 0, 0, 0, false},
     };
@@ -624,6 +631,8 @@
 static const struct rp_field routes_fields[] = {
     COMMON_FIELDS,
     {"kind", rp_read_ignore, 0, 0, 0, 0, true},
+    {"sequence", rp_read_integer, RECORD(position.sequence), 0, MAX_POSITION,
+     0, false},
     {"limits", read_limits, RECORD(limits), 0, 0, 0, false},
     {"services", read_pools, 0, 0, 0, 0, true},
     {"routes", read_routes, 0, 0, 0, 0, true},
@@ -641,6 +650,10 @@
     {"slots", rp_read_ignore, 0, 0, 0, 0, false},
     {"cold_ms", rp_read_ignore, 0, 0, 0, 0, false},
     {"state", rp_read_ignore, 0, 0, 0, 0, false},
+    {"started_ms", rp_read_integer, RECORD(position.started_ms), 0,
+     MAX_POSITION, 0, false},
+    {"sequence", rp_read_integer, RECORD(position.sequence), 0, MAX_POSITION,
+     0, false},
 };
 
 static const struct {
--- a/src/config/record.h
+++ b/src/config/record.h
@@ -102,6 +102,15 @@
     int64_t idle_ms;
 };
 
+/* Position of a record of schema 3 among those of its writer, which numbers
+ * them itself: the platform's revisions do not order what it published before
+ * and after it came back from an older copy. Both are 0 when unknown. */
+struct rp_record_position {
+    int64_t started_ms; /* start of a target, in Unix time; 0 for routes */
+    int64_t sequence;   /* counts from each start; of routes, the operators'
+                         * version */
+};
+
 /* One published record that has passed all checks. Fields that its kind does
  * not have are empty. */
 struct rp_record {
@@ -110,6 +119,7 @@
     char *service;
     char *estate;
     int64_t version;
+    struct rp_record_position position;
     bool retired;
     struct rp_record_service settings;
     struct rp_record_target *targets;
--- a/src/config/record_set.c
+++ b/src/config/record_set.c
@@ -5,6 +5,7 @@
 
 #include "error.h"
 #include "record_set_internal.h"
+#include "revision.h"
 
 static gint
 compare_keys(gconstpointer a, gconstpointer b, gpointer data)
@@ -49,13 +50,58 @@
     return XXH3_64bits(data, bytes);
 }
 
-/* Compares two values of one key: by version, then by platform revision, then
- * by content. The content decides only when peers have received different
- * values with the same revision. Returns -1, 0 or 1. */
+static bool
+is_position_known(const struct rp_record_position *position)
+{
+    return position->started_ms > 0 || position->sequence > 0;
+}
+
+static int
+compare_positions(const struct rp_record_position *a,
+                  const struct rp_record_position *b)
+{
+    if (a->started_ms != b->started_ms) {
+        return a->started_ms < b->started_ms ? -1 : 1;
+    }
+    if (a->sequence != b->sequence) {
+        return a->sequence < b->sequence ? -1 : 1;
+    }
+    return 0;
+}
+
+/* Returns whether a value of a later epoch of the platform replaces one of an
+ * earlier epoch. The copy from which the platform came back may be older than
+ * the earlier value, which the positions show: the later value then has a
+ * lower one, or the same one although the target was removed after it. */
+static bool
+replaces_earlier_epoch(const struct rp_record_order *later,
+                       const struct rp_record_order *earlier)
+{
+    if (later->retired || !is_position_known(&later->position) ||
+        !is_position_known(&earlier->position))
+    {
+        return true;
+    }
+    int order = compare_positions(&later->position, &earlier->position);
+    return order > 0 || (order == 0 && !earlier->retired);
+}
+
+/* Compares two values of one key. Values of one epoch of the platform, and
+ * those whose versions the operators number, are ordered by version, then by
+ * platform revision, then by content; the content decides only when peers have
+ * received different values with the same revision. Values of two epochs are
+ * ordered by their writer's numbers where these are known, else by epoch.
+ * Returns -1, 0 or 1. */
 int
 rp_record_order_compare(const struct rp_record_order *a,
                         const struct rp_record_order *b)
 {
+    if (a->epoch_bound && !rp_revision_same_epoch(a->revision, b->revision)) {
+        if (a->revision > b->revision) {
+            return replaces_earlier_epoch(a, b) ? 1 : -1;
+        }
+        return replaces_earlier_epoch(b, a) ? -1 : 1;
+    }
     if (a->version != b->version) {
         return a->version < b->version ? -1 : 1;
     }
@@ -163,6 +209,25 @@
     return RP_RECORD_RENEWED;
 }
 
+static void
+set_order(struct rp_record_order *order, const struct rp_record *record)
+{
+    order->version = record->version;
+    order->epoch_bound =
+        record->kind == RP_RECORD_ROUTES || record->kind == RP_RECORD_TARGET;
+    order->retired = record->retired;
+    order->position = record->position;
+}
+
+static bool
+is_same_version(const struct rp_record_order *a,
+                const struct rp_record_order *b)
+{
+    return a->version == b->version &&
+           (!a->epoch_bound ||
+            rp_revision_same_epoch(a->revision, b->revision));
+}
+
 /* Offers a published value to the set. It is accepted as a whole or not at
  * all; a refused or older value leaves the record in force unchanged. result,
  * when not NULL, receives the verdict and what it was based on. Returns
@@ -184,7 +249,7 @@
     if (previous != NULL) {
         out->previous = previous->order;
         if (previous->order.content == out->offered.content) {
-            out->offered.version = previous->order.version;
+            set_order(&out->offered, previous->record);
             out->retired = previous->record->retired;
             out->verdict = raise_revision(set, previous, item->revision);
             return out->verdict;
@@ -197,10 +262,10 @@
     if (record == NULL) {
         return out->verdict;
     }
-    out->offered.version = record->version;
+    set_order(&out->offered, record);
     out->retired = record->retired;
     out->conflict =
-        previous != NULL && previous->order.version == record->version;
+        previous != NULL && is_same_version(&previous->order, &out->offered);
     if (previous != NULL &&
         rp_record_order_compare(&out->offered, &previous->order) < 0)
     {
@@ -217,6 +282,23 @@
     return out->verdict;
 }
 
+/* Returns the value that retires a target which the platform removed at a
+ * revision. It has the position of the record in force, so that an older copy
+ * of the platform does not bring the target back. The caller unrefs it. NULL
+ * when the set has no target of that key. */
+GBytes *
+rp_record_set_format_removal(const struct rp_record_set *set, const char *key,
+                             uint64_t revision)
+{
+    const struct record_entry *entry = g_tree_lookup(set->entries, key);
+    if (entry == NULL || entry->record->kind != RP_RECORD_TARGET) {
+        return NULL;
+    }
+    char *text =
+        rp_record_format_retired(entry->record, rp_revision_counter(revision));
+    return g_bytes_new_take(text, strlen(text));
+}
+
 /* Returns whether the set has a key. order and retired, when not NULL, receive
  * the record's order and whether it is retired. */
 bool
--- a/src/config/record_set.h
+++ b/src/config/record_set.h
@@ -29,11 +29,16 @@
     RP_RECORD_REFUSED,  /* invalid, or the set is full */
 };
 
-/* Position of a value in the join order of its key. */
+/* What orders the values of one key, see rp_record_order_compare. */
 struct rp_record_order {
     int64_t version;
-    uint64_t revision; /* of the platform */
+    uint64_t revision; /* of the platform, see revision.h */
     uint64_t content;  /* digest of the value */
+    /* The version is the platform's counter of changes (schema 3) and says
+     * nothing about values of another epoch. */
+    bool epoch_bound;
+    bool retired;
+    struct rp_record_position position;
 };
 
 struct rp_record_offer_result {
@@ -73,6 +78,8 @@
 GPtrArray *rp_record_set_export(const struct rp_record_set *set,
                                 const uint64_t *peer_buckets,
                                 uint32_t batch_bytes);
+GBytes *rp_record_set_format_removal(const struct rp_record_set *set,
+                                     const char *key, uint64_t revision);
 struct rp_snapshot *rp_record_set_build(const struct rp_record_set *set,
                                         GHashTable *leaving_addresses,
                                         GPtrArray *warnings);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -7,6 +7,7 @@
 
 #include "gateway.h"
 #include "record.h"
+#include "revision.h"
 #include "time_text.h"
 
 namespace {
@@ -57,6 +58,15 @@
         {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","slots":6,
             "state":"draining"})",
          "draining"},
+        {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","slots":6,
+            "state":"ready","sequence":4,"born":1787853833045})",
+         "serving"},
+        {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","slots":6,
+            "state":"ready","sequence":4,"born":"1787853833045"})",
+         "retired"},
+        {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","slots":6,
+            "state":"ready","sequence":-4,"born":1787853833045})",
+         "retired"},
         {R"({"service":"a1","address":"10.0.0.1:80","zone":"z","slots":6,
             "state":"asleep"})",
          "retired"},
@@ -92,6 +102,50 @@
     }
 }
 
+// Guards against positions that are compared although the start from which the
+// target counts is not known, and against versions read as another number.
+TEST(gateway, translates_positions)
+{
+    struct {
+        const char *born; // of a target, or NULL for a configuration
+        const char *number;
+        int64_t started_ms;
+        int64_t sequence;
+    } cases[] = {
+        {R"("born":1787853833045,)", R"("sequence":25)", 1787853833045, 25},
+        {R"("born":1787853833045,)", R"("sequence":0)", 1787853833045, 0},
+        {"", R"("sequence":25)", 0, 0},
+        {nullptr, R"("version":"r12")", 0, 12},
+        {nullptr, R"("version":"12")", 0, 0},
+        {nullptr, R"("version":"r12x")", 0, 0},
+        {nullptr, R"("version":12)", 0, 0},
+    };
+    for (const auto &entry : cases) {
+        bool is_target = entry.born != nullptr;
+        std::string value =
+            is_target
+                ? std::string("{") + entry.born +
+                      R"("service":"a1","address":"10.0.0.1:80","zone":"z",)"
+                      R"("slots":6,"state":"ready",)" +
+                      entry.number + "}"
+                : std::string(R"({"listeners":[],"clusters":[],)") +
+                      entry.number + "}";
+        std::string text = copy_and_free(
+            is_target ? rp_gateway_target_record("i-1", value.c_str(),
+                                                 value.size(), 41)
+                      : rp_gateway_routes_record(value.c_str(), value.size(),
+                                                 41, nullptr));
+        struct rp_record *record =
+            rp_record_parse(is_target ? "target/i-1" : "routes", text.c_str(),
+                            text.size(), nullptr, nullptr);
+        ASSERT_NE(record, nullptr) << text;
+        EXPECT_FALSE(record->retired) << text;
+        EXPECT_EQ(record->position.started_ms, entry.started_ms) << text;
+        EXPECT_EQ(record->position.sequence, entry.sequence) << text;
+        rp_record_free(record);
+    }
+}
+
 // Guards against a route with the wrong service, kind or timeout.
 TEST(gateway, translates_a_configuration)
 {
@@ -227,7 +281,7 @@
         g_free(path);
         struct rp_platform_answer answer;
         GError *error = nullptr;
-        ASSERT_EQ(store->parse_answer(store->data, step.status,
+        ASSERT_EQ(store->parse_answer(store->data, step.status, 0,
                                       step.body.c_str(), step.body.size(),
                                       &answer, &error),
                   step.accepted)
@@ -285,7 +339,7 @@
         if (began) {
             struct rp_platform_answer answer;
             g_free(store->records_path(store->data, 0, 0, 10));
-            ASSERT_TRUE(store->parse_answer(store->data, 200, page.c_str(),
+            ASSERT_TRUE(store->parse_answer(store->data, 200, 0, page.c_str(),
                                             page.size(), &answer, nullptr));
             rp_record_batch_unref(answer.batch);
         }
@@ -362,6 +416,41 @@
     });
 }
 
+// Guards against revisions of two epochs that are compared as if they were of
+// one, and against a listing that goes on in the middle of another epoch.
+TEST(gateway, revisions_are_of_an_epoch)
+{
+    struct rp_platform_protocol *store = rp_gateway_store_new();
+    std::string page = R"({"items":[)" +
+                       item("servers/i-1", 3, target("ready")) +
+                       R"(],"morePages":true,"storeRevision":50})";
+    std::string too_large = R"({"items":[],"storeRevision":1099511627776})";
+    struct {
+        uint64_t epoch;
+        const std::string &body;
+        bool accepted;
+    } cases[] = {{1, page, true}, {2, page, true}, {2, too_large, false}};
+    for (const auto &entry : cases) {
+        store->restart_listing(store->data);
+        char *path = store->records_path(store->data, 50, 700, 10);
+        EXPECT_STREQ(path, first_page_path);
+        g_free(path);
+        struct rp_platform_answer answer;
+        ASSERT_EQ(store->parse_answer(store->data, 200, entry.epoch,
+                                      entry.body.c_str(), entry.body.size(),
+                                      &answer, nullptr),
+                  entry.accepted);
+        if (!entry.accepted) {
+            continue;
+        }
+        EXPECT_EQ(answer.revision, rp_revision_make(entry.epoch, 50));
+        EXPECT_EQ(rp_record_batch_get(answer.batch, 0)->revision,
+                  rp_revision_make(entry.epoch, 3));
+        rp_record_batch_unref(answer.batch);
+    }
+    rp_gateway_store_free(store);
+}
+
 // Guards against taking a refusal or invalid data for an empty store.
 TEST(gateway, refusal_is_not_an_empty_store)
 {
