Read a restored platform of the native protocol again

Change: the platform may send its epoch with the records (Platform-Epoch); all records are then read again. The stand-in of the platform sends it and can go back to an earlier revision (PUT /operator/restore).

--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -424,7 +424,10 @@
 {
     platform->read_epoch = epoch;
     rp_platform_outage_record_restore(&platform->outage, now_ns);
-    platform->protocol->restart_listing(platform->protocol->data);
+    if (platform->protocol->restart_listing != NULL) {
+        platform->protocol->restart_listing(platform->protocol->data);
+    }
+    platform->read_revision = 0;
     g_clear_pointer(&platform->listed_keys, g_hash_table_unref);
 }
 
@@ -492,7 +495,6 @@
         *has_more = true;
         return true;
     }
-    platform->read_epoch = epoch;
     struct rp_platform_answer answer;
     const struct rp_platform_protocol *protocol = platform->protocol;
     if (!protocol->parse_answer(protocol->data, (uint32_t)status, epoch,
@@ -501,6 +503,7 @@
     {
         return false;
     }
+    platform->read_epoch = epoch;
     process_records(platform, &answer, fresh, now_ns);
     *has_more = answer.has_more;
     rp_record_batch_unref(answer.batch);
@@ -617,7 +620,7 @@
 {
     const struct rp_platform_protocol *protocol = platform->protocol;
     if (protocol->skip_listing == NULL || revision == 0 ||
-        platform->read_revision > 0 ||
+        platform->read_revision > 0 || platform->read_epoch > 0 ||
         platform->reading != RP_WATCH_READ_NONE ||
         !protocol->skip_listing(protocol->data))
     {
--- a/src/config/platform_answer.h
+++ b/src/config/platform_answer.h
@@ -28,6 +28,7 @@
 #endif
 
 bool rp_platform_answer_parse(const char *text, size_t text_bytes,
+                              uint64_t epoch,
                               struct rp_platform_answer *answer,
                               GError **error);
 
--- a/src/config/platform_protocol.c
+++ b/src/config/platform_protocol.c
@@ -17,19 +17,19 @@
             GError **error)
 {
     (void)data;
-    (void)epoch; /* this protocol has none */
     if (status != 200) {
         g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
                     "the platform answered with status %u; check the platform",
                     status);
         return false;
     }
-    return rp_platform_answer_parse(text, text_bytes, answer, error);
+    return rp_platform_answer_parse(text, text_bytes, epoch, answer, error);
 }
 
 /* The project's native protocol, see docs/interfaces.md. */
 const struct rp_platform_protocol rp_platform_protocol_native = {
     .vms_path = "/vms",
+    .epoch_field = "Platform-Epoch",
     .records_path = records_path,
     .parse_answer = take_answer,
 };
--- a/src/config/platform_protocol.h
+++ b/src/config/platform_protocol.h
@@ -22,8 +22,8 @@
      * up to wait_ms. The caller frees the string. */
     char *(*records_path)(void *data, uint64_t after, int64_t wait_ms,
                           uint32_t limit);
-    /* Makes the next read the first one of a new listing. NULL when the
-     * platform has no epochs. */
+    /* Makes the next read the first one of a new listing. NULL when a read
+     * after revision 0 is one. */
     void (*restart_listing)(void *data);
     /* Makes the next read return changes after its revision although nothing
      * was listed: peers have sent the records up to there. Returns false while
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -58,7 +58,8 @@
         "readers. Operators use PUT /operator/records/KEY (the value), PUT "
         "/operator/vms (an array), PUT /operator/mode ({\"mode\": \"normal\", "
         "\"stale\", \"down\", \"slow\", \"error\" or \"garbage\", with "
-        "\"revision\", \"delay_ms\" and \"reader\" as needed) and GET "
+        "\"revision\", \"delay_ms\" and \"reader\" as needed), PUT "
+        "/operator/restore ({\"revision\": N}: go back to revision N) and GET "
         "/operator/counts. A reader's name is the last word of its "
         "User-Agent.",
         NULL,
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -64,13 +64,20 @@
     bool too_large;
 };
 
-static enum MHD_Result
-answer_text(struct MHD_Connection *connection, unsigned status,
-            const char *text)
+static struct MHD_Response *
+create_response(const char *text)
 {
     struct MHD_Response *response = MHD_create_response_from_buffer(
         strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(response, "Content-Type", "application/json");
+    return response;
+}
+
+static enum MHD_Result
+answer_text(struct MHD_Connection *connection, unsigned status,
+            const char *text)
+{
+    struct MHD_Response *response = create_response(text);
     enum MHD_Result result = MHD_queue_response(connection, status, response);
     MHD_destroy_response(response);
     return result;
@@ -86,6 +93,23 @@
     return result;
 }
 
+static enum MHD_Result
+answer_in_epoch(struct MHD_Connection *connection, json_t *document,
+                uint64_t epoch)
+{
+    char *text = json_dumps(document, JSON_COMPACT);
+    char number[21];
+    json_decref(document);
+    struct MHD_Response *response = create_response(text);
+    free(text);
+    g_snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT, epoch);
+    MHD_add_response_header(response, "Platform-Epoch", number);
+    enum MHD_Result result =
+        MHD_queue_response(connection, MHD_HTTP_OK, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
 /* Returns the name of a reader, which is the last word of its User-Agent, or
  * an empty string. */
 static const char *
@@ -223,9 +247,10 @@
             server->store, after, (uint32_t)CLAMP(limit, 1, MAX_PAGE_RECORDS),
             stale ? mode.revision : UINT64_MAX);
     }
+    uint64_t epoch = platform_store_epoch(server->store);
     g_mutex_unlock(&server->lock);
     return faulty ? answer_faulty(connection, &mode)
-                  : answer_json(connection, document);
+                  : answer_in_epoch(connection, document, epoch);
 }
 
 static void
@@ -306,9 +331,18 @@
     return true;
 }
 
+static bool
+restore(struct platform_server *server, const json_t *document)
+{
+    const json_t *revision = json_object_get(document, "revision");
+    return json_is_integer(revision) && json_integer_value(revision) >= 0 &&
+           platform_store_restore(server->store,
+                                  (uint64_t)json_integer_value(revision));
+}
+
 /* Handles PUT below /operator/: publishes a record, replaces the list of VMs,
- * or sets the mode of answers. Returns the revision (at least 1), or 0 when
- * the request is invalid. */
+ * sets the mode of answers, or goes back to an earlier revision. Returns the
+ * revision (at least 1), or 0 when the request is invalid. */
 static uint64_t
 apply_operator_request(struct platform_server *server, const char *path,
                        const char *body, size_t body_bytes)
@@ -329,6 +363,9 @@
         else if (strcmp(path, "/operator/mode") == 0) {
             applied = set_mode(server, document);
         }
+        else if (strcmp(path, "/operator/restore") == 0) {
+            applied = restore(server, document);
+        }
         json_decref(document);
     }
     uint64_t revision = platform_store_revision(server->store);
--- a/standin/platform_store.c
+++ b/standin/platform_store.c
@@ -13,6 +13,7 @@
 struct platform_store {
     GArray *log; /* of struct log_entry; revision n has index n - 1 */
     GHashTable *file_checksums; /* key to SHA-256 of its file */
+    uint64_t epoch;             /* rises with each restore, from 1 */
     json_t *file_vms;           /* content of vms.json, NULL for none */
     json_t *vms;
     json_t *frozen_vms; /* for stale answers, NULL for none */
@@ -34,6 +35,7 @@
 platform_store_new(void)
 {
     struct platform_store *store = g_new0(struct platform_store, 1);
+    store->epoch = 1;
     store->log = g_array_new(FALSE, FALSE, sizeof(struct log_entry));
     g_array_set_clear_func(store->log, clear_log_entry);
     store->file_checksums =
@@ -64,6 +66,26 @@
     return store->log->len;
 }
 
+/* Returns the epoch, which rises with each restore. */
+uint64_t
+platform_store_epoch(const struct platform_store *store)
+{
+    return store->epoch;
+}
+
+/* Goes back to the values as of a revision, as if the store came back from a
+ * copy of that time. Returns false when there is no such revision. */
+bool
+platform_store_restore(struct platform_store *store, uint64_t revision)
+{
+    if (revision > store->log->len) {
+        return false;
+    }
+    g_array_set_size(store->log, (guint)revision);
+    store->epoch++;
+    return true;
+}
+
 static const struct log_entry *
 get_log_entry(const struct platform_store *store, uint64_t revision)
 {
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -21,6 +21,8 @@
 uint64_t platform_store_put(struct platform_store *store, const char *key,
                             const char *value, size_t value_bytes);
 uint64_t platform_store_revision(const struct platform_store *store);
+uint64_t platform_store_epoch(const struct platform_store *store);
+bool platform_store_restore(struct platform_store *store, uint64_t revision);
 bool platform_store_set_vms(struct platform_store *store, json_t *vms,
                             int64_t as_of_ms);
 json_t *platform_store_records(const struct platform_store *store,
