List a platform that refuses each watch once a second

Cause: a watch answered with status 410 is followed by a listing at once, and the listing by the next watch. Five to seven VMs whose position the store did not have repeated the pair 30 to 40 times a second each, bounded only by the round trips (trial with a log of each read).

Change: a listing after a watch starts at the earliest 1 s after the previous one. The first one, and the pages of one listing, do not wait.

Evidence: watch_no_vm_list.listings_have_an_interval, five refused watches in a row: 40 ms before, 4 s now; one lost history: 0 to 30 ms as before.

--- a/src/config/watch.c
+++ b/src/config/watch.c
@@ -16,6 +16,9 @@
  * promoted after the delays below. */
 #define NO_LIST_MAX_WATCHERS 5u
 #define NO_LIST_MIN_READ_INTERVAL_NS INT64_C(700000000)
+/* A listing that follows a watch takes many times as long as the watch, and a
+ * platform that refuses each watch would be listed without a pause. */
+#define NO_LIST_MIN_LISTING_INTERVAL_NS INT64_C(1000000000)
 /* Interval at which a VM that does not watch reads the platform's revision. */
 #define MIN_REVISION_INTERVAL_NS INT64_C(1000000000)
 /* The interval is at least this times the number of entry VMs, so that a large
@@ -82,8 +85,9 @@
     enum rp_watch_read reading;
     uint32_t cycle_slot; /* position in the cycle, modulo CYCLE_READS */
     uint32_t consecutive_failures;
-    int64_t min_read_start_ns; /* earliest start of the next read */
-    int64_t idle_read_ns;      /* next read of the list of VMs while idle */
+    int64_t min_read_start_ns;    /* earliest start of the next read */
+    int64_t min_listing_start_ns; /* of the next listing after a watch */
+    int64_t idle_read_ns;         /* next read of the list of VMs while idle */
     int64_t idle_interval_ns;
     int64_t latest_fresh_ns; /* latest, from reads of this VM or its peers */
     int64_t local_fresh_ns;  /* from reads of this VM */
@@ -544,10 +548,14 @@
     if (reading != RP_WATCH_READ_RECORDS) {
         return;
     }
+    bool is_next_page = watch->has_more_pages || !watch->has_records;
     watch->has_more_pages = has_more_pages;
     if (has_more_pages && watch->no_vm_list) {
-        /* Also when the watched history has expired. */
-        watch->min_read_start_ns = now_ns;
+        watch->min_read_start_ns =
+            is_next_page ? now_ns : MAX(now_ns, watch->min_listing_start_ns);
+        watch->min_listing_start_ns =
+            MAX(watch->min_listing_start_ns,
+                watch->min_read_start_ns + NO_LIST_MIN_LISTING_INTERVAL_NS);
     }
     if (!has_more_pages && !watch->has_records) {
         watch->has_records = true;
--- a/tests/test_watch_no_vm_list.cc
+++ b/tests/test_watch_no_vm_list.cc
@@ -321,6 +321,50 @@
     rp_vm_list_unref(list);
 }
 
+// Guards against a platform that refuses each watch and is therefore listed
+// without a pause, and against a pause between the pages of a listing, or
+// before the listing after a lost history.
+TEST(watch_no_vm_list, listings_have_an_interval)
+{
+    struct {
+        const char *what;
+        int pages;      // of a listing
+        int refused;    // watches in a row
+        int64_t min_ms; // from the first refused watch to the last page
+        int64_t max_ms;
+    } cases[] = {
+        {"history lost once", 1, 1, 0, 10},
+        {"history lost once, several pages", 4, 1, 0, 30},
+        {"each watch is refused", 1, 5, 4000, 4100},
+        {"each watch is refused, several pages", 4, 5, 4000, 4100},
+    };
+    struct rp_vm_list *list = make_list(1, 1);
+    for (const auto &entry : cases) {
+        reader each("vm-0", list);
+        int64_t start_ns = 0;
+        for (int i = 0; i < entry.refused; i++) {
+            for (int page = 0; page <= entry.pages;) {
+                int64_t wait_ms = 0;
+                if (rp_watch_next(each.watch, each.now_ns, &wait_ms) !=
+                    RP_WATCH_READ_RECORDS) {
+                    each.now_ns += 5 * MS;
+                    continue;
+                }
+                EXPECT_EQ(wait_ms > 0, page == 0) << entry.what;
+                start_ns = start_ns == 0 ? each.now_ns : start_ns;
+                each.now_ns += 4 * MS;
+                rp_watch_finish(each.watch, true, true, page < entry.pages,
+                                0.5, each.now_ns);
+                page++;
+            }
+        }
+        int64_t took_ms = (each.now_ns - start_ns) / MS;
+        EXPECT_GE(took_ms, entry.min_ms) << entry.what;
+        EXPECT_LE(took_ms, entry.max_ms) << entry.what;
+    }
+    rp_vm_list_unref(list);
+}
+
 // Guards against removing targets whose entries are added again soon after an
 // outage, and against holding back removals when there was no outage.
 TEST(platform_outage, holds_removals_after_an_outage)
