Report records of a restored platform that are passed over

Revisions were written without their epoch.

Change: event record_older for a record of a later epoch that is older than the one in force, once for each; record_accepted and record_conflict name the epoch, and the status document has it beside each revision, which stays the platform's counter.

--- a/src/config/config_status.c
+++ b/src/config/config_status.c
@@ -1,6 +1,7 @@
 #include "config_status.h"
 
 #include "record.h"
+#include "revision.h"
 
 #define MAX_REFUSALS 64u
 
@@ -51,6 +52,16 @@
     g_hash_table_remove(refusals->reasons, key);
 }
 
+static void
+add_revision(json_t *object, uint64_t revision)
+{
+    json_object_set_new(
+        object, "revision",
+        json_integer((json_int_t)rp_revision_counter(revision)));
+    json_object_set_new(object, "epoch",
+                        json_integer((json_int_t)rp_revision_epoch(revision)));
+}
+
 static void
 add_record(const struct rp_record *record, const struct rp_record_order *order,
            void *data)
@@ -58,8 +69,7 @@
     json_t *object = json_object();
     json_object_set_new(object, "key", json_string(record->key));
     json_object_set_new(object, "version", json_integer(record->version));
-    json_object_set_new(object, "revision",
-                        json_integer((json_int_t)order->revision));
+    add_revision(object, order->revision);
     json_object_set_new(
         object, "schema",
         json_integer(record->kind == RP_RECORD_SCHEMA1_SERVICE ? 1 : 2));
@@ -99,8 +109,7 @@
     json_t *status = json_object();
     json_object_set_new(status, "state", json_string(names[phase]));
     json_object_set_new(status, "digest", json_string(digest));
-    json_object_set_new(status, "revision",
-                        json_integer((json_int_t)rp_record_set_revision(set)));
+    add_revision(status, rp_record_set_revision(set));
     json_object_set_new(status, "platform_age_ms",
                         json_integer(platform_age_ms));
     json_t *records = json_array();
--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -158,13 +158,46 @@
     struct rp_event *event = rp_event_add(
         config->context->events, RP_EVENT_RECORD_CONFLICT, now_ns, key);
     event->value = result->offered.version;
+    char revision[RP_REVISION_TEXT_BYTES];
+    rp_revision_format(is_accepted ? result->offered.revision
+                                   : result->previous.revision,
+                       revision);
     rp_event_set_detail(event,
                         "version %" G_GINT64_FORMAT
-                        " was published twice; revision %" G_GUINT64_FORMAT
-                        " is in force, publish a greater version",
-                        result->offered.version,
-                        is_accepted ? result->offered.revision
-                                    : result->previous.revision);
+                        " was published twice; revision %s is in force, "
+                        "publish a greater version",
+                        result->offered.version, revision);
+}
+
+/* Reports a record of a later epoch of the platform that is older than the one
+ * in force. */
+static void
+report_older(struct rp_config_task *config, const char *key,
+             const struct rp_record_offer_result *result, const char *peer,
+             int64_t now_ns)
+{
+    const struct rp_record_order *offered = &result->offered;
+    const struct rp_record_order *in_force = &result->previous;
+    if (rp_revision_epoch(offered->revision) <=
+            rp_revision_epoch(in_force->revision) ||
+        !report_once(config, key, offered->content ^ offered->revision))
+    {
+        return;
+    }
+    char older[RP_REVISION_TEXT_BYTES];
+    char newer[RP_REVISION_TEXT_BYTES];
+    rp_revision_format(offered->revision, older);
+    rp_revision_format(in_force->revision, newer);
+    struct rp_event *event = rp_event_add(config->context->events,
+                                          RP_EVENT_RECORD_OLDER, now_ns, key);
+    event->value = offered->position.sequence;
+    rp_event_set_detail(event,
+                        "revision %s from %s is older than revision %s in "
+                        "force: number %" G_GINT64_FORMAT
+                        " of its writer, not after %" G_GINT64_FORMAT,
+                        older, peer[0] == '\0' ? "the platform" : peer, newer,
+                        offered->position.sequence,
+                        in_force->position.sequence);
 }
 
 static void
@@ -177,12 +210,12 @@
     struct rp_event *event = rp_event_add(
         config->context->events, RP_EVENT_RECORD_ACCEPTED, now_ns, key);
     event->value = result->offered.version;
-    rp_event_set_detail(event,
-                        "version %" G_GINT64_FORMAT
-                        " revision %" G_GUINT64_FORMAT "%s from %s",
-                        result->offered.version, result->offered.revision,
-                        result->retired ? " (retired)" : "",
-                        peer[0] == '\0' ? "the platform" : peer);
+    char revision[RP_REVISION_TEXT_BYTES];
+    rp_revision_format(result->offered.revision, revision);
+    rp_event_set_detail(
+        event, "version %" G_GINT64_FORMAT " revision %s%s from %s",
+        result->offered.version, revision, result->retired ? " (retired)" : "",
+        peer[0] == '\0' ? "the platform" : peer);
 }
 
 /* Returns whether neither the number that the record's writer gave nor the
@@ -252,6 +285,7 @@
         break;
     case RP_RECORD_OLDER:
         count(config, RP_COUNTER_RECORDS_OLDER);
+        report_older(config, item->key, &result, peer, now_ns);
         return;
     case RP_RECORD_REFUSED:
         report_refusal(config, item->key, &result, error, now_ns);
--- a/src/config/revision.c
+++ b/src/config/revision.c
@@ -1,5 +1,7 @@
 #include "revision.h"
 
+#include <glib.h>
+
 /* Returns the revision of a counter in an epoch, neither of which exceeds its
  * maximum. */
 uint64_t
@@ -28,3 +30,18 @@
 {
     return rp_revision_epoch(a) == rp_revision_epoch(b);
 }
+
+/* Writes a revision for people: its counter, and its epoch if it has one. */
+void
+rp_revision_format(uint64_t revision, char text[RP_REVISION_TEXT_BYTES])
+{
+    uint64_t epoch = rp_revision_epoch(revision);
+    if (epoch == 0) {
+        g_snprintf(text, RP_REVISION_TEXT_BYTES, "%" G_GUINT64_FORMAT,
+                   rp_revision_counter(revision));
+        return;
+    }
+    g_snprintf(text, RP_REVISION_TEXT_BYTES,
+               "%" G_GUINT64_FORMAT " of epoch %" G_GUINT64_FORMAT,
+               rp_revision_counter(revision), epoch);
+}
--- a/src/config/revision.h
+++ b/src/config/revision.h
@@ -17,6 +17,9 @@
 #define RP_REVISION_MAX_EPOCH                                                 \
     ((UINT64_C(1) << (63 - RP_REVISION_COUNTER_BITS)) - 1)
 
+/* Holds two numbers of 64 bits and the words between them. */
+#define RP_REVISION_TEXT_BYTES 52
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -25,6 +28,7 @@
 uint64_t rp_revision_epoch(uint64_t revision);
 uint64_t rp_revision_counter(uint64_t revision);
 bool rp_revision_same_epoch(uint64_t a, uint64_t b);
+void rp_revision_format(uint64_t revision, char text[RP_REVISION_TEXT_BYTES]);
 
 #ifdef __cplusplus
 }
