Check the report of a record that is passed over

restore_task.copy_does_not_bring_back_a_removed_target expects one record_older event, with both revisions and the numbers of their writer, for a copy that is offered twice.

--- a/tests/test_restore.cc
+++ b/tests/test_restore.cc
@@ -282,6 +282,21 @@
         return retired;
     }
 
+    std::vector<std::string> older_records()
+    {
+        std::vector<std::string> details;
+        struct rp_event_ring *events = context->events;
+        for (uint64_t i = rp_event_ring_first_sequence(events);
+             i < rp_event_ring_end_sequence(events); i++)
+        {
+            const struct rp_event *event = rp_event_ring_get(events, i);
+            if (event->kind == RP_EVENT_RECORD_OLDER) {
+                details.push_back(event->detail);
+            }
+        }
+        return details;
+    }
+
     struct rp_context *context;
     struct rp_kernel *kernel;
     struct rp_config_task *config;
@@ -295,8 +310,15 @@
     send(RP_MSG_PLATFORM_RECORDS, target("serves", 1, 20, position(7, 3)));
     send(RP_MSG_PLATFORM_REMOVALS, removal("left", 1, 50, ""));
     EXPECT_TRUE(is_retired());
-    send(RP_MSG_PLATFORM_RECORDS, target("copy", 2, 20, position(7, 3)));
-    EXPECT_TRUE(is_retired());
+    for (int i = 0; i < 2; i++) {
+        send(RP_MSG_PLATFORM_RECORDS, target("copy", 2, 20, position(7, 3)));
+        EXPECT_TRUE(is_retired());
+    }
+    EXPECT_EQ(older_records(),
+              std::vector<std::string>{
+                  "revision 20 of epoch 2 from the platform is older than "
+                  "revision 50 of epoch 1 in force: number 3 of its writer, "
+                  "not after 3"});
     send(RP_MSG_PLATFORM_RECORDS, target("reports", 2, 30, position(7, 4)));
     EXPECT_FALSE(is_retired());
 }
