--- a/src/config/platform_protocol.c
+++ b/src/config/platform_protocol.c
@@ -12,8 +12,9 @@
 }
 
 static bool
-take_answer(void *data, uint32_t status, const char *text, size_t text_bytes,
-            struct rp_platform_answer *answer, GError **error)
+take_answer(void *data, uint32_t status, uint64_t epoch, const char *text,
+            size_t text_bytes, struct rp_platform_answer *answer,
+            GError **error)
 {
     (void)data;
     if (status != 200) {
@@ -22,12 +23,13 @@
                     status);
         return false;
     }
-    return rp_platform_answer_parse(text, text_bytes, answer, error);
+    return rp_platform_answer_parse(text, text_bytes, epoch, answer, error);
 }
 
 /* The project's native protocol, see docs/interfaces.md. */
 const struct rp_platform_protocol rp_platform_protocol_native = {
     .vms_path = "/vms",
+    .epoch_field = "Platform-Epoch",
     .records_path = records_path,
     .parse_answer = take_answer,
 };
