Report complete requests whose connection ends without an answer

Cause: a request that was read but never sent to a target left no line in the log, so that a lost request could not be told from one whose caller left, and bytes that came after the end of a connection were not counted.

Change: event request_unanswered with the reason, and the counters requests_unanswered_total and input_discarded_bytes_total.

--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -222,7 +222,7 @@
     struct rp_entry *entry = data;
     GPtrArray *all = list_connections(entry);
     for (guint i = 0; i < all->len; i++) {
-        entry_connection_close(all->pdata[i]);
+        entry_connection_close(all->pdata[i], "this process has stopped");
     }
     g_ptr_array_unref(all);
     free_closed(entry);
--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -21,15 +21,19 @@
  * closing with unread bytes would reset it (RFC 9112, section 9.6). */
 #define LINGER_TIMEOUT_NS INT64_C(1000000000)
 
-/* Closes a connection at once and aborts its requests. It is freed later by
- * the timer of the entry task, since functions up the stack may still use it.
- */
+/* Closes a connection at once and aborts its requests. reason is a constant
+ * string, or NULL when the caller has ended the connection. It is freed later
+ * by the timer of the entry task, since functions up the stack may still use
+ * it. */
 void
-entry_connection_close(struct entry_connection *connection)
+entry_connection_close(struct entry_connection *connection, const char *reason)
 {
     if (connection->closed) {
         return;
     }
+    if (connection->end_reason == NULL) {
+        connection->end_reason = reason;
+    }
     struct rp_entry *entry = connection->entry;
     connection->closed = true;
     ev_io_stop(entry->ev, &connection->reader);
@@ -88,7 +92,7 @@
             continue;
         }
         if (bytes < 0 && errno != EAGAIN) {
-            entry_connection_close(connection);
+            entry_connection_close(connection, NULL);
             return false;
         }
         if (bytes < 0) {
@@ -190,6 +194,7 @@
     if (!keep_alive) {
         connection->closing = true;
         connection->discard_input = true;
+        connection->end_reason = "an earlier answer ended the connection";
     }
     return true;
 }
@@ -201,11 +206,12 @@
 abort_answer(struct entry_connection *connection,
              const struct entry_request *request)
 {
+    connection->end_reason = "an earlier answer was broken off";
     if (!request->chunked && request->reply.answer->body_bytes < 0) {
         struct linger reset = {.l_onoff = 1, .l_linger = 0};
         setsockopt(connection->socket, SOL_SOCKET, SO_LINGER, &reset,
                    sizeof(reset));
-        entry_connection_close(connection);
+        entry_connection_close(connection, connection->end_reason);
         return;
     }
     connection->closing = true;
@@ -375,9 +381,10 @@
     }
 }
 
-/* Handles a caller that has closed its connection, or its sending half. */
+/* Handles a caller that has closed its connection, or its sending half, or
+ * reads no bytes. reason is as for entry_connection_close. */
 static void
-handle_caller_closed(struct entry_connection *connection)
+handle_caller_closed(struct entry_connection *connection, const char *reason)
 {
     for (GList *link = connection->requests.head; link != NULL;
          link = link->next) {
@@ -386,7 +393,7 @@
                                       ? RP_ABORT_CALLER_GONE
                                       : RP_ABORT_BODY_INCOMPLETE);
     }
-    entry_connection_close(connection);
+    entry_connection_close(connection, reason);
 }
 
 static void
@@ -402,11 +409,13 @@
         return;
     }
     if (count <= 0) {
-        handle_caller_closed(connection);
+        handle_caller_closed(connection, NULL);
         return;
     }
     connection->last_activity_ns = now_ns;
     if (connection->lingering || connection->discard_input) {
+        rp_counter_add(&connection->entry->context->counters,
+                       RP_COUNTER_INPUT_DISCARDED_BYTES, (uint64_t)count);
         return;
     }
     g_byte_array_append(connection->input, bytes, (guint)count);
@@ -467,7 +476,7 @@
     int64_t idle_timeout_ns = (int64_t)entry->limits.idle_ms * 1000000;
     if (connection->lingering) {
         if (inactive_ns > LINGER_TIMEOUT_NS) {
-            entry_connection_close(connection);
+            entry_connection_close(connection, connection->end_reason);
         }
         return;
     }
@@ -493,6 +502,6 @@
     }
     else if (pending_output_bytes(connection) > 0 &&
              inactive_ns > idle_timeout_ns) {
-        handle_caller_closed(connection); /* the caller reads no bytes */
+        handle_caller_closed(connection, "the caller reads no bytes");
     }
 }
--- a/src/call/entry_private.h
+++ b/src/call/entry_private.h
@@ -70,6 +70,7 @@
     bool chunked;      /* the answer is sent chunked */
     bool continue_due; /* "100 Continue" is still to be sent */
     uint64_t discarded_bytes;
+    int64_t read_ns; /* time of the complete header */
     struct rp_call_reply reply;
     struct entry_local_answer local;
 };
@@ -100,6 +101,8 @@
     bool closing;             /* to be closed when the output is written */
     bool lingering;           /* shut down for writing; waits for the caller */
     bool closed;
+    const char *end_reason; /* a constant string; NULL while the connection is
+                             * open or when the caller ended it */
 };
 
 /* entry.c */
@@ -111,7 +114,8 @@
 
 /* entry_connection.c */
 void entry_connection_open(struct rp_entry *entry, int socket, int64_t now_ns);
-void entry_connection_close(struct entry_connection *connection);
+void entry_connection_close(struct entry_connection *connection,
+                            const char *reason);
 void entry_connection_free(struct entry_connection *connection);
 void entry_connection_advance(struct entry_connection *connection,
                               int64_t now_ns);
--- a/src/call/entry_request.c
+++ b/src/call/entry_request.c
@@ -22,6 +22,34 @@
     return request;
 }
 
+/* Reports a complete request whose connection ends before its answer begins.
+ * Dispatch reports those that it knows of when the caller ended the
+ * connection. */
+static void
+report_unanswered(const struct entry_request *request)
+{
+    const struct rp_entry *entry = request->connection->entry;
+    const char *reason = request->connection->end_reason;
+    if (request->phase != ENTRY_COMPLETE || request->head_written ||
+        (request->started && reason == NULL))
+    {
+        return;
+    }
+    int64_t now_ns = rp_loop_now_ns();
+    rp_counter_add(&entry->context->counters, RP_COUNTER_REQUESTS_UNANSWERED,
+                   1);
+    struct rp_event *event = rp_event_add(
+        entry->context->events, RP_EVENT_REQUEST_UNANSWERED, now_ns, "");
+    if (request->call != NULL) {
+        rp_event_set_request(event, request->call->request_id);
+    }
+    rp_event_set_detail(event, "%s; %s, read %.1f ms ago",
+                        reason == NULL ? "the caller ended the connection"
+                                       : reason,
+                        request->started ? "in progress" : "not started",
+                        (double)(now_ns - request->read_ns) / 1e6);
+}
+
 /* Frees a request that has been removed from the queue of its connection.
  * Notifies dispatch when its answer was not written completely. */
 void
@@ -29,6 +57,7 @@
 {
     struct rp_entry *entry = request->connection->entry;
     entry->open_requests--;
+    report_unanswered(request);
     if (request->has_reply && request->reply.body != NULL) {
         rp_stream_set_reader(request->reply.body, NULL, NULL);
     }
@@ -307,6 +336,7 @@
     record_field(connection);
     request->version_1_1 = parser->http_major == 1 && parser->http_minor >= 1;
     request->is_head = parser->method == HTTP_HEAD;
+    request->read_ns = rp_loop_now_ns();
     check_request(request, parser);
     request->phase = ENTRY_BODY;
     if (!http_should_keep_alive(parser)) {
