Start nothing behind an answer that ends the connection

A caller whose connection ends with an answer sends the requests behind it again elsewhere, whatever their method. One of these was started nevertheless when the last bytes of that answer did not fit into the socket at once: it ran at a target, its answer was dropped, and it ran a second time where the caller sent it.

Cause: the finished answer leaves the queue of requests before its bytes are written. The next event of the connection, that the socket takes more, started the request that was now the first one.

Change: a connection that only writes its last bytes serves no requests.

Evidence: entry.nothing_starts_behind_an_answer_that_ends_the_connection, answers of 50 kB of a stopping VM to a caller that reads slowly, failed with a started call in its first case, and passes with the change.

--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -289,6 +289,9 @@
 static bool
 serve_requests(struct entry_connection *connection, int64_t now_ns)
 {
+    if (connection->closing) {
+        return false; /* the caller sends later requests again elsewhere */
+    }
     resume_body(connection);
     while (connection->paused && connection->pending_body->len == 0 &&
            connection->requests.length < MAX_REQUESTS_IN_PROGRESS)
@@ -312,8 +315,7 @@
         if (connection->closed || !flush(connection, now_ns)) {
             return;
         }
-    } while (more && !connection->closing &&
-             pending_output_bytes(connection) == 0);
+    } while (more && pending_output_bytes(connection) == 0);
     if (connection->closing && pending_output_bytes(connection) == 0) {
         struct entry_request *request;
         while ((request = g_queue_pop_head(&connection->requests)) != NULL) {
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -74,10 +74,15 @@
         run();
     }
 
-    // Returns a new connection to the entry VM.
-    int connect_caller()
+    // Returns a new connection to the entry VM, with the usual receive buffer
+    // or one of about that size.
+    int connect_caller(int buffer_bytes = 0)
     {
         int caller = socket(AF_INET, SOCK_STREAM, 0);
+        if (buffer_bytes > 0) {
+            setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                       sizeof(buffer_bytes));
+        }
         struct sockaddr_in address = {};
         EXPECT_TRUE(rp_address_parse(context->identity.address, &address));
         EXPECT_EQ(connect(caller, reinterpret_cast<sockaddr *>(&address),
@@ -106,13 +111,42 @@
         for (struct rp_call *call : waiting) {
             answer(call, body_bytes);
             rp_call_unref(call);
-            run();
         }
     }
 
+    // Lets connections that are opened later queue few bytes in the kernel.
+    void shrink_send_buffers()
+    {
+        for (int fd = 0; fd < 64; fd++) {
+            int listens = 0;
+            socklen_t bytes = sizeof(listens);
+            int size = 1;
+            if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &bytes) ==
+                    0 &&
+                listens != 0)
+            {
+                setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+            }
+        }
+    }
+
+    void stop()
+    {
+        rp_kernel_request_stop(kernel);
+        run();
+    }
+
     std::vector<struct rp_call *> calls;
 
   private:
+    void send_reply(const struct rp_call_reply *reply)
+    {
+        rp_task_send_owned(
+            dispatch, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
+            RP_MSG_CALL_REPLY, reply, sizeof(*reply), rp_call_reply_release);
+        run();
+    }
+
     void answer(const struct rp_call *call, uint32_t body_bytes)
     {
         std::string body(body_bytes, 'x');
@@ -125,9 +159,7 @@
         EXPECT_EQ(rp_stream_write(reply.body, body.data(), body_bytes),
                   body_bytes);
         rp_stream_end(reply.body);
-        rp_task_send_owned(
-            dispatch, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
-            RP_MSG_CALL_REPLY, &reply, sizeof(reply), rp_call_reply_release);
+        send_reply(&reply);
     }
 
     static void on_message(struct rp_task *, const struct rp_message *message,
@@ -231,4 +263,42 @@
     }
 }
 
+// Guards against a second run of a request: one behind an answer that ends the
+// connection, which the caller sends again elsewhere, and which is started
+// while that answer is still being written.
+TEST(entry, nothing_starts_behind_an_answer_that_ends_the_connection)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string post =
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    struct {
+        const char *what;
+        std::string requests;
+    } cases[] = {
+        {"a stop, repeatable", get + get},
+        {"a stop, not repeatable", get + post},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        vm.shrink_send_buffers();
+        int caller = vm.connect_caller(1);
+        ASSERT_EQ(
+            send(caller, entry.requests.data(), entry.requests.size(), 0),
+            static_cast<ssize_t>(entry.requests.size()));
+        vm.stop();
+        vm.run();
+        ASSERT_EQ(vm.calls.size(), 1u) << entry.what;
+        vm.answer_calls(false, 50000);
+        bool closed = false;
+        std::string answers;
+        while (!closed) {
+            answers += receive(caller, &closed);
+            vm.run();
+            ASSERT_EQ(vm.calls.size(), 0u) << entry.what;
+        }
+        EXPECT_EQ(count_answers(answers, 50000), 1u) << entry.what;
+        close(caller);
+    }
+}
+
 } // namespace
