Serve a connection after an offer to upgrade

A caller that offered to upgrade its connection, as those do that try HTTP/2, got one answer. Each later request on that connection was read and got neither an answer nor a refusal. So did requests after a query for addresses whose body was malformed.

Cause: the parser stops after a request with an offer to upgrade, and the rest of the input was discarded, as after a malformed request, but the connection stayed open, since the request itself was answered.

Change: an offer to upgrade is ignored, as RFC 9110 allows, and a malformed body ends the connection also when its request has an answer already.

Evidence: entry.connection_is_served_or_closed failed in three of five cases: 1 answer instead of 2 after each offer to upgrade, and an open connection after the malformed body.

--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -337,6 +337,7 @@
         request = entry_request_add(connection);
     }
     connection->discard_input = true;
+    request->keep_alive = false;
     if (request->has_local) {
         request->phase = ENTRY_COMPLETE;
         return; /* refused already with a more specific reason */
@@ -346,7 +347,6 @@
         if (request->call->request != NULL) {
             rp_stream_break(request->call->request);
         }
-        request->keep_alive = false;
         request->phase = ENTRY_COMPLETE;
         return;
     }
@@ -372,9 +372,8 @@
         &connection->parser, &entry_parser_settings,
         (const char *)connection->input->data, connection->input->len);
     enum http_errno fault = HTTP_PARSER_ERRNO(&connection->parser);
-    if (connection->discard_input || connection->parser.upgrade) {
+    if (connection->discard_input) {
         parsed_bytes = connection->input->len;
-        connection->discard_input = true;
     }
     else if (fault != HPE_OK && fault != HPE_PAUSED) {
         parsed_bytes = connection->input->len;
--- a/src/call/entry_request.c
+++ b/src/call/entry_request.c
@@ -342,6 +342,9 @@
     if (!http_should_keep_alive(parser)) {
         request->keep_alive = false;
     }
+    /* An offer to upgrade is ignored (RFC 9110, section 7.8): what follows is
+     * HTTP/1.1. */
+    parser->upgrade = 0;
     return 0;
 }
 
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -263,6 +263,47 @@
     }
 }
 
+// Guards against a connection that stays open although nothing on it is read
+// any more: later requests get neither an answer nor a refusal.
+TEST(entry, connection_is_served_or_closed)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n";
+    struct {
+        const char *what;
+        std::string first;
+        bool closed; /* instead of serving a second request */
+    } cases[] = {
+        {"a plain request", get + "\r\n", false},
+        {"an offer to upgrade",
+         get + "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n", false},
+        {"an offer to upgrade, with a body",
+         get + "Connection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 3\r\n"
+               "\r\nabc",
+         false},
+        {"a tunnel", "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", true},
+        {"a malformed body of a query for addresses",
+         "GET /v1/addresses?service=a HTTP/1.1\r\nHost: x\r\n"
+         "Transfer-Encoding: chunked\r\n\r\nz\r\n",
+         true},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        bool closed = false;
+        size_t answers = 0;
+        for (const std::string &request : {entry.first, get + "\r\n"}) {
+            send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+            vm.run();
+            vm.answer_calls(false, 10);
+            vm.run();
+            answers += count_answers(receive(caller, &closed), 10);
+        }
+        EXPECT_EQ(closed, entry.closed) << entry.what;
+        EXPECT_EQ(answers, entry.closed ? 0u : 2u) << entry.what;
+        close(caller);
+    }
+}
+
 // Guards against a second run of a request: one behind an answer that ends the
 // connection, which the caller sends again elsewhere, and which is started
 // while that answer is still being written.
