Read and write connections before time limits end them

After a pause of its entry VM, as a large configuration causes on a small one, a caller that had sent a request in time on a kept connection saw it closed without an answer, one whose header was on its way got 408, and one that had read all that the socket held lost the rest of its answer.

Cause: the loop runs timers before sockets. The check of time limits therefore judged a connection by what had been read and written before the pause.

Change: a connection that exceeds a limit is written and read once more before it is ended.

Evidence: entry.input_is_read_before_time_limits_apply failed for a request, two requests and the rest of a header that came during a pause (no answer), and entry.output_is_written_before_time_limits_apply for a caller that reads.

--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -410,12 +410,10 @@
     entry_connection_close(connection, reason);
 }
 
+/* Reads what the socket holds, at most RP_STREAM_READ_BYTES, and serves it. */
 static void
-on_readable(struct ev_loop *ev, ev_io *watcher, int events)
+read_input(struct entry_connection *connection, int64_t now_ns)
 {
-    (void)events;
-    struct entry_connection *connection = watcher->data;
-    int64_t now_ns = rp_loop_now_ns();
     uint8_t bytes[RP_STREAM_READ_BYTES];
     ssize_t count =
         recv(connection->socket, bytes, sizeof(bytes), MSG_DONTWAIT);
@@ -437,11 +435,19 @@
         parse(connection, now_ns);
     }
     if (connection->input->len >= MAX_INPUT_BYTES) {
-        ev_io_stop(ev, watcher);
+        ev_io_stop(connection->entry->ev, &connection->reader);
     }
     entry_connection_advance(connection, now_ns);
 }
 
+static void
+on_readable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    read_input(watcher->data, rp_loop_now_ns());
+}
+
 static void
 on_writable(struct ev_loop *ev, ev_io *watcher, int events)
 {
@@ -479,6 +485,24 @@
     ev_io_start(entry->ev, &connection->reader);
 }
 
+static bool
+is_inactive(const struct entry_connection *connection, int64_t now_ns)
+{
+    int64_t limit_ns =
+        connection->lingering
+            ? LINGER_TIMEOUT_NS
+            : (int64_t)connection->entry->limits.idle_ms * 1000000;
+    return now_ns - connection->last_activity_ns > limit_ns;
+}
+
+static bool
+header_is_late(const struct entry_connection *connection, int64_t now_ns)
+{
+    int64_t limit_ns = (int64_t)connection->entry->limits.header_ms * 1000000;
+    return connection->head_start_ns > 0 && connection->reading != NULL &&
+           now_ns - connection->head_start_ns > limit_ns;
+}
+
 /* Ends a connection whose caller exceeds a time limit, and an idle one when
  * this VM is stopping. */
 void
@@ -486,18 +510,28 @@
                             int64_t now_ns)
 {
     const struct rp_entry *entry = connection->entry;
-    int64_t inactive_ns = now_ns - connection->last_activity_ns;
-    int64_t idle_timeout_ns = (int64_t)entry->limits.idle_ms * 1000000;
     if (connection->lingering) {
-        if (inactive_ns > LINGER_TIMEOUT_NS) {
+        if (is_inactive(connection, now_ns)) {
             entry_connection_close(connection, connection->end_reason);
         }
         return;
     }
-    if (connection->head_start_ns > 0 && connection->reading != NULL &&
-        now_ns - connection->head_start_ns >
-            (int64_t)entry->limits.header_ms * 1000000)
+    if (entry->closing || is_inactive(connection, now_ns) ||
+        header_is_late(connection, now_ns))
     {
+        /* Timers run before sockets: after a pause of this process the caller
+         * may have sent or read bytes in time. */
+        if (pending_output_bytes(connection) > 0) {
+            entry_connection_advance(connection, now_ns);
+        }
+        if (!connection->closed) {
+            read_input(connection, now_ns);
+        }
+        if (connection->closed || connection->lingering) {
+            return;
+        }
+    }
+    if (header_is_late(connection, now_ns)) {
         connection->head_start_ns = 0;
         connection->discard_input = true;
         entry_request_fail(connection->reading, 408,
@@ -511,11 +545,12 @@
     }
     bool idle = connection->requests.length == 0 &&
                 pending_output_bytes(connection) == 0;
-    if (idle && (entry->closing || inactive_ns > idle_timeout_ns)) {
+    if (idle && (entry->closing || is_inactive(connection, now_ns))) {
         shut_down(connection, now_ns);
     }
     else if (pending_output_bytes(connection) > 0 &&
-             inactive_ns > idle_timeout_ns) {
+             is_inactive(connection, now_ns))
+    {
         handle_caller_closed(connection, "the caller reads no bytes");
     }
 }
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -56,7 +56,7 @@
         rp_context_free(context);
     }
 
-    // Puts a route for "/a" in force, whose idle connections end after 100 ms.
+    // Puts a route for "/a" in force, with time limits of callers of 100 ms.
     void configure()
     {
         struct rp_snapshot_message message = {rp_snapshot_new(), true};
@@ -66,7 +66,7 @@
         route->repeatable_methods = RP_METHODS_IDEMPOTENT;
         rp_route_add_part(route, "a", 1);
         struct rp_caller_limits limits = *rp_snapshot_limits(message.snapshot);
-        limits.idle_ms = 100;
+        limits.idle_ms = limits.header_ms = 100;
         rp_snapshot_set_limits(message.snapshot, &limits);
         rp_task_send_owned(nullptr, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
                            RP_MSG_SNAPSHOT, &message, sizeof(message),
@@ -304,6 +304,81 @@
     }
 }
 
+// Guards against a request that waits in the socket while the process stands
+// still and whose connection is ended by a time limit before it is read.
+TEST(entry, input_is_read_before_time_limits_apply)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct {
+        const char *what;
+        std::string before; /* the process stands still */
+        std::string meanwhile;
+        size_t answers;
+        bool closed;
+    } cases[] = {
+        {"an idle connection", "", "", 0, true},
+        {"a request on an idle connection", "", get, 1, false},
+        {"two requests on an idle connection", "", get + get, 2, false},
+        {"the rest of a header", get.substr(0, 20), get.substr(20), 1, false},
+        {"a part of a header", get.substr(0, 20), get.substr(20, 5), 0, true},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        vm.run();
+        send(caller, entry.before.data(), entry.before.size(), 0);
+        vm.run();
+        send(caller, entry.meanwhile.data(), entry.meanwhile.size(), 0);
+        g_usleep(300000); // beyond each limit and a check of them
+        vm.run();
+        vm.answer_calls(false, 10);
+        bool closed = false;
+        std::string answers = receive(caller, &closed);
+        EXPECT_EQ(count_answers(answers, 10), entry.answers) << entry.what;
+        EXPECT_EQ(closed, entry.closed) << entry.what;
+        close(caller);
+    }
+}
+
+// Guards against an answer that is cut off after a pause of the process,
+// although its caller has read in the meantime.
+TEST(entry, output_is_written_before_time_limits_apply)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct {
+        const char *what;
+        bool reads; /* while the process stands still */
+    } cases[] = {
+        {"a caller that reads", true},
+        {"a caller that reads nothing", false},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        vm.shrink_send_buffers();
+        int caller = vm.connect_caller(1);
+        bool closed = false;
+        std::string answer;
+        send(caller, get.data(), get.size(), 0);
+        vm.run();
+        vm.answer_calls(false, 50000);
+        for (int i = 0; i < 3; i++) {
+            g_usleep(300000); // beyond each limit and a check of them
+            if (entry.reads) {
+                answer += receive(caller, &closed);
+            }
+            vm.run();
+        }
+        for (int i = 0; i < 200 && count_answers(answer, 50000) == 0; i++) {
+            answer += receive(caller, &closed);
+            vm.run();
+            g_usleep(1000);
+        }
+        EXPECT_EQ(count_answers(answer, 50000), entry.reads ? 1u : 0u)
+            << entry.what;
+        close(caller);
+    }
+}
+
 // Guards against a second run of a request: one behind an answer that ends the
 // connection, which the caller sends again elsewhere, and which is started
 // while that answer is still being written.
