Answer connections that wait to be accepted when a stop ends

Callers that connected shortly before a stopping VM closed its port, or while it stood still, had their connections reset with the request unread; one that had just been accepted was closed before its request could arrive.

Cause: the port was closed with connections in its queue, and a connection without a request was shut down at once.

Change: what waits is accepted before the port is closed, and gets half a second for its request, which is answered as not run.

Evidence: entry.stop_answers_what_has_arrived failed for a connection to accept and for a request on its way (no answer; 503 now).

--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -72,13 +72,11 @@
     return false;
 }
 
+/* Accepts waiting connections, at most max_count. */
 static void
-on_acceptable(struct ev_loop *ev, ev_io *watcher, int events)
+accept_connections(struct rp_entry *entry, int max_count)
 {
-    (void)ev;
-    (void)events;
-    struct rp_entry *entry = watcher->data;
-    for (int i = 0; i < MAX_ACCEPTS_PER_ITERATION; i++) {
+    for (int i = 0; i < max_count; i++) {
         int socket =
             accept4(entry->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (socket < 0) {
@@ -99,6 +97,14 @@
     }
 }
 
+static void
+on_acceptable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    accept_connections(watcher->data, MAX_ACCEPTS_PER_ITERATION);
+}
+
 static void
 close_listener(struct rp_entry *entry)
 {
@@ -142,6 +148,8 @@
         now_ns >= entry->stop.accept_until_ns)
     {
         entry->closing = true;
+        /* Closing the listener would reset the connections that wait. */
+        accept_connections(entry, LISTEN_BACKLOG);
         close_listener(entry);
     }
     GPtrArray *all = list_connections(entry);
--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -20,6 +20,9 @@
 /* Time for the caller to read the last answer before the socket is closed;
  * closing with unread bytes would reset it (RFC 9112, section 9.6). */
 #define LINGER_TIMEOUT_NS INT64_C(1000000000)
+/* Time for a request to arrive on a connection that was accepted at the end of
+ * a stop. */
+#define STOP_IDLE_TIMEOUT_NS INT64_C(500000000)
 
 /* Closes a connection at once and aborts its requests. reason is a constant
  * string, or NULL when the caller has ended the connection. It is freed later
@@ -488,10 +491,13 @@
 static bool
 is_inactive(const struct entry_connection *connection, int64_t now_ns)
 {
-    int64_t limit_ns =
-        connection->lingering
-            ? LINGER_TIMEOUT_NS
-            : (int64_t)connection->entry->limits.idle_ms * 1000000;
+    int64_t limit_ns = (int64_t)connection->entry->limits.idle_ms * 1000000;
+    if (connection->lingering) {
+        limit_ns = LINGER_TIMEOUT_NS;
+    }
+    else if (connection->entry->closing && connection->output->len == 0) {
+        limit_ns = MIN(limit_ns, STOP_IDLE_TIMEOUT_NS);
+    }
     return now_ns - connection->last_activity_ns > limit_ns;
 }
 
@@ -509,15 +515,13 @@
 entry_connection_check_time(struct entry_connection *connection,
                             int64_t now_ns)
 {
-    const struct rp_entry *entry = connection->entry;
     if (connection->lingering) {
         if (is_inactive(connection, now_ns)) {
             entry_connection_close(connection, connection->end_reason);
         }
         return;
     }
-    if (entry->closing || is_inactive(connection, now_ns) ||
-        header_is_late(connection, now_ns))
+    if (is_inactive(connection, now_ns) || header_is_late(connection, now_ns))
     {
         /* Timers run before sockets: after a pause of this process the caller
          * may have sent or read bytes in time. */
@@ -540,12 +544,9 @@
         entry_connection_advance(connection, now_ns);
         return;
     }
-    if (entry->closing && connection->reading == NULL) {
-        connection->discard_input = true; /* earlier requests are finished */
-    }
     bool idle = connection->requests.length == 0 &&
                 pending_output_bytes(connection) == 0;
-    if (idle && (entry->closing || is_inactive(connection, now_ns))) {
+    if (idle && is_inactive(connection, now_ns)) {
         shut_down(connection, now_ns);
     }
     else if (pending_output_bytes(connection) > 0 &&
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -48,12 +48,28 @@
 
     ~vm()
     {
+        end();
+    }
+
+    // Ends the process.
+    void end()
+    {
+        if (kernel == nullptr) {
+            return;
+        }
         for (struct rp_call *call : calls) {
             rp_call_unref(call);
         }
         rp_kernel_free(kernel);
         rp_loop_free(loop);
         rp_context_free(context);
+        kernel = nullptr;
+    }
+
+    // Returns whether the process may end.
+    bool finished() const
+    {
+        return rp_entry_finished(entry);
     }
 
     // Puts a route for "/a" in force, with time limits of callers of 100 ms.
@@ -379,6 +395,65 @@
     }
 }
 
+// Guards against a planned stop that cuts off callers: with a connection that
+// waits to be accepted, with a request that waits in a socket, or with an
+// answer of which the last bytes are not written yet.
+TEST(entry, stop_answers_what_has_arrived)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    enum when { BEFORE_STOP, BEFORE_PAUSE, IN_PAUSE, AFTER_PAUSE, NEVER };
+    struct {
+        const char *what;
+        enum when connect;
+        enum when request;
+        const char *answer;
+        uint32_t body_bytes; /* of a call's answer, before the stop */
+    } cases[] = {
+        {"nothing", BEFORE_STOP, NEVER, "", 0},
+        {"a kept connection", BEFORE_STOP, IN_PAUSE, "HTTP/1.1 503", 0},
+        {"a connection to accept", IN_PAUSE, IN_PAUSE, "HTTP/1.1 503", 0},
+        {"a request on its way", IN_PAUSE, AFTER_PAUSE, "HTTP/1.1 503", 0},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = -1;
+        std::string answer;
+        bool closed = false;
+        vm.shrink_send_buffers();
+        for (enum when now :
+             {BEFORE_STOP, BEFORE_PAUSE, IN_PAUSE, AFTER_PAUSE}) {
+            if (now == BEFORE_PAUSE) {
+                vm.stop();
+                vm.answer_calls(false, entry.body_bytes);
+            }
+            if (entry.connect == now) {
+                caller = vm.connect_caller(1);
+            }
+            if (entry.request == now) {
+                send(caller, get.data(), get.size(), MSG_NOSIGNAL);
+            }
+            if (now == IN_PAUSE) {
+                g_usleep(700000); // until no connection is accepted any more
+            }
+            vm.run();
+        }
+        for (int i = 0; i < 3000 && !vm.finished(); i++) {
+            answer += receive(caller, &closed);
+            vm.run();
+            g_usleep(1000);
+        }
+        EXPECT_TRUE(vm.finished()) << entry.what;
+        vm.end();
+        for (int i = 0; i < 1000 && !closed; i++) {
+            answer += receive(caller, &closed);
+            g_usleep(1000);
+        }
+        EXPECT_EQ(answer.substr(0, 12), entry.answer) << entry.what;
+        EXPECT_GE(answer.size(), entry.body_bytes) << entry.what;
+        close(caller);
+    }
+}
+
 // Guards against a second run of a request: one behind an answer that ends the
 // connection, which the caller sends again elsewhere, and which is started
 // while that answer is still being written.
