End a stopping process when its answers are written

A caller that reads slowly got a truncated answer from a VM that was stopped: up to 64 kB that had not fitted into the socket were dropped when the process ended, long before its stop timeout.

Cause: a request counts as finished when its answer is in the output queue, and the process ended when no request was left, whatever the queues held. A socket that was shut down after an answer was closed as well, which can reset it before the caller has read the answer.

Change: a process ends when each connection is closed, or was shut down without an answer under way.

--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -347,9 +347,21 @@
 }
 
 /* Returns whether a requested stop can be completed: no new connection is
- * accepted and no request is in progress. */
+ * accepted, and no connection has a request in progress, waits for one or has
+ * an answer that its caller may not have read. */
 bool
 rp_entry_finished(const struct rp_entry *entry)
 {
-    return entry->closing && entry->open_requests == 0;
+    if (!entry->closing) {
+        return false;
+    }
+    GHashTableIter iterator;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, entry->connections);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        if (!entry_connection_is_finished(key)) {
+            return false;
+        }
+    }
+    return true;
 }
--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -427,7 +427,9 @@
         handle_caller_closed(connection, NULL);
         return;
     }
-    connection->last_activity_ns = now_ns;
+    if (!connection->lingering) {
+        connection->last_activity_ns = now_ns;
+    }
     if (connection->lingering || connection->discard_input) {
         rp_counter_add(&connection->entry->context->counters,
                        RP_COUNTER_INPUT_DISCARDED_BYTES, (uint64_t)count);
@@ -488,6 +490,14 @@
     ev_io_start(entry->ev, &connection->reader);
 }
 
+/* Returns whether a connection can be closed without a loss: it was shut down,
+ * and not for an answer that its caller may still read. */
+bool
+entry_connection_is_finished(const struct entry_connection *connection)
+{
+    return connection->lingering && !connection->closing;
+}
+
 static bool
 is_inactive(const struct entry_connection *connection, int64_t now_ns)
 {
--- a/src/call/entry_private.h
+++ b/src/call/entry_private.h
@@ -27,7 +27,6 @@
     GHashTable *requests;    /* struct entry_request by call id */
     GHashTable *connections; /* set of struct entry_connection */
     GPtrArray *closed;       /* connections to be freed */
-    uint32_t open_requests;  /* requests in progress, local answers included */
     struct rp_address_book *addresses;
     struct rp_snapshot *snapshot; /* NULL until received */
     struct rp_caller_limits limits;
@@ -119,6 +118,7 @@
 void entry_connection_free(struct entry_connection *connection);
 void entry_connection_advance(struct entry_connection *connection,
                               int64_t now_ns);
+bool entry_connection_is_finished(const struct entry_connection *connection);
 void entry_connection_check_time(struct entry_connection *connection,
                                  int64_t now_ns);
 
--- a/src/call/entry_request.c
+++ b/src/call/entry_request.c
@@ -18,7 +18,6 @@
     request->keep_alive = true;
     g_queue_push_tail(&connection->requests, request);
     connection->reading = request;
-    connection->entry->open_requests++;
     return request;
 }
 
@@ -56,7 +55,6 @@
 entry_request_free(struct entry_request *request)
 {
     struct rp_entry *entry = request->connection->entry;
-    entry->open_requests--;
     report_unanswered(request);
     if (request->has_reply && request->reply.body != NULL) {
         rp_stream_set_reader(request->reply.body, NULL, NULL);
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -413,6 +413,8 @@
         {"a kept connection", BEFORE_STOP, IN_PAUSE, "HTTP/1.1 503", 0},
         {"a connection to accept", IN_PAUSE, IN_PAUSE, "HTTP/1.1 503", 0},
         {"a request on its way", IN_PAUSE, AFTER_PAUSE, "HTTP/1.1 503", 0},
+        {"an answer to write", BEFORE_STOP, BEFORE_STOP, "HTTP/1.1 200",
+         50000},
     };
     for (const auto &entry : cases) {
         vm vm;
