--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -72,13 +72,11 @@
     return false;
 }
 
+/* Accepts waiting connections, at most max_count. */
 static void
-on_acceptable(struct ev_loop *ev, ev_io *watcher, int events)
+accept_connections(struct rp_entry *entry, int max_count)
 {
-    (void)ev;
-    (void)events;
-    struct rp_entry *entry = watcher->data;
-    for (int i = 0; i < MAX_ACCEPTS_PER_ITERATION; i++) {
+    for (int i = 0; i < max_count; i++) {
         int socket =
             accept4(entry->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (socket < 0) {
@@ -99,6 +97,14 @@
     }
 }
 
+static void
+on_acceptable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    accept_connections(watcher->data, MAX_ACCEPTS_PER_ITERATION);
+}
+
 static void
 close_listener(struct rp_entry *entry)
 {
@@ -142,6 +148,8 @@
         now_ns >= entry->stop.accept_until_ns)
     {
         entry->closing = true;
+        /* Closing the listener would reset the connections that wait. */
+        accept_connections(entry, LISTEN_BACKLOG);
         close_listener(entry);
     }
     GPtrArray *all = list_connections(entry);
@@ -222,7 +230,7 @@
     struct rp_entry *entry = data;
     GPtrArray *all = list_connections(entry);
     for (guint i = 0; i < all->len; i++) {
-        entry_connection_close(all->pdata[i]);
+        entry_connection_close(all->pdata[i], "this process has stopped");
     }
     g_ptr_array_unref(all);
     free_closed(entry);
@@ -339,9 +347,21 @@
 }
 
 /* Returns whether a requested stop can be completed: no new connection is
- * accepted and no request is in progress. */
+ * accepted, and no connection has a request in progress, waits for one or has
+ * an answer that its caller may not have read. */
 bool
 rp_entry_finished(const struct rp_entry *entry)
 {
-    return entry->closing && entry->open_requests == 0;
+    if (!entry->closing) {
+        return false;
+    }
+    GHashTableIter iterator;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, entry->connections);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        if (!entry_connection_is_finished(key)) {
+            return false;
+        }
+    }
+    return true;
 }
--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -20,16 +20,23 @@
 /* Time for the caller to read the last answer before the socket is closed;
  * closing with unread bytes would reset it (RFC 9112, section 9.6). */
 #define LINGER_TIMEOUT_NS INT64_C(1000000000)
+/* Time for a request to arrive on a connection that was accepted at the end of
+ * a stop. */
+#define STOP_IDLE_TIMEOUT_NS INT64_C(500000000)
 
-/* Closes a connection at once and aborts its requests. It is freed later by
- * the timer of the entry task, since functions up the stack may still use it.
- */
+/* Closes a connection at once and aborts its requests. reason is a constant
+ * string, or NULL when the caller has ended the connection. It is freed later
+ * by the timer of the entry task, since functions up the stack may still use
+ * it. */
 void
-entry_connection_close(struct entry_connection *connection)
+entry_connection_close(struct entry_connection *connection, const char *reason)
 {
     if (connection->closed) {
         return;
     }
+    if (connection->end_reason == NULL) {
+        connection->end_reason = reason;
+    }
     struct rp_entry *entry = connection->entry;
     connection->closed = true;
     ev_io_stop(entry->ev, &connection->reader);
@@ -88,7 +95,7 @@
             continue;
         }
         if (bytes < 0 && errno != EAGAIN) {
-            entry_connection_close(connection);
+            entry_connection_close(connection, NULL);
             return false;
         }
         if (bytes < 0) {
@@ -190,6 +197,7 @@
     if (!keep_alive) {
         connection->closing = true;
         connection->discard_input = true;
+        connection->end_reason = "an earlier answer ended the connection";
     }
     return true;
 }
@@ -201,28 +209,32 @@
 abort_answer(struct entry_connection *connection,
              const struct entry_request *request)
 {
+    connection->end_reason = "an earlier answer was broken off";
     if (!request->chunked && request->reply.answer->body_bytes < 0) {
         struct linger reset = {.l_onoff = 1, .l_linger = 0};
         setsockopt(connection->socket, SOL_SOCKET, SO_LINGER, &reset,
                    sizeof(reset));
-        entry_connection_close(connection);
+        entry_connection_close(connection, connection->end_reason);
         return;
     }
     connection->closing = true;
     connection->discard_input = true;
 }
 
-/* Writes the available parts of answers, in order of the requests. */
-static void
+/* Writes the available parts of answers, in order of the requests. Returns
+ * whether more can be done once the output is written: requests were finished,
+ * so that later ones may start, or the output is full. */
+static bool
 write_answers(struct entry_connection *connection)
 {
+    bool finished = false;
     while (!connection->closing &&
            pending_output_bytes(connection) < MAX_OUTPUT_BYTES)
     {
         struct entry_request *request =
             g_queue_peek_head(&connection->requests);
         if (request == NULL) {
-            return;
+            return finished;
         }
         if (request->continue_due && !request->has_reply &&
             !request->has_local) {
@@ -232,7 +244,7 @@
                                 sizeof(text) - 1);
         }
         if (!request->has_reply && !request->has_local) {
-            return;
+            return finished;
         }
         if (!request->head_written) {
             entry_reply_write_head(request);
@@ -240,19 +252,21 @@
         if (!request->body_written) {
             if (!entry_reply_write_body(request)) {
                 abort_answer(connection, request);
-                return;
+                return false;
             }
             if (!request->body_written) {
                 if (rp_stream_available(request->reply.body) > 0) {
                     continue;
                 }
-                return;
+                return finished;
             }
         }
         if (!finish_request(connection, request)) {
-            return;
+            return finished;
         }
+        finished = true;
     }
+    return true;
 }
 
 static void parse(struct entry_connection *connection, int64_t now_ns);
@@ -274,12 +288,12 @@
     }
 }
 
-/* Parses, starts and answers requests as far as possible at present. */
-void
-entry_connection_advance(struct entry_connection *connection, int64_t now_ns)
+/* Returns as write_answers. */
+static bool
+serve_requests(struct entry_connection *connection, int64_t now_ns)
 {
-    if (connection->closed) {
-        return;
+    if (connection->closing) {
+        return false; /* the caller sends later requests again elsewhere */
     }
     resume_body(connection);
     while (connection->paused && connection->pending_body->len == 0 &&
@@ -288,13 +302,23 @@
         parse(connection, now_ns);
     }
     start_requests(connection, now_ns);
-    write_answers(connection);
+    return write_answers(connection);
+}
+
+/* Parses, starts and answers requests as far as possible at present. */
+void
+entry_connection_advance(struct entry_connection *connection, int64_t now_ns)
+{
     if (connection->closed) {
         return;
     }
-    if (!flush(connection, now_ns)) {
-        return;
-    }
+    bool more;
+    do {
+        more = serve_requests(connection, now_ns);
+        if (connection->closed || !flush(connection, now_ns)) {
+            return;
+        }
+    } while (more && pending_output_bytes(connection) == 0);
     if (connection->closing && pending_output_bytes(connection) == 0) {
         struct entry_request *request;
         while ((request = g_queue_pop_head(&connection->requests)) != NULL) {
@@ -316,6 +340,7 @@
         request = entry_request_add(connection);
     }
     connection->discard_input = true;
+    request->keep_alive = false;
     if (request->has_local) {
         request->phase = ENTRY_COMPLETE;
         return; /* refused already with a more specific reason */
@@ -325,7 +350,6 @@
         if (request->call->request != NULL) {
             rp_stream_break(request->call->request);
         }
-        request->keep_alive = false;
         request->phase = ENTRY_COMPLETE;
         return;
     }
@@ -351,9 +375,8 @@
         &connection->parser, &entry_parser_settings,
         (const char *)connection->input->data, connection->input->len);
     enum http_errno fault = HTTP_PARSER_ERRNO(&connection->parser);
-    if (connection->discard_input || connection->parser.upgrade) {
+    if (connection->discard_input) {
         parsed_bytes = connection->input->len;
-        connection->discard_input = true;
     }
     else if (fault != HPE_OK && fault != HPE_PAUSED) {
         parsed_bytes = connection->input->len;
@@ -375,9 +398,10 @@
     }
 }
 
-/* Handles a caller that has closed its connection, or its sending half. */
+/* Handles a caller that has closed its connection, or its sending half, or
+ * reads no bytes. reason is as for entry_connection_close. */
 static void
-handle_caller_closed(struct entry_connection *connection)
+handle_caller_closed(struct entry_connection *connection, const char *reason)
 {
     for (GList *link = connection->requests.head; link != NULL;
          link = link->next) {
@@ -386,15 +410,13 @@
                                       ? RP_ABORT_CALLER_GONE
                                       : RP_ABORT_BODY_INCOMPLETE);
     }
-    entry_connection_close(connection);
+    entry_connection_close(connection, reason);
 }
 
+/* Reads what the socket holds, at most RP_STREAM_READ_BYTES, and serves it. */
 static void
-on_readable(struct ev_loop *ev, ev_io *watcher, int events)
+read_input(struct entry_connection *connection, int64_t now_ns)
 {
-    (void)events;
-    struct entry_connection *connection = watcher->data;
-    int64_t now_ns = rp_loop_now_ns();
     uint8_t bytes[RP_STREAM_READ_BYTES];
     ssize_t count =
         recv(connection->socket, bytes, sizeof(bytes), MSG_DONTWAIT);
@@ -402,11 +424,15 @@
         return;
     }
     if (count <= 0) {
-        handle_caller_closed(connection);
+        handle_caller_closed(connection, NULL);
         return;
     }
-    connection->last_activity_ns = now_ns;
+    if (!connection->lingering) {
+        connection->last_activity_ns = now_ns;
+    }
     if (connection->lingering || connection->discard_input) {
+        rp_counter_add(&connection->entry->context->counters,
+                       RP_COUNTER_INPUT_DISCARDED_BYTES, (uint64_t)count);
         return;
     }
     g_byte_array_append(connection->input, bytes, (guint)count);
@@ -414,11 +440,19 @@
         parse(connection, now_ns);
     }
     if (connection->input->len >= MAX_INPUT_BYTES) {
-        ev_io_stop(ev, watcher);
+        ev_io_stop(connection->entry->ev, &connection->reader);
     }
     entry_connection_advance(connection, now_ns);
 }
 
+static void
+on_readable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    read_input(watcher->data, rp_loop_now_ns());
+}
+
 static void
 on_writable(struct ev_loop *ev, ev_io *watcher, int events)
 {
@@ -456,25 +490,62 @@
     ev_io_start(entry->ev, &connection->reader);
 }
 
+/* Returns whether a connection can be closed without a loss: it was shut down,
+ * and not for an answer that its caller may still read. */
+bool
+entry_connection_is_finished(const struct entry_connection *connection)
+{
+    return connection->lingering && !connection->closing;
+}
+
+static bool
+is_inactive(const struct entry_connection *connection, int64_t now_ns)
+{
+    int64_t limit_ns = (int64_t)connection->entry->limits.idle_ms * 1000000;
+    if (connection->lingering) {
+        limit_ns = LINGER_TIMEOUT_NS;
+    }
+    else if (connection->entry->closing && connection->output->len == 0) {
+        limit_ns = MIN(limit_ns, STOP_IDLE_TIMEOUT_NS);
+    }
+    return now_ns - connection->last_activity_ns > limit_ns;
+}
+
+static bool
+header_is_late(const struct entry_connection *connection, int64_t now_ns)
+{
+    int64_t limit_ns = (int64_t)connection->entry->limits.header_ms * 1000000;
+    return connection->head_start_ns > 0 && connection->reading != NULL &&
+           now_ns - connection->head_start_ns > limit_ns;
+}
+
 /* Ends a connection whose caller exceeds a time limit, and an idle one when
  * this VM is stopping. */
 void
 entry_connection_check_time(struct entry_connection *connection,
                             int64_t now_ns)
 {
-    const struct rp_entry *entry = connection->entry;
-    int64_t inactive_ns = now_ns - connection->last_activity_ns;
-    int64_t idle_timeout_ns = (int64_t)entry->limits.idle_ms * 1000000;
     if (connection->lingering) {
-        if (inactive_ns > LINGER_TIMEOUT_NS) {
-            entry_connection_close(connection);
+        if (is_inactive(connection, now_ns)) {
+            entry_connection_close(connection, connection->end_reason);
         }
         return;
     }
-    if (connection->head_start_ns > 0 && connection->reading != NULL &&
-        now_ns - connection->head_start_ns >
-            (int64_t)entry->limits.header_ms * 1000000)
+    if (is_inactive(connection, now_ns) || header_is_late(connection, now_ns))
     {
+        /* Timers run before sockets: after a pause of this process the caller
+         * may have sent or read bytes in time. */
+        if (pending_output_bytes(connection) > 0) {
+            entry_connection_advance(connection, now_ns);
+        }
+        if (!connection->closed) {
+            read_input(connection, now_ns);
+        }
+        if (connection->closed || connection->lingering) {
+            return;
+        }
+    }
+    if (header_is_late(connection, now_ns)) {
         connection->head_start_ns = 0;
         connection->discard_input = true;
         entry_request_fail(connection->reading, 408,
@@ -483,16 +554,14 @@
         entry_connection_advance(connection, now_ns);
         return;
     }
-    if (entry->closing && connection->reading == NULL) {
-        connection->discard_input = true; /* earlier requests are finished */
-    }
     bool idle = connection->requests.length == 0 &&
                 pending_output_bytes(connection) == 0;
-    if (idle && (entry->closing || inactive_ns > idle_timeout_ns)) {
+    if (idle && is_inactive(connection, now_ns)) {
         shut_down(connection, now_ns);
     }
     else if (pending_output_bytes(connection) > 0 &&
-             inactive_ns > idle_timeout_ns) {
-        handle_caller_closed(connection); /* the caller reads no bytes */
+             is_inactive(connection, now_ns))
+    {
+        handle_caller_closed(connection, "the caller reads no bytes");
     }
 }
--- /dev/null
+++ b/tests/test_entry.cc
@@ -0,0 +1,497 @@
+#include <gtest/gtest.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+#include <ev.h>
+
+extern "C" {
+#include "address.h"
+#include "call.h"
+#include "dialect.h"
+#include "entry.h"
+#include "snapshot.h"
+}
+
+namespace {
+
+const int64_t MS = 1000000;
+
+// An entry task on a loopback address, with a substitute for dispatch that
+// keeps the calls until the test answers them.
+class vm {
+  public:
+    vm()
+    {
+        struct rp_identity identity = {};
+        identity.fleet_size = 1;
+        g_snprintf(identity.address, sizeof(identity.address),
+                   "127.%d.%d.1:18500", 1 + getpid() % 200,
+                   getpid() / 200 % 250);
+        context = rp_context_new(&identity, 1);
+        kernel = rp_kernel_new(context);
+        loop = rp_loop_new(kernel);
+        dispatch =
+            rp_kernel_add_task(kernel, RP_TASK_DISPATCH, &ops, this, nullptr);
+        struct rp_entry_config config = {};
+        config.dialect = &rp_dialect_native;
+        config.max_connections = 100;
+        config.address_ttl_ms = 100;
+        config.stop_timeout_ns = 1000 * MS;
+        entry = rp_entry_new(loop, &config, nullptr);
+        configure();
+    }
+
+    ~vm()
+    {
+        end();
+    }
+
+    // Ends the process.
+    void end()
+    {
+        if (kernel == nullptr) {
+            return;
+        }
+        for (struct rp_call *call : calls) {
+            rp_call_unref(call);
+        }
+        rp_kernel_free(kernel);
+        rp_loop_free(loop);
+        rp_context_free(context);
+        kernel = nullptr;
+    }
+
+    // Returns whether the process may end.
+    bool finished() const
+    {
+        return rp_entry_finished(entry);
+    }
+
+    // Puts a route for "/a" in force, with time limits of callers of 100 ms.
+    void configure()
+    {
+        struct rp_snapshot_message message = {rp_snapshot_new(), true};
+        struct rp_route *route =
+            rp_snapshot_add_route(message.snapshot, "a", "", "/a");
+        route->timeout_ms = route->max_timeout_ms = 1000;
+        route->repeatable_methods = RP_METHODS_IDEMPOTENT;
+        rp_route_add_part(route, "a", 1);
+        struct rp_caller_limits limits = *rp_snapshot_limits(message.snapshot);
+        limits.idle_ms = limits.header_ms = 100;
+        rp_snapshot_set_limits(message.snapshot, &limits);
+        rp_task_send_owned(nullptr, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
+                           RP_MSG_SNAPSHOT, &message, sizeof(message),
+                           rp_snapshot_message_release);
+        run();
+    }
+
+    // Returns a new connection to the entry VM, with the usual receive buffer
+    // or one of about that size.
+    int connect_caller(int buffer_bytes = 0)
+    {
+        int caller = socket(AF_INET, SOCK_STREAM, 0);
+        if (buffer_bytes > 0) {
+            setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                       sizeof(buffer_bytes));
+        }
+        struct sockaddr_in address = {};
+        EXPECT_TRUE(rp_address_parse(context->identity.address, &address));
+        EXPECT_EQ(connect(caller, reinterpret_cast<sockaddr *>(&address),
+                          sizeof(address)),
+                  0);
+        return caller;
+    }
+
+    // Runs the loop until it has nothing to do at present.
+    void run()
+    {
+        for (int i = 0; i < 20; i++) {
+            ev_run(rp_loop_ev(loop), EVRUN_NOWAIT);
+        }
+    }
+
+    // Answers all calls that wait, in order or in reverse order, with bodies
+    // of that size.
+    void answer_calls(bool reverse, uint32_t body_bytes)
+    {
+        std::vector<struct rp_call *> waiting;
+        waiting.swap(calls);
+        if (reverse) {
+            std::reverse(waiting.begin(), waiting.end());
+        }
+        for (struct rp_call *call : waiting) {
+            answer(call, body_bytes);
+            rp_call_unref(call);
+        }
+    }
+
+    // Lets connections that are opened later queue few bytes in the kernel.
+    void shrink_send_buffers()
+    {
+        for (int fd = 0; fd < 64; fd++) {
+            int listens = 0;
+            socklen_t bytes = sizeof(listens);
+            int size = 1;
+            if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &bytes) ==
+                    0 &&
+                listens != 0)
+            {
+                setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+            }
+        }
+    }
+
+    void stop()
+    {
+        rp_kernel_request_stop(kernel);
+        run();
+    }
+
+    std::vector<struct rp_call *> calls;
+
+  private:
+    void send_reply(const struct rp_call_reply *reply)
+    {
+        rp_task_send_owned(
+            dispatch, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
+            RP_MSG_CALL_REPLY, reply, sizeof(*reply), rp_call_reply_release);
+        run();
+    }
+
+    void answer(const struct rp_call *call, uint32_t body_bytes)
+    {
+        std::string body(body_bytes, 'x');
+        struct rp_call_reply reply = {};
+        reply.call_id = call->id;
+        reply.outcome = RP_OUTCOME_NONE;
+        reply.answer = rp_answer_new(200);
+        reply.answer->body_bytes = body_bytes;
+        reply.body = rp_stream_new();
+        EXPECT_EQ(rp_stream_write(reply.body, body.data(), body_bytes),
+                  body_bytes);
+        rp_stream_end(reply.body);
+        send_reply(&reply);
+    }
+
+    static void on_message(struct rp_task *, const struct rp_message *message,
+                           int64_t, void *data)
+    {
+        if (message->kind == RP_MSG_CALL_START) {
+            auto start = static_cast<const rp_call_start *>(message->body);
+            static_cast<vm *>(data)->calls.push_back(rp_call_ref(start->call));
+        }
+    }
+
+    static const struct rp_task_ops ops;
+    struct rp_context *context;
+    struct rp_kernel *kernel;
+    struct rp_loop *loop;
+    struct rp_task *dispatch;
+    struct rp_entry *entry;
+};
+
+const struct rp_task_ops vm::ops = {vm::on_message, nullptr, nullptr};
+
+// Returns how many complete answers with bodies of that size are in text.
+size_t
+count_answers(const std::string &text, uint32_t body_bytes)
+{
+    size_t count = 0;
+    size_t at = 0;
+    while ((at = text.find("HTTP/1.1 200", at)) != std::string::npos) {
+        size_t body = text.find("\r\n\r\n", at);
+        if (body == std::string::npos || text.size() - body - 4 < body_bytes) {
+            break;
+        }
+        at = body + 4 + body_bytes;
+        count++;
+    }
+    return count;
+}
+
+// Returns what the socket has received, and whether it was closed.
+std::string
+receive(int caller, bool *closed)
+{
+    std::string text;
+    std::vector<char> bytes(100000);
+    ssize_t count;
+    while ((count = recv(caller, bytes.data(), bytes.size(), MSG_DONTWAIT)) >
+           0) {
+        text.append(bytes.data(), static_cast<size_t>(count));
+    }
+    *closed = count == 0 || errno != EAGAIN;
+    return text;
+}
+
+// Guards against a request that gets neither an answer nor a refusal: one that
+// waits behind earlier ones of its connection, because it may not run beside
+// them or there is no room for it, and is not looked at when they are
+// answered.
+TEST(entry, pipelined_requests_are_all_answered)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string unknown = "GET /new/ HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string post =
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    std::string many;
+    for (int i = 0; i < 40; i++) {
+        many += get;
+    }
+    struct {
+        const char *what;
+        std::string requests;
+        size_t count;
+        bool reverse; /* order in which calls in progress are answered */
+        uint32_t body_bytes;
+    } cases[] = {
+        {"repeatable ones", get + get, 2, false, 10},
+        {"without a route", get + unknown, 2, false, 10},
+        {"without a route, several", get + unknown + unknown + get, 4, false,
+         10},
+        {"not repeatable", get + post, 2, false, 10},
+        {"all not repeatable", post + post + post, 3, false, 10},
+        {"more than run side by side", many, 40, true, 10},
+        {"more output than is queued", get + get + get, 3, true, 60000},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        ASSERT_EQ(
+            send(caller, entry.requests.data(), entry.requests.size(), 0),
+            static_cast<ssize_t>(entry.requests.size()));
+        std::string answers;
+        bool closed = false;
+        vm.run();
+        while (!vm.calls.empty()) {
+            vm.answer_calls(entry.reverse, entry.body_bytes);
+            answers += receive(caller, &closed);
+        }
+        EXPECT_EQ(count_answers(answers, entry.body_bytes), entry.count)
+            << entry.what;
+        EXPECT_FALSE(closed) << entry.what;
+        close(caller);
+    }
+}
+
+// Guards against a connection that stays open although nothing on it is read
+// any more: later requests get neither an answer nor a refusal.
+TEST(entry, connection_is_served_or_closed)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n";
+    struct {
+        const char *what;
+        std::string first;
+        bool closed; /* instead of serving a second request */
+    } cases[] = {
+        {"a plain request", get + "\r\n", false},
+        {"an offer to upgrade",
+         get + "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n", false},
+        {"an offer to upgrade, with a body",
+         get + "Connection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 3\r\n"
+               "\r\nabc",
+         false},
+        {"a tunnel", "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", true},
+        {"a malformed body of a query for addresses",
+         "GET /v1/addresses?service=a HTTP/1.1\r\nHost: x\r\n"
+         "Transfer-Encoding: chunked\r\n\r\nz\r\n",
+         true},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        bool closed = false;
+        size_t answers = 0;
+        for (const std::string &request : {entry.first, get + "\r\n"}) {
+            send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+            vm.run();
+            vm.answer_calls(false, 10);
+            vm.run();
+            answers += count_answers(receive(caller, &closed), 10);
+        }
+        EXPECT_EQ(closed, entry.closed) << entry.what;
+        EXPECT_EQ(answers, entry.closed ? 0u : 2u) << entry.what;
+        close(caller);
+    }
+}
+
+// Guards against a request that waits in the socket while the process stands
+// still and whose connection is ended by a time limit before it is read.
+TEST(entry, input_is_read_before_time_limits_apply)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct {
+        const char *what;
+        std::string before; /* the process stands still */
+        std::string meanwhile;
+        size_t answers;
+        bool closed;
+    } cases[] = {
+        {"an idle connection", "", "", 0, true},
+        {"a request on an idle connection", "", get, 1, false},
+        {"two requests on an idle connection", "", get + get, 2, false},
+        {"the rest of a header", get.substr(0, 20), get.substr(20), 1, false},
+        {"a part of a header", get.substr(0, 20), get.substr(20, 5), 0, true},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        vm.run();
+        send(caller, entry.before.data(), entry.before.size(), 0);
+        vm.run();
+        send(caller, entry.meanwhile.data(), entry.meanwhile.size(), 0);
+        g_usleep(300000); // beyond each limit and a check of them
+        vm.run();
+        vm.answer_calls(false, 10);
+        bool closed = false;
+        std::string answers = receive(caller, &closed);
+        EXPECT_EQ(count_answers(answers, 10), entry.answers) << entry.what;
+        EXPECT_EQ(closed, entry.closed) << entry.what;
+        close(caller);
+    }
+}
+
+// Guards against an answer that is cut off after a pause of the process,
+// although its caller has read in the meantime.
+TEST(entry, output_is_written_before_time_limits_apply)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct {
+        const char *what;
+        bool reads; /* while the process stands still */
+    } cases[] = {
+        {"a caller that reads", true},
+        {"a caller that reads nothing", false},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        vm.shrink_send_buffers();
+        int caller = vm.connect_caller(1);
+        bool closed = false;
+        std::string answer;
+        send(caller, get.data(), get.size(), 0);
+        vm.run();
+        vm.answer_calls(false, 50000);
+        for (int i = 0; i < 3; i++) {
+            g_usleep(300000); // beyond each limit and a check of them
+            if (entry.reads) {
+                answer += receive(caller, &closed);
+            }
+            vm.run();
+        }
+        for (int i = 0; i < 200 && count_answers(answer, 50000) == 0; i++) {
+            answer += receive(caller, &closed);
+            vm.run();
+            g_usleep(1000);
+        }
+        EXPECT_EQ(count_answers(answer, 50000), entry.reads ? 1u : 0u)
+            << entry.what;
+        close(caller);
+    }
+}
+
+// Guards against a planned stop that cuts off callers: with a connection that
+// waits to be accepted, with a request that waits in a socket, or with an
+// answer of which the last bytes are not written yet.
+TEST(entry, stop_answers_what_has_arrived)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    enum when { BEFORE_STOP, BEFORE_PAUSE, IN_PAUSE, AFTER_PAUSE, NEVER };
+    struct {
+        const char *what;
+        enum when connect;
+        enum when request;
+        const char *answer;
+        uint32_t body_bytes; /* of a call's answer, before the stop */
+    } cases[] = {
+        {"nothing", BEFORE_STOP, NEVER, "", 0},
+        {"a kept connection", BEFORE_STOP, IN_PAUSE, "HTTP/1.1 503", 0},
+        {"a connection to accept", IN_PAUSE, IN_PAUSE, "HTTP/1.1 503", 0},
+        {"a request on its way", IN_PAUSE, AFTER_PAUSE, "HTTP/1.1 503", 0},
+        {"an answer to write", BEFORE_STOP, BEFORE_STOP, "HTTP/1.1 200",
+         50000},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = -1;
+        std::string answer;
+        bool closed = false;
+        vm.shrink_send_buffers();
+        for (enum when now :
+             {BEFORE_STOP, BEFORE_PAUSE, IN_PAUSE, AFTER_PAUSE}) {
+            if (now == BEFORE_PAUSE) {
+                vm.stop();
+                vm.answer_calls(false, entry.body_bytes);
+            }
+            if (entry.connect == now) {
+                caller = vm.connect_caller(1);
+            }
+            if (entry.request == now) {
+                send(caller, get.data(), get.size(), MSG_NOSIGNAL);
+            }
+            if (now == IN_PAUSE) {
+                g_usleep(700000); // until no connection is accepted any more
+            }
+            vm.run();
+        }
+        for (int i = 0; i < 3000 && !vm.finished(); i++) {
+            answer += receive(caller, &closed);
+            vm.run();
+            g_usleep(1000);
+        }
+        EXPECT_TRUE(vm.finished()) << entry.what;
+        vm.end();
+        for (int i = 0; i < 1000 && !closed; i++) {
+            answer += receive(caller, &closed);
+            g_usleep(1000);
+        }
+        EXPECT_EQ(answer.substr(0, 12), entry.answer) << entry.what;
+        EXPECT_GE(answer.size(), entry.body_bytes) << entry.what;
+        close(caller);
+    }
+}
+
+// Guards against a second run of a request: one behind an answer that ends the
+// connection, which the caller sends again elsewhere, and which is started
+// while that answer is still being written.
+TEST(entry, nothing_starts_behind_an_answer_that_ends_the_connection)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string post =
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    struct {
+        const char *what;
+        std::string requests;
+    } cases[] = {
+        {"a stop, repeatable", get + get},
+        {"a stop, not repeatable", get + post},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        vm.shrink_send_buffers();
+        int caller = vm.connect_caller(1);
+        ASSERT_EQ(
+            send(caller, entry.requests.data(), entry.requests.size(), 0),
+            static_cast<ssize_t>(entry.requests.size()));
+        vm.stop();
+        vm.run();
+        ASSERT_EQ(vm.calls.size(), 1u) << entry.what;
+        vm.answer_calls(false, 50000);
+        bool closed = false;
+        std::string answers;
+        while (!closed) {
+            answers += receive(caller, &closed);
+            vm.run();
+            ASSERT_EQ(vm.calls.size(), 0u) << entry.what;
+        }
+        EXPECT_EQ(count_answers(answers, 50000), 1u) << entry.what;
+        close(caller);
+    }
+}
+
+} // namespace
