Let no search for a target stay due without waiting calls

Callers of all services saw slow answers: the process used a whole core, for good, after a service had been removed while calls waited for a probe.

Cause: rp_balancer_due_ns returned probe_due_ns, the time of the next search for waiting calls. Only advance_backlog resets it, which rp_balancer_next calls while the service is probed or calls wait. After a change that takes the service away, the last waiting call leaves (it expires, or its caller leaves) and the old time stays, so that the timer of the balancers is always due.

Test: balancer_test.no_search_is_due_without_waiting_calls.

The time counts only while calls wait.

--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -495,7 +495,10 @@
 {
     int64_t due_ns = MIN(rp_admission_due_ns(balancer->admission),
                          rp_backlog_due_ns(balancer->backlog));
-    return MIN(due_ns, balancer->probe_due_ns);
+    /* Without waiting calls, the time of the next search may be an old one. */
+    return rp_backlog_count(balancer->backlog) > 0
+               ? MIN(due_ns, balancer->probe_due_ns)
+               : due_ns;
 }
 
 /* Returns how long to wait for an answer before a hedge is worthwhile, or
--- a/tests/test_balancer.cc
+++ b/tests/test_balancer.cc
@@ -30,10 +30,11 @@
     }
 
     void publish(const std::vector<std::string> &names,
-                 const std::vector<std::string> &draining)
+                 const std::vector<std::string> &draining, bool probes = false)
     {
         struct rp_snapshot *snapshot = rp_snapshot_new();
         struct rp_service *service = rp_snapshot_add_service(snapshot, "s");
+        service->probe_before_calls = probes;
         for (const auto &name : names) {
             struct rp_target *target = rp_service_add_target(
                 service, name.c_str(), name.c_str(), "d0", "old");
@@ -291,4 +292,34 @@
     }
 }
 
+// Guards against a timer that is always due, and so a process that never
+// sleeps, after the last call that waits for a probe has left a service that
+// is no longer probed.
+TEST_F(balancer_test, no_search_is_due_without_waiting_calls)
+{
+    for (bool withdrawn : {false, true}) {
+        struct rp_balancer_config config = {};
+        config.queue_limit = 100;
+        rp_balancer_free(balancer);
+        balancer = rp_balancer_new(&config);
+        publish({"a"}, {}, true);
+        ASSERT_EQ(offer().action, RP_BALANCER_WAIT) << withdrawn;
+        struct rp_balancer_verdict verdict;
+        ASSERT_TRUE(rp_balancer_next(balancer, now_ns, &verdict));
+        ASSERT_EQ(verdict.action, RP_BALANCER_PROBE) << withdrawn;
+        ASSERT_FALSE(rp_balancer_next(balancer, now_ns, &verdict));
+        ASSERT_LT(rp_balancer_due_ns(balancer), INT64_MAX) << withdrawn;
+        publish({}, {});
+        if (withdrawn) {
+            rp_balancer_withdraw(balancer, calls, now_ns);
+        }
+        now_ns += 2000 * MS;
+        while (rp_balancer_next(balancer, now_ns, &verdict)) {
+            EXPECT_EQ(verdict.action, RP_BALANCER_REFUSE);
+        }
+        EXPECT_EQ(rp_balancer_queued(balancer), 0u);
+        EXPECT_GT(rp_balancer_due_ns(balancer), now_ns) << withdrawn;
+    }
+}
+
 } // namespace
