Refuse queued calls of a service without targets at once

Beside a change of the configuration that took the last target of a service away, moved it to draining, or removed the service, calls that were queued for it got neither an answer nor a refusal for seconds: new calls of the same service were refused at once, queued ones when they expired (a third of their time with probes, up to 10 s without).

Cause: rp_balancer_offer checks for a usable target, rp_balancer_next did not.

Test: dispatch.a_change_of_configuration_loses_no_call, eight changes, with and without probes. It also checks that each of the six calls gets exactly one reply, that calls in flight keep their answers, and that queued calls go to the new target.

rp_balancer_next refuses queued calls, with the time to come back, while no target is usable.

--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -430,6 +430,34 @@
     }
 }
 
+static const struct rp_balancer_call *
+peek_queued(const struct rp_balancer *balancer, int64_t now_ns)
+{
+    const struct rp_balancer_call *call =
+        rp_backlog_peek(balancer->backlog, NULL, 0, now_ns);
+    for (int i = 0; call == NULL && i < RP_ADMISSION_CLASSES; i++) {
+        call = rp_admission_peek(balancer->admission, i);
+    }
+    return call;
+}
+
+/* Refuses one queued call of a service that has no usable target any more, as
+ * a new call would be. Returns false when there is no such call. */
+static bool
+refuse_without_target(struct rp_balancer *balancer, int64_t now_ns,
+                      struct rp_balancer_verdict *verdict)
+{
+    if (rp_balancer_queued(balancer) == 0 || has_usable_target(balancer)) {
+        return false;
+    }
+    const struct rp_balancer_call *queued = peek_queued(balancer, now_ns);
+    bool is_long = is_long_call(balancer, queued->kind, queued->flags);
+    init_verdict(queued, is_long, verdict);
+    refuse(balancer, RP_REFUSAL_NO_TARGET, is_long, verdict);
+    rp_balancer_withdraw(balancer, verdict->call_id, now_ns);
+    return true;
+}
+
 /* Fills in the next verdict on a queued call; returns false when there is
  * none. Short calls go before long ones, which have slots of their own. */
 bool
@@ -445,6 +473,9 @@
         refuse(balancer, RP_REFUSAL_DEADLINE, is_long, verdict);
         return true;
     }
+    if (refuse_without_target(balancer, now_ns, verdict)) {
+        return true;
+    }
     if (rp_sync_probe_in_use(&balancer->sync_probe) ||
         rp_backlog_count(balancer->backlog) > 0)
     {
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -38,6 +40,9 @@
         for (auto &start : starts) {
             rp_attempt_start_release(&start);
         }
+        for (auto &reply : replies) {
+            rp_call_reply_release(&reply);
+        }
         rp_kernel_free(kernel);
         rp_context_free(context);
     }
@@ -73,9 +78,18 @@
         run();
     }
 
-    void start_call()
+    void apply(const std::function<void(struct rp_snapshot *)> &fill)
     {
-        struct rp_call *call = rp_call_new(1, "GET", "/a", "");
+        struct rp_snapshot_message message = {rp_snapshot_new(), true};
+        fill(message.snapshot);
+        rp_task_send_owned(nullptr, dispatch(), RP_MSG_SNAPSHOT, &message,
+                           sizeof(message), rp_snapshot_message_release);
+        run();
+    }
+
+    void start_call(uint64_t id = 1, const char *target = "/a")
+    {
+        struct rp_call *call = rp_call_new(id, "GET", target, "");
         call->received_ns = now_ns;
         call->attempts_left = RP_ATTEMPTS_UNSET;
         struct rp_call_start start = {call};
@@ -112,6 +126,37 @@
         run();
     }
 
+    // Ends an attempt with a complete small answer.
+    void complete(const struct rp_attempt_start &start)
+    {
+        struct rp_attempt_head head = {};
+        head.call_id = start.call_id;
+        head.generation = start.generation;
+        head.answer = rp_answer_new(200);
+        head.answer->body_bytes = 0;
+        rp_task_send_owned(upstream, dispatch(), RP_MSG_ATTEMPT_HEAD, &head,
+                           sizeof(head), rp_attempt_head_release);
+        rp_stream_end(start.body);
+        struct rp_attempt_done done = {};
+        done.call_id = start.call_id;
+        done.generation = start.generation;
+        done.end = RP_END_COMPLETE;
+        done.first_byte_ns = now_ns;
+        rp_task_send(upstream, dispatch(), RP_MSG_ATTEMPT_DONE, &done,
+                     sizeof(done));
+        run();
+    }
+
+    // Returns the number of replies to each call.
+    std::map<uint64_t, int> reply_counts()
+    {
+        std::map<uint64_t, int> counts;
+        for (const auto &reply : replies) {
+            counts[reply.call_id]++;
+        }
+        return counts;
+    }
+
     uint64_t counter(enum rp_counter counter)
     {
         return rp_counter_get(&context->counters, counter);
@@ -135,18 +180,27 @@
 
     int64_t now_ns = START_NS;
     std::vector<struct rp_attempt_start> starts;
+    std::vector<struct rp_call_reply> replies;
 
   private:
     static void on_message(struct rp_task *, const struct rp_message *message,
                            int64_t, void *data)
     {
-        if (message->kind != RP_MSG_ATTEMPT_START) {
-            return;
+        auto *instance = static_cast<process *>(data);
+        if (message->kind == RP_MSG_ATTEMPT_START) {
+            auto start = *static_cast<const rp_attempt_start *>(message->body);
+            rp_call_ref(start.call);
+            rp_stream_ref(start.body);
+            instance->starts.push_back(start);
+        }
+        else if (message->kind == RP_MSG_CALL_REPLY) {
+            auto reply = *static_cast<const rp_call_reply *>(message->body);
+            if (reply.answer != nullptr) {
+                rp_answer_ref(reply.answer);
+                rp_stream_ref(reply.body);
+            }
+            instance->replies.push_back(reply);
         }
-        auto start = *static_cast<const rp_attempt_start *>(message->body);
-        rp_call_ref(start.call);
-        rp_stream_ref(start.body);
-        static_cast<process *>(data)->starts.push_back(start);
     }
 
     static const struct rp_task_ops ops;
@@ -220,4 +274,121 @@
     }
 }
 
+struct rp_service *
+add_service(struct rp_snapshot *snapshot, const char *name,
+            const std::vector<std::string> &addresses, bool probes,
+            bool draining = false)
+{
+    struct rp_service *service = rp_snapshot_add_service(snapshot, name);
+    service->probe_before_calls = probes;
+    for (const auto &address : addresses) {
+        struct rp_target *target = rp_service_add_target(
+            service, address.c_str(), address.c_str(), "bilbo", "new");
+        target->slots = 1;
+        target->draining = draining;
+    }
+    return service;
+}
+
+void
+add_route(struct rp_snapshot *snapshot, const std::vector<const char *> &parts)
+{
+    struct rp_route *route = rp_snapshot_add_route(snapshot, "route", "", "/");
+    route->timeout_ms = route->max_timeout_ms = 10000;
+    route->repeatable_methods = RP_METHODS_ALL;
+    for (const char *part : parts) {
+        rp_route_add_part(route, part, 1);
+    }
+}
+
+// Guards against a call that is queued for a service without any target until
+// it expires, against a call in flight that loses its answer when its target,
+// service or route is removed, and against a second reply to either.
+TEST(dispatch, a_change_of_configuration_loses_no_call)
+{
+    struct {
+        const char *name;
+        std::function<void(struct rp_snapshot *, bool)> change;
+        bool refused; // queued calls are refused at once
+    } cases[] = {
+        {"last target removed",
+         [](struct rp_snapshot *next, bool probes) {
+             add_service(next, "maps", {}, probes);
+             add_route(next, {"maps"});
+         },
+         true},
+        {"last target draining",
+         [](struct rp_snapshot *next, bool probes) {
+             add_service(next, "maps", {"10.0.0.1:1"}, probes, true);
+             add_route(next, {"maps"});
+         },
+         true},
+        {"service removed",
+         [](struct rp_snapshot *next, bool) { add_route(next, {"maps"}); },
+         true},
+        {"all removed", [](struct rp_snapshot *, bool) {}, true},
+        {"route moved to another service",
+         [](struct rp_snapshot *next, bool probes) {
+             add_service(next, "history", {"10.0.0.9:1"}, probes);
+             add_route(next, {"history"});
+         },
+         true},
+        {"part of a split removed",
+         [](struct rp_snapshot *next, bool probes) {
+             add_service(next, "history", {"10.0.0.9:1"}, probes);
+             add_route(next, {"history", "gone"});
+         },
+         true},
+        {"another target before the first",
+         [](struct rp_snapshot *next, bool probes) {
+             add_service(next, "maps", {"10.0.0.8:1", "10.0.0.1:1"}, probes);
+             add_route(next, {"maps"});
+         },
+         false},
+        {"the target replaced",
+         [](struct rp_snapshot *next, bool probes) {
+             add_service(next, "maps", {"10.0.0.8:1"}, probes);
+             add_route(next, {"maps"});
+         },
+         false},
+    };
+    for (const auto &entry : cases) {
+        for (bool probes : {false, true}) {
+            std::string name =
+                std::string(entry.name) + (probes ? ", probes" : "");
+            process instance;
+            instance.apply([&](struct rp_snapshot *first) {
+                add_service(first, "maps", {"10.0.0.1:1"}, probes);
+                add_route(first, {"maps"});
+            });
+            for (uint64_t id = 1; id <= 6; id++) {
+                instance.start_call(id);
+            }
+            size_t sent = instance.starts.size();
+            ASSERT_LT(sent, 6u) << name;
+            ASSERT_TRUE(instance.replies.empty()) << name;
+            instance.apply(
+                [&](struct rp_snapshot *next) { entry.change(next, probes); });
+            if (entry.refused) {
+                EXPECT_EQ(instance.replies.size(), 6 - sent) << name;
+                for (const auto &reply : instance.replies) {
+                    EXPECT_EQ(reply.status, 503u) << name;
+                    EXPECT_EQ(reply.outcome, RP_OUTCOME_NOT_RUN) << name;
+                }
+            }
+            for (int turn = 0; turn < 120; turn++) {
+                for (size_t i = 0; i < instance.starts.size(); i++) {
+                    instance.complete(instance.starts[i]);
+                }
+                instance.run_until(instance.now_ns + 100 * MS);
+            }
+            auto counts = instance.reply_counts();
+            EXPECT_EQ(counts.size(), 6u) << name;
+            for (const auto &count : counts) {
+                EXPECT_EQ(count.second, 1) << name << " " << count.first;
+            }
+        }
+    }
+}
+
 } // namespace
