Send calls queued before probes were switched on

Calls that were queued when a change of the configuration, or the first report of a target's speed, switched its service to probes were refused when they expired, up to 10 s later, although targets were free all the while.

Cause: rp_balancer_next looked only at the calls that wait for probes while probes are in use; those in the admission queues were never considered again.

Test: dispatch.a_change_of_configuration_loses_no_call, case 'probes switched on or off': before, calls 2 to 6 were refused; the other direction passed.

The admission queues are served after the calls that wait for probes.

--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -476,10 +476,12 @@
     if (refuse_without_target(balancer, now_ns, verdict)) {
         return true;
     }
-    if (rp_sync_probe_in_use(&balancer->sync_probe) ||
-        rp_backlog_count(balancer->backlog) > 0)
+    /* Both queues hold calls after probes were switched on or off. */
+    if ((rp_sync_probe_in_use(&balancer->sync_probe) ||
+         rp_backlog_count(balancer->backlog) > 0) &&
+        advance_backlog(balancer, now_ns, verdict))
     {
-        return advance_backlog(balancer, now_ns, verdict);
+        return true;
     }
     for (int i = 0; i < RP_ADMISSION_CLASSES; i++) {
         const struct rp_balancer_call *call =
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -351,6 +351,12 @@
              add_route(next, {"maps"});
          },
          false},
+        {"probes switched on or off",
+         [](struct rp_snapshot *next, bool probes) {
+             add_service(next, "maps", {"10.0.0.1:1"}, !probes);
+             add_route(next, {"maps"});
+         },
+         false},
     };
     for (const auto &entry : cases) {
         for (bool probes : {false, true}) {
@@ -382,6 +388,10 @@
                 }
                 instance.run_until(instance.now_ns + 100 * MS);
             }
+            for (const auto &reply : instance.replies) {
+                EXPECT_TRUE(entry.refused || reply.answer != nullptr)
+                    << name << " " << reply.call_id;
+            }
             auto counts = instance.reply_counts();
             EXPECT_EQ(counts.size(), 6u) << name;
             for (const auto &count : counts) {
