Count a queued hedge among the attempts of its call

A repeatable request ran up to 8 times although its route allows 2: a hedge was queued for a probe, the connection of the first attempt was found closed, and the last further attempt went to a fresh connection.

Cause: the hedge was checked against attempts_left when it was queued and counted when it was sent.

A queued hedge holds its attempt and gives it back when it is not sent.

--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -16,11 +16,28 @@
  * plus a burst. */
 #define FRESH_CONNECTION_TOKENS_PER_CALL 0.1
 
+/* A queued hedge holds one of the attempts left, so that nothing else can use
+ * it. */
+static void
+queue_hedge(struct dispatch_call *call)
+{
+    call->hedge_queued = true;
+    call->attempts_left--;
+}
+
+/* Gives the attempt of a hedge back that is no longer queued. */
+static void
+drop_hedge(struct dispatch_call *call)
+{
+    call->hedge_queued = false;
+    call->attempts_left++;
+}
+
 static void
 withdraw_hedge(struct dispatch_call *call, int64_t now_ns)
 {
     if (call->hedge_queued) {
-        call->hedge_queued = false;
+        drop_hedge(call);
         rp_balancer_withdraw(call->service->balancer, call->call->id, now_ns);
     }
 }
@@ -277,7 +294,6 @@
 send_hedge(struct dispatch_call *call,
            const struct rp_balancer_verdict *verdict, int64_t now_ns)
 {
-    call->attempts_left--;
     rp_counter_add(&call->dispatch->context->counters, RP_COUNTER_HEDGES, 1);
     apply_verdict(call, RP_CALL_HEDGE, verdict, now_ns);
 }
@@ -297,7 +313,7 @@
         send_hedge(call, verdict, now_ns);
     }
     else {
-        call->hedge_queued = false;
+        drop_hedge(call);
     }
     remove_or_reschedule(call);
 }
@@ -543,7 +559,6 @@
         call->hedge_queued = false;
         call->state = CALL_QUEUED;
         call->offer_flags = RP_CALL_RETRY;
-        call->attempts_left--;
         call->retries++;
         return;
     }
@@ -789,9 +804,10 @@
     fill_offer(call, RP_CALL_HEDGE, &offer);
     rp_balancer_offer(call->service->balancer, &offer, now_ns, &verdict);
     if (verdict.action == RP_BALANCER_WAIT) {
-        call->hedge_queued = true;
+        queue_hedge(call);
     }
     else if (verdict.action == RP_BALANCER_SEND) {
+        call->attempts_left--;
         send_hedge(call, &verdict, now_ns);
     }
 }
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -21,7 +21,7 @@
 // tasks that record the attempts sent to them.
 class process {
   public:
-    process()
+    explicit process(double retry_allowance = 0)
     {
         struct rp_identity identity = {};
         identity.fleet_size = 1;
@@ -29,6 +29,11 @@
         context = rp_context_new(&identity, 1);
         kernel = rp_kernel_new(context);
         struct rp_dispatch_config config = {};
+        config.probes_per_s = 1000;
+        if (retry_allowance > 0) {
+            config.retry_allowance = retry_allowance;
+            config.retry_window_ns = 1000 * MS;
+        }
         entry = rp_kernel_add_task(kernel, RP_TASK_ENTRY, &ops, this, nullptr);
         upstream =
             rp_kernel_add_task(kernel, RP_TASK_UPSTREAM, &ops, this, nullptr);
@@ -98,13 +103,49 @@
         run();
     }
 
-    // Ends the first attempt as when the target has closed the idle, reused
+    // Applies a configuration of a probed service, whose calls may make a
+    // number of attempts.
+    void configure_attempts(uint32_t attempts)
+    {
+        apply([&](struct rp_snapshot *snapshot) {
+            struct rp_service *service =
+                rp_snapshot_add_service(snapshot, "maps");
+            service->probe_before_calls = true;
+            for (const char *address : ADDRESSES) {
+                rp_service_add_target(service, address, address, "bilbo",
+                                      "new");
+            }
+            struct rp_route *route =
+                rp_snapshot_add_route(snapshot, "maps", "", "/");
+            route->timeout_ms = route->max_timeout_ms = 10000;
+            route->aim_ms = 1000;
+            route->attempts = attempts;
+            route->repeatable_methods = RP_METHODS_ALL;
+            rp_route_add_part(route, "maps", 1);
+        });
+    }
+
+    // Answers the oldest probe.
+    void answer_probe(const struct rp_load_report &load)
+    {
+        struct rp_probe_done done = {};
+        g_strlcpy(done.service, probes[0].service, sizeof(done.service));
+        done.target = probes[0].target;
+        done.answered = done.has_load = true;
+        done.load = load;
+        probes.erase(probes.begin());
+        rp_task_send(upstream, dispatch(), RP_MSG_PROBE_DONE, &done,
+                     sizeof(done));
+        run();
+    }
+
+    // Ends an attempt as when the target has closed the idle, reused
     // connection.
-    void lose_connection()
+    void lose_connection(const struct rp_attempt_start &start)
     {
         struct rp_attempt_done done = {};
-        done.call_id = 1;
-        done.generation = starts[0].generation;
+        done.call_id = start.call_id;
+        done.generation = start.generation;
         done.end = RP_END_BROKEN;
         done.reused = true;
         rp_task_send(upstream, dispatch(), RP_MSG_ATTEMPT_DONE, &done,
@@ -181,6 +222,7 @@
     int64_t now_ns = START_NS;
     std::vector<struct rp_attempt_start> starts;
     std::vector<struct rp_call_reply> replies;
+    std::vector<struct rp_probe_start> probes;
 
   private:
     static void on_message(struct rp_task *, const struct rp_message *message,
@@ -193,6 +235,10 @@
             rp_stream_ref(start.body);
             instance->starts.push_back(start);
         }
+        else if (message->kind == RP_MSG_PROBE_START) {
+            instance->probes.push_back(
+                *static_cast<const rp_probe_start *>(message->body));
+        }
         else if (message->kind == RP_MSG_CALL_REPLY) {
             auto reply = *static_cast<const rp_call_reply *>(message->body);
             if (reply.answer != nullptr) {
@@ -241,7 +287,7 @@
         ASSERT_EQ(instance.starts.size(), 1u) << entry.name;
         instance.configure(entry.draining, entry.removed);
         if (!entry.late) {
-            instance.lose_connection();
+            instance.lose_connection(instance.starts[0]);
         }
         instance.run_until(START_NS + 3000 * MS);
         int second = NONE;
@@ -401,4 +447,46 @@
     }
 }
 
+// Guards against more attempts than the caller and the route allow: a hedge
+// that is queued when the last further attempt is used for another purpose.
+TEST(dispatch, a_queued_hedge_keeps_to_the_attempts_left)
+{
+    const struct rp_load_report idle = {0, 0, 1, 0, RP_TARGET_SERVING, 100};
+    for (uint32_t attempts = 1; attempts <= 3; attempts++) {
+        process instance(1000);
+        instance.configure_attempts(attempts);
+        uint64_t id = 0;
+        auto answer_probes = [&] {
+            while (!instance.probes.empty()) {
+                instance.answer_probe(idle);
+            }
+        };
+        // Enough answers for a hedge delay to be known.
+        for (int i = 0; i < 40; i++) {
+            instance.start_call(++id);
+            answer_probes();
+            instance.run_until(instance.now_ns + 20 * MS);
+            answer_probes();
+            ASSERT_FALSE(instance.starts.empty());
+            instance.complete(instance.starts.back());
+        }
+        size_t before = instance.starts.size();
+        instance.start_call(++id);
+        answer_probes();
+        instance.run_until(instance.now_ns + 50 * MS);
+        ASSERT_EQ(instance.starts.size(), before + 1) << attempts;
+        // The hedge waits for a probe while the connection is lost; after
+        // that, each attempt is broken off.
+        for (size_t i = before; i < instance.starts.size(); i++) {
+            instance.lose_connection(instance.starts[i]);
+            answer_probes();
+            instance.run_until(instance.now_ns + 200 * MS);
+            answer_probes();
+            instance.run_until(instance.now_ns + 200 * MS);
+        }
+        EXPECT_LE(instance.starts.size() - before, attempts) << attempts;
+        EXPECT_EQ(instance.reply_counts()[id], 1) << attempts;
+    }
+}
+
 } // namespace
