Refuse a target's answer with the id of another request

A caller got the answer to another caller's request when a target sent a second copy of an answer on a kept connection: late, while the connection was idle or served the next request, and so did each later caller of that connection.

(The gateway's dialect checks the id.)

Tests: second-* in scripts/path_cases.sh, with a second answer of the stand-in target, which now repeats the id.

An answer with another id, or to a probe with any id, is refused, which closes the connection. Targets that send no id are as before; docs/interfaces.md says that they should.

--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -252,6 +252,32 @@
 reused_case silent-reused-post "$entry" POST silent-reused "$whole" 1 1 \
     --upload 100
 
+# A second answer to an earlier request, 200 ms after the first: on a kept
+# connection that is idle, or that serves the next request by then.
+second_case() { # NAME FIRST DELAY_S ENTRY METHOD EXPECTED MIN MAX [OPTION...]
+    local name=$1 first=$2 delay=$3 address=$4 method=$5 got
+    local expected=$6 min=$7 max=$8
+    shift 8
+    # A connection that an earlier case left silent is no longer kept.
+    sleep 1.1
+    replenish "$address" one
+    curl -s -o /dev/null -H "RP-Request-Id: first-$name" \
+        "http://$address/one?bytes=30&fault=$first"
+    sleep "$delay"
+    got=$("$build/rp-standin" caller --direct --entry "$address" \
+        --service one --method "$method" --id "case-$name" \
+        --path "/one?bytes=20&sleep_ms=240" "$@" 2>&1)
+    check "$name" "$got" "$expected" "$(executions "case-$name")" "$min" "$max"
+}
+second_case second-idle second-copy 0.3 "$entry" GET "$whole" 1 2
+second_case second-busy second-copy 0 "$entry" GET "$whole" 2 2
+second_case second-busy-put "second-copy" 0 "$entry" PUT "$whole" 2 2 \
+    --upload 100
+second_case second-busy-post second-copy 0 "$reuse" POST "$unknown" 1 1 \
+    --upload 100
+second_case second-fresh-post second-copy 0 "$entry" POST "$whole" 1 1 \
+    --upload 100
+
 # The caller queries the addresses before it sends the request.
 got=$("$build/rp-standin" caller --entry "$entry" --service one \
     --id case-addresses --path '/one?bytes=10' 2>&1)
--- a/src/call/dialect.c
+++ b/src/call/dialect.c
@@ -85,10 +85,16 @@
                    const char *value)
 {
     (void)data;
-    (void)call;
     if (!rp_http_is_rp_field(name)) {
         return RP_FIELD_FORWARDED;
     }
+    if (g_ascii_strcasecmp(name, "RP-Request-Id") == 0) {
+        /* A probe sends no id: an answer with one is not its own. */
+        answer->echoes_request_id =
+            call != NULL && strcmp(value, call->request_id) == 0;
+        return answer->echoes_request_id ? RP_FIELD_CONSUMED
+                                         : RP_FIELD_INVALID;
+    }
     if (g_ascii_strcasecmp(name, "RP-Load") == 0) {
         answer->has_load = rp_load_parse(value, &answer->load, NULL);
     }
--- a/standin/target.c
+++ b/standin/target.c
@@ -21,6 +21,8 @@
 #define READ_BYTES 65536
 #define MAX_INPUT_BYTES 131072u
 #define MAX_OUTPUT_BYTES 262144u
+/* Delay of a second answer after the first. */
+#define SECOND_ANSWER_S 0.2
 
 enum connection_state {
     STATE_HEAD,
@@ -74,6 +76,7 @@
     leave_slot(connection);
     ev_io_stop(target->ev, &connection->io);
     ev_timer_stop(target->ev, &connection->timer);
+    ev_timer_stop(target->ev, &connection->late_timer);
     if (connection->reset_on_close) {
         struct linger linger = {.l_onoff = 1, .l_linger = 0};
         setsockopt(connection->io.fd, SOL_SOCKET, SO_LINGER, &linger,
@@ -105,10 +108,14 @@
             return false;
         }
         connection->out_sent_bytes += (guint)sent;
+        if (connection->endless != NULL) {
+            connection->target->flooded_total += (uint64_t)sent;
+        }
     }
     g_byte_array_set_size(out, 0);
     connection->out_sent_bytes = 0;
-    set_events(connection, EV_READ);
+    set_events(connection,
+               connection->endless != NULL ? EV_READ | EV_WRITE : EV_READ);
     return true;
 }
 
@@ -130,7 +137,12 @@
 refuse_request(struct target_connection *connection)
 {
     connection->target->refused_total++;
-    GString *extra_fields = g_string_new("RP-Outcome: not-run\r\nRP-Load: ");
+    GString *extra_fields = g_string_new("RP-Outcome: not-run\r\n");
+    if (connection->request.id[0] != '\0') {
+        g_string_append_printf(extra_fields, "RP-Request-Id: %s\r\n",
+                               connection->request.id);
+    }
+    g_string_append(extra_fields, "RP-Load: ");
     struct rp_load_report report = {
         .in_flight = connection->target->in_flight,
         .slots = connection->target->slots,
@@ -172,10 +184,11 @@
         g_string_printf(text,
                         "ran %" G_GUINT64_FORMAT " refused %" G_GUINT64_FORMAT
                         " cancelled %" G_GUINT64_FORMAT
+                        " flooded %" G_GUINT64_FORMAT
                         " connections %" G_GUINT64_FORMAT " open %u\n",
                         target->run_total, target->refused_total,
-                        target->cancelled_total, target->connections_total,
-                        target->connections_open);
+                        target->cancelled_total, target->flooded_total,
+                        target->connections_total, target->connections_open);
     }
     GString *extra_fields = g_string_new("RP-Load: ");
     struct rp_load_report report = {
@@ -216,6 +229,16 @@
     advance(connection);
 }
 
+static void
+on_late_timer(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    struct target_connection *connection = watcher->data;
+    target_write_second_answer(connection);
+    advance(connection);
+}
+
 static void
 run_request(struct target_connection *connection)
 {
@@ -277,8 +300,12 @@
     if (request->sleep_ms == 0) {
         request->sleep_ms = target->default_sleep_ms;
     }
-    if (target->draining || request->fault == FAULT_REFUSE ||
-        target->queue.length >= target->queue_limit)
+    if (request->fault == FAULT_ENDLESS_REFUSAL) {
+        target->refused_total++;
+        start_answer(connection);
+    }
+    else if (target->draining || request->fault == FAULT_REFUSE ||
+             target->queue.length >= target->queue_limit)
     {
         refuse_request(connection);
     }
@@ -417,6 +444,14 @@
 {
     leave_slot(connection);
     connection->served_count++;
+    if (connection->request.fault == FAULT_SECOND_COPY ||
+        connection->request.fault == FAULT_SECOND_REFUSAL)
+    {
+        connection->late_request = connection->request;
+        ev_now_update(connection->target->ev);
+        ev_timer_set(&connection->late_timer, SECOND_ANSWER_S, 0.0);
+        ev_timer_start(connection->target->ev, &connection->late_timer);
+    }
     connection->state = STATE_HEAD;
     if (!connection->request.keep_alive) {
         connection->state = STATE_DONE;
@@ -445,6 +480,9 @@
             finish_answer(connection);
             can_advance = connection->in->len > 0;
         }
+        if (connection->endless != NULL) {
+            target_write_endless(connection, MAX_OUTPUT_BYTES);
+        }
         if (!flush(connection) ||
             (connection->close_after_flush && connection->out->len == 0))
         {
@@ -497,6 +535,8 @@
         connection->out = g_byte_array_new();
         ev_io_init(&connection->io, on_io, socket, EV_READ);
         ev_timer_init(&connection->timer, on_timer, 0.0, 0.0);
+        ev_timer_init(&connection->late_timer, on_late_timer, 0.0, 0.0);
+        connection->late_timer.data = connection;
         connection->io.data = connection;
         connection->timer.data = connection;
         ev_io_start(ev, &connection->io);
--- a/standin/target.h
+++ b/standin/target.h
@@ -36,6 +36,16 @@
     FAULT_INTERIM,
     FAULT_SWITCH,
     FAULT_EARLY,
+    FAULT_SECOND_COPY,
+    FAULT_SECOND_REFUSAL,
+    FAULT_ENDLESS_FIELDS,
+    FAULT_ENDLESS_LINE,
+    FAULT_ENDLESS_INTERIM,
+    FAULT_ENDLESS_EXTENSION,
+    FAULT_ENDLESS_TRAILER,
+    FAULT_ENDLESS_GARBAGE,
+    FAULT_ENDLESS_BODY,
+    FAULT_ENDLESS_REFUSAL,
     FAULT_COUNT
 };
 
@@ -52,6 +62,7 @@
     uint32_t status;
     bool answer_chunked;
     bool keep_alive;
+    bool anonymous;  /* the answer does not repeat the request id */
     bool has_length; /* Content-Length of the request */
     bool body_chunked;
     bool expects_continue;
@@ -68,6 +79,9 @@
     struct target *target;
     ev_io io;
     ev_timer timer;
+    ev_timer late_timer; /* of a second answer */
+    struct target_request late_request;
+    const char *endless; /* sent until the peer closes; NULL for none */
     GByteArray *in;
     GByteArray *out;
     guint out_sent_bytes;
@@ -98,6 +112,7 @@
     uint64_t run_total;
     uint64_t refused_total;
     uint64_t cancelled_total;
+    uint64_t flooded_total; /* bytes of endless answers */
     uint64_t connections_total;
     uint32_t connections_open;
 };
@@ -109,6 +124,9 @@
                        const struct target_request *request);
 void target_write_body_part(struct target_connection *connection);
 bool target_fault_in_body(struct target_connection *connection);
+void target_write_second_answer(struct target_connection *connection);
+void target_write_endless(struct target_connection *connection,
+                          guint max_bytes);
 void target_fill_body(const struct target_request *request, uint64_t offset,
                       uint8_t *bytes, uint32_t count);
 void target_print(struct target_connection *connection, const char *format,
--- a/standin/target_fault.c
+++ b/standin/target_fault.c
@@ -31,6 +31,16 @@
     [FAULT_INTERIM] = "interim",
     [FAULT_SWITCH] = "switch",
     [FAULT_EARLY] = "early",
+    [FAULT_SECOND_COPY] = "second-copy",
+    [FAULT_SECOND_REFUSAL] = "second-refusal",
+    [FAULT_ENDLESS_FIELDS] = "endless-fields",
+    [FAULT_ENDLESS_LINE] = "endless-line",
+    [FAULT_ENDLESS_INTERIM] = "endless-interim",
+    [FAULT_ENDLESS_EXTENSION] = "endless-extension",
+    [FAULT_ENDLESS_TRAILER] = "endless-trailer",
+    [FAULT_ENDLESS_GARBAGE] = "endless-garbage",
+    [FAULT_ENDLESS_BODY] = "endless-body",
+    [FAULT_ENDLESS_REFUSAL] = "endless-refusal",
 };
 
 /* Returns the fault with that name, or FAULT_COUNT. */
@@ -105,6 +115,9 @@
     bool chunked = request->answer_chunked;
     target_print(connection, "HTTP/1.1 %u Answer\r\n", request->status);
     append_load(connection);
+    if (!request->anonymous && request->id[0] != '\0') {
+        target_print(connection, "RP-Request-Id: %s\r\n", request->id);
+    }
     target_print(connection,
                  "Body-Bytes: %" G_GUINT64_FORMAT "\r\n"
                  "Body-Hash: %016" G_GINT64_MODIFIER "x\r\n",
@@ -226,11 +239,72 @@
     }
 }
 
+/* Answers that begin in some way and then repeat a text without end. */
+static const struct {
+    const char *begin;
+    const char *repeated;
+} endless_answers[FAULT_COUNT] = {
+    [FAULT_ENDLESS_FIELDS] = {"HTTP/1.1 200 OK\r\n", "Filler: x\r\n"},
+    [FAULT_ENDLESS_LINE] = {"HTTP/1.1 200 OK\r\nFiller: ", "xxxxxxxx"},
+    [FAULT_ENDLESS_INTERIM] = {"", "HTTP/1.1 103 Early\r\nLink: </x>\r\n\r\n"},
+    [FAULT_ENDLESS_EXTENSION] = {"HTTP/1.1 200 OK\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n2;x=",
+                                 "xxxxxxxx"},
+    [FAULT_ENDLESS_TRAILER] = {"HTTP/1.1 200 OK\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "0\r\nFiller: ",
+                               "xxxxxxxx"},
+    [FAULT_ENDLESS_GARBAGE] = {"", "xxxxxxxx"},
+    [FAULT_ENDLESS_BODY] = {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                            "xxxxxxxx"},
+    [FAULT_ENDLESS_REFUSAL] = {"HTTP/1.1 503 Full\r\nRP-Outcome: not-run\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n",
+                               "8\r\nxxxxxxxx\r\n"},
+};
+
+/* Appends the text of an endless answer to the output until it has max_bytes.
+ */
+void
+target_write_endless(struct target_connection *connection, guint max_bytes)
+{
+    guint bytes = (guint)strlen(connection->endless);
+    while (connection->out->len < max_bytes) {
+        g_byte_array_append(connection->out,
+                            (const guint8 *)connection->endless, bytes);
+    }
+}
+
+/* Appends a second answer to the previous request to the output. */
+void
+target_write_second_answer(struct target_connection *connection)
+{
+    const struct target_request *request = &connection->late_request;
+    if (request->fault == FAULT_SECOND_REFUSAL) {
+        target_print(connection, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n"
+                                 "RP-Outcome: not-run\r\n\r\n");
+        return;
+    }
+    uint64_t total_bytes = connection->total_bytes;
+    uint64_t produced_bytes = connection->produced_bytes;
+    uint8_t body[MAX_PART_BYTES];
+    uint32_t count = (uint32_t)MIN(request->answer_bytes, sizeof(body));
+    target_write_head(connection, request);
+    target_fill_body(request, 0, body, count);
+    g_byte_array_append(connection->out, body, count);
+    connection->total_bytes = total_bytes;
+    connection->produced_bytes = produced_bytes;
+}
+
 /* Applies a fault before the body. Returns whether the answer ends there. */
 bool
 target_fault_before_body(struct target_connection *connection)
 {
     struct target_request *request = &connection->request;
+    connection->endless = endless_answers[request->fault].repeated;
+    if (connection->endless != NULL) {
+        target_print(connection, "%s", endless_answers[request->fault].begin);
+        return true;
+    }
     switch (request->fault) {
     case FAULT_RESET:
         connection->reset_on_close = true;
