Do not believe a refusal without the request id on a reused connection

Cause: a refusal is accepted without the request id, since targets of both dialects send it so, and also where an earlier request used the connection.

Test: second-refusal-post in scripts/path_cases.sh.

Such an answer now counts as broken, which closes the connection; the caller is told that the outcome is unknown. Requests that may be repeated, and those on a connection of their own, are handled as before.

--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -275,6 +275,8 @@
     --upload 100
 second_case second-busy-post second-copy 0 "$reuse" POST "$unknown" 1 1 \
     --upload 100
+second_case second-refusal-post second-refusal 0 "$reuse" POST "$unknown" 1 1 \
+    --upload 100
 second_case second-fresh-post second-copy 0 "$entry" POST "$whole" 1 1 \
     --upload 100
 
--- a/src/call/upstream_attempt.c
+++ b/src/call/upstream_attempt.c
@@ -168,6 +168,24 @@
     *fields = kept;
 }
 
+/* Returns whether an answer belongs to the request. A refusal may come without
+ * the request id. On a reused connection it may then be a late one to an
+ * earlier request, and a request that must not be repeated would be sent
+ * again. */
+static bool
+is_own_answer(const struct rp_upstream_attempt *attempt)
+{
+    const struct rp_answer *answer = attempt->answer;
+    if (answer->echoes_request_id) {
+        return true;
+    }
+    if (answer->refused) {
+        return !attempt->reused ||
+               (attempt->flags & RP_ATTEMPT_REPEATABLE) != 0;
+    }
+    return !attempt->dialect->answers_echo_id;
+}
+
 static bool
 end_head(struct rp_upstream_attempt *attempt)
 {
@@ -185,9 +203,7 @@
     {
         return false;
     }
-    if (dialect->answers_echo_id && !attempt->answer->echoes_request_id &&
-        !attempt->answer->refused)
-    {
+    if (!is_own_answer(attempt)) {
         return false;
     }
     drop_hop_by_hop(attempt);
