Pass over removals of an earlier epoch of the platform

Callers would see no calls sent to a target that serves and is in the platform, for good: until its entry changes the next time.

Cause: after an outage, removals wait for 2 s. When the platform is restored in that time, its copy may have the target again, and that entry is in force when the removal arrives. A removal is given the position of the record in force, and of equal positions in two epochs the removal wins.

Evidence: restore_task.removal_of_an_earlier_epoch_retires_no_later_entry fails before in two of three cases (entry of the copy, entry written again).

Change: a removal is passed over when the record in force is of a later epoch. The restored platform reports when it removes that entry.

--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -689,6 +689,19 @@
     rp_record_batch_unref(missing.retired);
 }
 
+/* Returns whether the record in force is of a later epoch of the platform than
+ * its removal, which was held back: the restored platform has the entry, and
+ * reports when that is removed. */
+static bool
+is_of_later_epoch(const struct rp_record_set *set,
+                  const struct rp_record_item *removal)
+{
+    struct rp_record_order order;
+    return rp_record_set_find(set, removal->key, &order, NULL) &&
+           rp_revision_epoch(order.revision) >
+               rp_revision_epoch(removal->revision);
+}
+
 /* Retires the targets that the platform removed. */
 static void
 apply_removals(struct rp_config_task *config,
@@ -698,6 +711,9 @@
     for (uint32_t i = 0; i < rp_record_batch_count(removals->batch); i++) {
         const struct rp_record_item *item =
             rp_record_batch_get(removals->batch, i);
+        if (is_of_later_epoch(config->set, item)) {
+            continue;
+        }
         GBytes *value = rp_record_set_format_removal(config->set, item->key,
                                                      item->revision);
         rp_record_batch_add(records.batch, item->key, item->revision,
--- a/tests/test_restore.cc
+++ b/tests/test_restore.cc
@@ -340,6 +340,30 @@
     }
 }
 
+// Guards against the loss of a target that the restored platform has, by a
+// removal of the lost time that was held back: nothing in the platform changes
+// until the target drains, so that it would get no calls for good.
+TEST_F(restore_task, removal_of_an_earlier_epoch_retires_no_later_entry)
+{
+    struct {
+        const char *what;
+        published entry; // in force when the removal arrives
+        bool retired;
+    } cases[] = {
+        {"entry of the copy", target("copy", 2, 20, position(7, 3)), false},
+        {"entry written again", target("again", 3, 36, position(7, 4)), false},
+        {"entry of its own epoch", target("serves", 4, 40, position(7, 5)),
+         true},
+    };
+    for (const auto &entry : cases) {
+        send(RP_MSG_PLATFORM_RECORDS, entry.entry);
+        uint64_t epoch =
+            entry.retired ? entry.entry.epoch : entry.entry.epoch - 1;
+        send(RP_MSG_PLATFORM_REMOVALS, removal("held back", epoch, 50, ""));
+        EXPECT_EQ(is_retired(), entry.retired) << entry.what;
+    }
+}
+
 // Guards against removing targets that the copy lacks before they could report
 // again, also when the platform was away too shortly for a failed read.
 TEST(restore, removals_wait)
