Hold back removals in the answer that ends an outage

Callers would be refused, or served late, for up to 2 s after an outage of the platform in which entries of living targets expired.

Cause: removals wait for 2 s after an outage, until those entries are back. The end of the outage was recorded after its first answer had been processed, so that the removals in that answer, which is the one that reports the entries that expired meanwhile, did not wait.

Evidence: platform.removals_wait_after_an_outage fails before: the removal is passed on at once instead of after 2 s.

Change: the end is recorded before the removals of the answer are timed.

--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -504,6 +504,8 @@
         return false;
     }
     platform->read_epoch = epoch;
+    /* Ends an outage before the removals in the answer are timed. */
+    rp_platform_outage_record_read(&platform->outage, true, now_ns);
     process_records(platform, &answer, fresh, now_ns);
     *has_more = answer.has_more;
     rp_record_batch_unref(answer.batch);
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -28,10 +28,11 @@
     uint32_t complete_reads = 0;             // batches marked as the last
     uint32_t vm_count = 0;
     uint32_t freshness_count = 0;
+    int64_t removal_ns = 0; // arrival of the latest removal
 };
 
 void
-on_message(struct rp_task *, const struct rp_message *message, int64_t,
+on_message(struct rp_task *, const struct rp_message *message, int64_t now_ns,
            void *data)
 {
     receiver *self = static_cast<receiver *>(data);
@@ -44,6 +45,9 @@
         }
         self->complete_reads += body->last ? 1 : 0;
     }
+    else if (message->kind == RP_MSG_PLATFORM_REMOVALS) {
+        self->removal_ns = now_ns;
+    }
     else if (message->kind == RP_MSG_PLATFORM_VMS) {
         auto body =
             static_cast<const struct rp_vm_list_message *>(message->body);
@@ -243,6 +247,74 @@
     }
 }
 
+/* A protocol on the native stand-in that has listings, and removals: a record
+ * whose key begins with "removed" is one. */
+struct listing_protocol : rp_platform_protocol {
+    listing_protocol()
+    {
+        *static_cast<rp_platform_protocol *>(this) =
+            rp_platform_protocol_native;
+        data = this;
+        records_path = path;
+        parse_answer = parse;
+    }
+
+    static char *path(void *data, uint64_t after, int64_t wait_ms,
+                      uint32_t limit)
+    {
+        static_cast<listing_protocol *>(data)->is_listing = after == 0;
+        return rp_platform_protocol_native.records_path(nullptr, after,
+                                                        wait_ms, limit);
+    }
+
+    static bool parse(void *data, uint32_t status, uint64_t epoch,
+                      const char *text, size_t text_bytes,
+                      struct rp_platform_answer *answer, GError **error)
+    {
+        if (!rp_platform_protocol_native.parse_answer(
+                nullptr, status, epoch, text, text_bytes, answer, error))
+        {
+            return false;
+        }
+        answer->is_listing = static_cast<listing_protocol *>(data)->is_listing;
+        answer->is_first_page = true;
+        for (uint32_t i = 0; i < rp_record_batch_count(answer->batch); i++) {
+            auto item = rp_record_batch_get(answer->batch, i);
+            if (g_str_has_prefix(item->key, "removed")) {
+                answer->removed = rp_record_batch_new();
+                rp_record_batch_add(answer->removed, item->key, item->revision,
+                                    item->value);
+            }
+        }
+        return true;
+    }
+
+    bool is_listing = false;
+};
+
+// Guards against the retirement of targets whose entries expired while the
+// platform was down: the answer that ends the outage reports their removal.
+TEST_F(platform, removals_wait_after_an_outage)
+{
+    listing_protocol protocol;
+    struct rp_platform_settings settings = {};
+    settings.timeout_ms = 200;
+    settings.protocol = &protocol;
+    publish("a");
+    start(settings);
+    EXPECT_TRUE(run_until([&] { return received.complete_reads >= 1; }));
+    put(port, "mode", R"({"mode":"down"})");
+    EXPECT_TRUE(run_until(
+        [&] { return counter(RP_COUNTER_PLATFORM_READ_FAILURES) >= 2; }));
+    publish("removed");
+    put(port, "mode", R"({"mode":"normal"})");
+    EXPECT_TRUE(
+        run_until([&] { return received.records.count("removed") == 1; }));
+    int64_t end_ns = rp_loop_now_ns();
+    EXPECT_TRUE(run_until([&] { return received.removal_ns > 0; }));
+    EXPECT_GE(received.removal_ns - end_ns, 1900 * MS);
+}
+
 // Guards against answers that exceed the memory, and against large values that
 // are never read.
 TEST_F(platform, large_answers_are_read_in_smaller_pages)
