Let the first listing of a process retire targets after 2 s

Callers would be refused, or served late, for up to 2 s when a VM starts just after an outage or restore of the platform in which entries of living targets are missing.

Cause: such removals wait for 2 s after an outage that the process has seen. A process that starts in that time has seen none. What its listing lacks of its peers' records was retired at once, and peers took the retired records over.

Evidence: platform.first_listing_retires_late fails before: the listing is passed on at once.

Change: a listing takes effect at the earliest 2 s after the first answer of the process with records. Removals that a watch reports do not wait for that. The state of the outage counts reads of records as successes, not those of the list of VMs.

--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -277,7 +277,7 @@
     if (!answer->has_more) {
         struct delayed_message message = {
             .due_ns =
-                rp_platform_outage_removal_due_ns(&platform->outage, now_ns),
+                rp_platform_outage_listing_due_ns(&platform->outage, now_ns),
             .listed_keys = g_steal_pointer(&platform->listed_keys),
             .revision = answer->revision,
         };
@@ -581,8 +581,8 @@
                    RP_COUNTER_PLATFORM_READ_BYTES, platform->answer->len);
     platform->reading = RP_WATCH_READ_NONE;
     platform->needs_new_connection = code != CURLE_OK;
-    if (!read_revision_only) {
-        rp_platform_outage_record_read(&platform->outage, ok, now_ns);
+    if (!read_revision_only && !ok) {
+        rp_platform_outage_record_read(&platform->outage, false, now_ns);
     }
     if (platform->answer_too_large) {
         platform->current_page_size = MAX(platform->current_page_size / 2, 1);
--- a/src/config/platform_outage.c
+++ b/src/config/platform_outage.c
@@ -9,6 +9,10 @@
         outage->consecutive_failures++;
         return;
     }
+    if (!outage->has_read) {
+        outage->has_read = true;
+        outage->first_read_ns = now_ns;
+    }
     if (outage->consecutive_failures >= RP_PLATFORM_OUTAGE_MIN_FAILURES) {
         outage->had_outage = true;
         outage->outage_end_ns = now_ns;
@@ -40,3 +44,19 @@
     }
     return outage->outage_end_ns + RP_PLATFORM_OUTAGE_REMOVAL_HOLD_NS;
 }
+
+/* Returns when a listing that was received now retires the targets that it
+ * lacks. An outage may have ended just before this process started, so that
+ * its first listing lacks entries that are about to be added again. */
+int64_t
+rp_platform_outage_listing_due_ns(const struct rp_platform_outage *outage,
+                                  int64_t now_ns)
+{
+    int64_t due_ns = rp_platform_outage_removal_due_ns(outage, now_ns);
+    if (!outage->has_read) {
+        return due_ns;
+    }
+    int64_t settled_ns =
+        outage->first_read_ns + RP_PLATFORM_OUTAGE_REMOVAL_HOLD_NS;
+    return settled_ns > due_ns ? settled_ns : due_ns;
+}
--- a/src/config/platform_outage.h
+++ b/src/config/platform_outage.h
@@ -12,6 +12,8 @@
     uint32_t consecutive_failures; /* failed reads since the last success */
     bool had_outage;
     int64_t outage_end_ns; /* of the latest outage */
+    bool has_read;
+    int64_t first_read_ns; /* first successful one of this process */
 };
 
 /* After an outage. The platform's users state that entries are back after
@@ -32,6 +34,9 @@
 int64_t
 rp_platform_outage_removal_due_ns(const struct rp_platform_outage *outage,
                                   int64_t now_ns);
+int64_t
+rp_platform_outage_listing_due_ns(const struct rp_platform_outage *outage,
+                                  int64_t now_ns);
 
 #ifdef __cplusplus
 }
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -28,7 +28,9 @@
     uint32_t complete_reads = 0;             // batches marked as the last
     uint32_t vm_count = 0;
     uint32_t freshness_count = 0;
-    int64_t removal_ns = 0; // arrival of the latest removal
+    int64_t records_ns = 0; // arrival of the first batch
+    int64_t listing_ns = 0; // of the first listing
+    int64_t removal_ns = 0; // of the latest removal
 };
 
 void
@@ -44,6 +46,10 @@
             self->records[item->key] = item->revision;
         }
         self->complete_reads += body->last ? 1 : 0;
+        self->records_ns = self->records_ns == 0 ? now_ns : self->records_ns;
+    }
+    else if (message->kind == RP_MSG_PLATFORM_LISTING) {
+        self->listing_ns = self->listing_ns == 0 ? now_ns : self->listing_ns;
     }
     else if (message->kind == RP_MSG_PLATFORM_REMOVALS) {
         self->removal_ns = now_ns;
@@ -315,6 +321,20 @@
     EXPECT_GE(received.removal_ns - end_ns, 1900 * MS);
 }
 
+// Guards against a VM that starts while entries are about to come back, after
+// an outage or a restore that it does not know of: what its listing lacks
+// would be retired everywhere.
+TEST_F(platform, first_listing_retires_late)
+{
+    listing_protocol protocol;
+    struct rp_platform_settings settings = {};
+    settings.protocol = &protocol;
+    publish("a");
+    start(settings);
+    EXPECT_TRUE(run_until([&] { return received.listing_ns > 0; }));
+    EXPECT_GE(received.listing_ns - received.records_ns, 1900 * MS);
+}
+
 // Guards against answers that exceed the memory, and against large values that
 // are never read.
 TEST_F(platform, large_answers_are_read_in_smaller_pages)
