Read a platform whose epoch is 0, unknown or not a number

Callers of a fleet that starts would be refused for good when the platform's epoch is 0 or cannot be read, and changes would be missed after a restore before which no answer had an epoch.

Cause: an epoch had to be a number from 1 up, or the read failed. 0 stood for an unknown epoch, so that the first known one was not compared with the records read before it.

Evidence: platform.epoch_may_be_zero_or_unknown_at_first fails before in all three cases: nothing is read with "0" and "application/json", and after no epoch at first, the records of the restored platform are not read again. The stand-in can be restored with a given epoch for it.

Change: 0 is an epoch. An answer whose epoch is missing or malformed counts as one of the latest known epoch, with a warning once in 10 s and the counter of malformed entries. When an epoch is greater than that of the records read before, whether known or not, all are listed again. Records of peers count as read, so that those of an earlier version, which have no epoch, are listed too.

--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -28,6 +28,9 @@
  * is ignored, unless the current one was received longer ago than this. */
 #define MAX_VM_LIST_AGE_NS INT64_C(60000000000)
 
+/* Interval of warnings about an epoch that cannot be read. */
+#define MIN_EPOCH_WARNING_NS INT64_C(10000000000)
+
 struct rp_platform {
     struct rp_task *task;
     struct rp_context *context;
@@ -45,8 +48,11 @@
     bool answer_too_large;
     bool needs_new_connection; /* for the next read */
     bool unreachable;
-    uint64_t seen_epoch;        /* of the latest answer; 0 until known */
-    uint64_t read_epoch;        /* of the records read; 0 until known */
+    bool has_seen_epoch; /* an answer had an epoch */
+    uint64_t seen_epoch; /* greatest one; 0 until known */
+    int64_t next_epoch_warning_ns;
+    bool has_read;              /* records of the platform or of peers */
+    uint64_t read_epoch;        /* of these records */
     uint64_t read_revision;     /* all records up to it were read */
     uint64_t latest_revision;   /* greatest known, also from peers */
     uint64_t accepted_revision; /* greatest of the accepted records */
@@ -368,40 +374,48 @@
                             rp_vm_list_message_release);
 }
 
-/* Reads the epoch in the header of the current answer. An answer without one
- * is of the latest known epoch. Returns false with RP_ERROR_PLATFORM set when
- * the field is not an epoch. */
+/* Reads the epoch in the header of the current answer. Returns false when
+ * there is none: the answer then counts as one of the latest known epoch,
+ * since a platform whose field cannot be read still has the only
+ * configuration. */
 static bool
-read_epoch(const struct rp_platform *platform, uint64_t *epoch, GError **error)
+read_epoch(struct rp_platform *platform, uint64_t *epoch, int64_t now_ns)
 {
     const char *name = platform->protocol->epoch_field;
     struct curl_header *field = NULL;
-    *epoch = platform->seen_epoch;
     if (name == NULL || curl_easy_header(platform->easy, name, 0, CURLH_HEADER,
                                          -1, &field) != CURLHE_OK)
     {
-        return true;
+        return false;
     }
     guint64 number;
-    if (!g_ascii_string_to_unsigned(field->value, 10, 1, RP_REVISION_MAX_EPOCH,
-                                    &number, NULL))
+    if (g_ascii_string_to_unsigned(field->value, 10, 0, RP_REVISION_MAX_EPOCH,
+                                   &number, NULL))
     {
-        g_set_error(error, RP_ERROR, RP_ERROR_PLATFORM,
-                    "the platform's epoch '%.40s' is not a number from 1 to "
-                    "%" G_GUINT64_FORMAT "; check the field %s of its answers",
-                    field->value, RP_REVISION_MAX_EPOCH, name);
-        return false;
+        *epoch = number;
+        return true;
     }
-    *epoch = number;
-    return true;
+    count(platform, RP_COUNTER_PLATFORM_MALFORMED);
+    if (now_ns >= platform->next_epoch_warning_ns) {
+        platform->next_epoch_warning_ns = now_ns + MIN_EPOCH_WARNING_NS;
+        g_warning(
+            "the platform's epoch '%.40s' is not a number up to "
+            "%" G_GUINT64_FORMAT "; the latest known epoch %" G_GUINT64_FORMAT
+            " is used, check the field %s of its "
+            "answers",
+            field->value, RP_REVISION_MAX_EPOCH, platform->seen_epoch, name);
+    }
+    return false;
 }
 
 static void
 report_epoch(struct rp_platform *platform, uint64_t epoch, int64_t now_ns)
 {
     uint64_t previous = platform->seen_epoch;
+    bool is_first = !platform->has_seen_epoch;
+    platform->has_seen_epoch = true;
     platform->seen_epoch = MAX(epoch, previous);
-    if (epoch <= previous || previous == 0) {
+    if (epoch <= previous || is_first) {
         return;
     }
     count(platform, RP_COUNTER_PLATFORM_RESTORES);
@@ -469,15 +483,14 @@
                int64_t now_ns, GError **error)
 {
     long status = 0;
-    uint64_t epoch;
+    uint64_t epoch = platform->seen_epoch;
     curl_easy_getinfo(platform->easy, CURLINFO_RESPONSE_CODE, &status);
     if (platform->reading == RP_WATCH_READ_VMS) {
         return process_vms(platform, status, now_ns, error);
     }
-    if (!read_epoch(platform, &epoch, error)) {
-        return false;
+    if (read_epoch(platform, &epoch, now_ns)) {
+        report_epoch(platform, epoch, now_ns);
     }
-    report_epoch(platform, epoch, now_ns);
     if (platform->reading == RP_WATCH_READ_REVISION) {
         process_revision(platform, status, epoch);
         return true;
@@ -490,7 +503,7 @@
                     epoch, platform->read_epoch);
         return false;
     }
-    if (platform->read_epoch > 0 && epoch > platform->read_epoch) {
+    if (platform->has_read && epoch > platform->read_epoch) {
         restart_in_epoch(platform, epoch, now_ns);
         *has_more = true;
         return true;
@@ -503,6 +516,7 @@
     {
         return false;
     }
+    platform->has_read = true;
     platform->read_epoch = epoch;
     /* Ends an outage before the removals in the answer are timed. */
     rp_platform_outage_record_read(&platform->outage, true, now_ns);
@@ -622,12 +636,12 @@
 {
     const struct rp_platform_protocol *protocol = platform->protocol;
     if (protocol->skip_listing == NULL || revision == 0 ||
-        platform->read_revision > 0 || platform->read_epoch > 0 ||
-        platform->reading != RP_WATCH_READ_NONE ||
+        platform->has_read || platform->reading != RP_WATCH_READ_NONE ||
         !protocol->skip_listing(protocol->data))
     {
         return;
     }
+    platform->has_read = true;
     platform->read_revision = revision;
     platform->read_epoch = rp_revision_epoch(revision);
     rp_watch_record_peer_records(platform->watch, now_ns);
--- a/standin/platform_server.c
+++ b/standin/platform_server.c
@@ -335,9 +335,18 @@
 restore(struct platform_server *server, const json_t *document)
 {
     const json_t *revision = json_object_get(document, "revision");
-    return json_is_integer(revision) && json_integer_value(revision) >= 0 &&
-           platform_store_restore(server->store,
-                                  (uint64_t)json_integer_value(revision));
+    const json_t *epoch = json_object_get(document, "epoch");
+    if (!json_is_integer(revision) || json_integer_value(revision) < 0 ||
+        !platform_store_restore(server->store,
+                                (uint64_t)json_integer_value(revision)))
+    {
+        return false;
+    }
+    if (json_is_integer(epoch)) { /* else the next one */
+        platform_store_set_epoch(server->store,
+                                 (uint64_t)json_integer_value(epoch));
+    }
+    return true;
 }
 
 /* Handles PUT below /operator/: publishes a record, replaces the list of VMs,
--- a/standin/platform_store.c
+++ b/standin/platform_store.c
@@ -73,6 +73,13 @@
     return store->epoch;
 }
 
+/* Sets the epoch that answers have from now on. */
+void
+platform_store_set_epoch(struct platform_store *store, uint64_t epoch)
+{
+    store->epoch = epoch;
+}
+
 /* Goes back to the values as of a revision, as if the store came back from a
  * copy of that time. Returns false when there is no such revision. */
 bool
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -22,6 +22,7 @@
                             const char *value, size_t value_bytes);
 uint64_t platform_store_revision(const struct platform_store *store);
 uint64_t platform_store_epoch(const struct platform_store *store);
+void platform_store_set_epoch(struct platform_store *store, uint64_t epoch);
 bool platform_store_restore(struct platform_store *store, uint64_t revision);
 bool platform_store_set_vms(struct platform_store *store, json_t *vms,
                             int64_t as_of_ms);
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -335,6 +335,55 @@
     EXPECT_GE(received.listing_ns - received.records_ns, 1900 * MS);
 }
 
+// Guards against a fleet without any configuration because the platform's
+// epoch is 0 or cannot be read, and against a restore that is not noticed
+// because no answer before it had an epoch.
+TEST_F(platform, epoch_may_be_zero_or_unknown_at_first)
+{
+    struct {
+        const char *what;
+        const char *field; // until the restore
+        uint64_t first_epoch;
+        uint64_t next_epoch;
+    } cases[] = {
+        {"0 at first", "Platform-Epoch", 0, 1},
+        {"no field at first", "Absent", 1, 2},
+        {"no number at first", "Content-Type", 1, 2},
+    };
+    listing_protocol protocol;
+    struct rp_platform_settings settings = {};
+    settings.protocol = &protocol;
+    for (const auto &entry : cases) {
+        rp_kernel_free(kernel);
+        kernel = rp_kernel_new(context);
+        rp_loop_free(loop);
+        loop = rp_loop_new(kernel);
+        received = receiver();
+        rp_kernel_add_task(kernel, "config", &receiver_ops, &received,
+                           nullptr);
+        put(port, "restore",
+            R"({"revision":0,"epoch":)" + std::to_string(entry.first_epoch) +
+                "}");
+        for (const char *key : {"a", "lost-1", "lost-2"}) {
+            publish(key);
+        }
+        protocol.epoch_field = entry.field;
+        start(settings);
+        EXPECT_TRUE(run_until([&] { return received.complete_reads >= 1; }))
+            << entry.what;
+        put(port, "restore",
+            R"({"revision":1,"epoch":)" + std::to_string(entry.next_epoch) +
+                "}");
+        protocol.epoch_field = "Platform-Epoch";
+        publish("b");
+        EXPECT_TRUE(
+            run_until([&] { return received.records.count("b") == 1; }, 8000))
+            << entry.what;
+        EXPECT_EQ(received.records["b"], rp_revision_make(entry.next_epoch, 2))
+            << entry.what;
+    }
+}
+
 // Guards against answers that exceed the memory, and against large values that
 // are never read.
 TEST_F(platform, large_answers_are_read_in_smaller_pages)
