Restore the platform in the soak of real processes

The stand-in of the platform can come back from an older copy, and no soak did it.

Change: RESTORES=1 adds times in which the platform is away, loses its latest 1 to 6 changes, and gets the operator's newest records again up to 1.5 s later, or at once.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 fault-soak: build
 	for seed in $$(seq $(SEED) $$(($(SEED) + $(SOAK_SEEDS) - 1))); do \
-		scripts/fault_soak.sh $(BUILD) $$seed || exit 1; done
+		RESTORES=1 scripts/fault_soak.sh $(BUILD) $$seed || exit 1; done
 
 capacity: build
 	scripts/capacity.sh $(BUILD)
--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -7,7 +7,9 @@
 # reuse open connections. Their results are compared with the executions that
 # targets counted, and the fleet must agree and serve again after the faults.
 # Usage: scripts/fault_soak.sh BUILD_DIR SEED [SECONDS [ENTRIES [TARGETS]]]
-# KEEP=DIR keeps the logs of a failed run.
+# KEEP=DIR keeps the logs of a failed run. RESTORES=1 adds times in which the
+# platform is away and comes back from an older copy; they are drawn apart, so
+# that the other faults of a seed stay as they are.
 set -u
 build=$1
 seed=$2
@@ -110,8 +112,48 @@
     }' | sort -n
 }
 
+# Prints when the platform comes back from an older copy, in the same form. It
+# loses the latest 1 to 6 changes; the operator writes its newest records again
+# up to 1.5 s later, or before any VM can read the copy.
+restores() {
+    [ -n "${RESTORES:-}" ] || return
+    awk -v seed="$seed" -v until="$((duration * 1000))" '
+    function random_below(n) { return int(rand() * n) }
+    BEGIN {
+        srand(seed + 1000000)
+        for (at = 1500; at < until; at += 2000 + random_below(4000)) {
+            back = at + 50 + random_below(1500)
+            print at, "mode", "down"
+            print back, "restore", 1 + random_below(6)
+            print back + (rand() < 0.3 ? 0 : random_below(1500)), "rewrite"
+            print back + 1, "mode", "normal"
+        }
+    }'
+}
+
 service_version=1
 targets_version=1
+declare -A written # newest record of each key
+
+# Publishes a record, which is written again after a restore.
+write_record() { # KEY VALUE
+    written[$1]=$2
+    publish "$1" "$2"
+}
+
+# Takes the latest changes back, but for the first one.
+restore_platform() { # CHANGES
+    local revision
+    # The answer to a change of the mode has the revision, also while down.
+    revision=$(curl -s -m 2 -X PUT --data-binary '{"mode":"down"}' \
+        "$operator/operator/mode" | sed -n 's/.*"revision": *\([0-9]*\).*/\1/p')
+    [ -n "$revision" ] || return
+    revision=$((revision > $1 ? revision - $1 : 1))
+    curl -s -f -m 2 -o /dev/null -X PUT --data-binary \
+        "{\"revision\":$revision}" "$operator/operator/restore" &&
+        restore_count=$((restore_count + 1))
+}
+restore_count=0
 
 relay_command() { # LINK MODE [MS]
     if [ "$2" = delay ]; then
@@ -137,12 +179,19 @@
     mode) platform_mode "{\"mode\":\"$1\",\"revision\":1}" ;;
     config)
         service_version=$((service_version + 1))
-        publish service/jobs "$(service_record $service_version \
+        write_record service/jobs "$(service_record $service_version \
             $((3000 + service_version)))"
         ;;
     drain)
         targets_version=$((targets_version + 1))
-        publish targets/jobs/new "$(targets_record $targets_version "$1")"
+        write_record targets/jobs/new \
+            "$(targets_record $targets_version "$1")"
+        ;;
+    restore) restore_platform "$1" ;;
+    rewrite)
+        for key in "${!written[@]}"; do
+            publish "$key" "${written[$key]}"
+        done
         ;;
     esac
 }
@@ -156,7 +205,8 @@
     start_target "$i"
 done
 wait_until 3000 publish service/jobs "$(service_record 1 3000)"
-publish targets/jobs/new "$(targets_record 1 serving)"
+written[service/jobs]=$(service_record 1 3000)
+write_record targets/jobs/new "$(targets_record 1 serving)"
 for i in $(seq "$entry_count"); do
     start_entry "$i"
 done
@@ -174,7 +224,7 @@
         sleep "$(printf '%d.%03d' $((wait_ms / 1000)) $((wait_ms % 1000)))"
     # shellcheck disable=SC2086  # arguments are split into words on purpose
     apply_action "$action" $arguments
-done < <(schedule)
+done < <({ schedule; restores; } | sort -n -s -k 1,1)
 
 # Undoes the faults that last; the checks below have stated bounds.
 relay pass
@@ -212,9 +262,11 @@
 check "seed $seed: no invariant failed" [ "$critical" -eq 0 ]
 
 if [ "$failures" -gt 0 ]; then
-    [ -n "${KEEP:-}" ] && schedule >"$work/schedule" &&
+    [ -n "${KEEP:-}" ] && { schedule; restores; } | sort -n -s -k 1,1 >"$work/schedule" &&
         cp -r "$work" "$KEEP/seed-$seed"
-    echo "fault soak: seed $seed failed $failures checks ($expected_ends ends)"
+    echo "fault soak: seed $seed failed $failures checks" \
+        "($expected_ends ends, $restore_count restores)"
     exit 1
 fi
-echo "fault soak: seed $seed passed ($expected_ends ends)"
+echo "fault soak: seed $seed passed ($expected_ends ends," \
+    "$restore_count restores)"
