Show the platform's revision and epoch in gauges

Operators saw config_revision for revision 41 of epoch 1, a number that the platform never gives out.

Cause: since revisions consist of an epoch and a counter, the gauge showed both as one number.

Change: config_revision is the platform's counter again, and config_epoch its epoch. The counter goes back when the platform is restored.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -12,6 +12,7 @@
 RP_COUNTER(RECORDS_CONFLICTING, "config_record_conflicts_total", COUNTER, "Offered values with the version of the one in force and other content")
 RP_COUNTER(RECORDS_OLDER, "config_records_older_total", COUNTER, "Offered values older than the one in force")
 RP_COUNTER(CONFIG_REVISION, "config_revision", GAUGE, "Greatest platform revision among the records in force")
+RP_COUNTER(CONFIG_EPOCH, "config_epoch", GAUGE, "Epoch of the platform of that revision; 0 without epochs")
 RP_COUNTER(CONFIG_KEYS, "config_keys", GAUGE, "Record keys known, retired ones included")
 RP_COUNTER(CONFIG_RETIRED_KEYS, "config_retired_keys", GAUGE, "Retired record keys")
 RP_COUNTER(CONFIG_BYTES, "config_record_bytes", GAUGE, "Bytes of all record values")
--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -338,7 +338,10 @@
         .refused =
             (uint32_t)rp_counter_get(counters, RP_COUNTER_RECORDS_REFUSED),
     };
-    rp_counter_set(counters, RP_COUNTER_CONFIG_REVISION, state.revision);
+    rp_counter_set(counters, RP_COUNTER_CONFIG_REVISION,
+                   rp_revision_counter(state.revision));
+    rp_counter_set(counters, RP_COUNTER_CONFIG_EPOCH,
+                   rp_revision_epoch(state.revision));
     rp_counter_set(counters, RP_COUNTER_CONFIG_KEYS, state.keys);
     rp_counter_set(counters, RP_COUNTER_CONFIG_RETIRED_KEYS,
                    state.retired_keys);
--- a/tests/test_restore.cc
+++ b/tests/test_restore.cc
@@ -340,6 +340,30 @@
     }
 }
 
+// Guards against a gauge that shows an epoch and a counter as one number of
+// 13 digits, which matches no revision of the platform.
+TEST_F(restore_task, gauges_show_the_revision_of_the_platform)
+{
+    struct {
+        published item;
+        uint64_t epoch;
+        uint64_t counter;
+    } cases[] = {
+        {target("serves", 0, 40, position(7, 3)), 0, 40},
+        {target("serves", 1, 41, position(7, 4)), 1, 41},
+        {target("restored", 2, 20, position(7, 5)), 2, 20},
+    };
+    for (const auto &entry : cases) {
+        send(RP_MSG_PLATFORM_RECORDS, entry.item);
+        rp_kernel_run(kernel, now_ns += 100 * MS);
+        EXPECT_EQ(
+            rp_counter_get(&context->counters, RP_COUNTER_CONFIG_REVISION),
+            entry.counter);
+        EXPECT_EQ(rp_counter_get(&context->counters, RP_COUNTER_CONFIG_EPOCH),
+                  entry.epoch);
+    }
+}
+
 // Guards against the loss of a target that the restored platform has, by a
 // removal of the lost time that was held back: nothing in the platform changes
 // until the target drains, so that it would get no calls for good.
