Write the events of the end of a process

The log of a stopped process lacked its last events, among them each request_unanswered with "this process has stopped": in plays with requests that were lost at the end of a stop, no line named one of them.

Cause: the event log was written before each sleep of the loop, and the tasks add these events when they are freed, after the last one.

Change: events are written once more when the tasks are freed.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -460,6 +460,9 @@
     ev_signal_stop(ev, &node->hangup);
     ev_timer_stop(ev, &node->stop_check);
     rp_kernel_free(node->kernel);
+    if (node->event_log != NULL) {
+        rp_event_log_write(node->event_log, rp_loop_now_ns());
+    }
     if (node->protocol != NULL) {
         node->adapter->protocol_free(node->protocol);
     }
