Deliver answers behind slow requests before a stop ends

Cause: answers leave in the order of the requests.

Change: shortly before a stop ends, in the last sixth of its timeout, dispatch answers each call that has no answer: as not run, if no target got it, else as unknown. The answers behind it follow.

Evidence: entry.stop_delivers_answers_behind_a_slow_request failed (no answer of three arrived), and dispatch.stop_answers_calls_without_an_answer checks what callers are told.

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -82,6 +82,7 @@
     RP_ABORT_CALLER_GONE,     /* the caller closed its connection */
     RP_ABORT_BODY_INCOMPLETE, /* the caller did not complete its body */
     RP_ABORT_BODY_TOO_LARGE,  /* the body is too large: still to be answered */
+    RP_ABORT_STOPPING,        /* the stop ends soon: still to be answered */
 };
 
 /* RP_MSG_CALL_ABORT, entry to dispatch. After RP_ABORT_CALLER_GONE and
--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -883,8 +883,21 @@
     remove_or_reschedule(call);
 }
 
-/* Ends a call whose caller disconnected or whose body is incomplete or too
- * large. */
+/* Answers a call whose target has not answered by the end of a stop. An answer
+ * that is being passed on goes on. */
+static void
+fail_stopping(struct dispatch_call *call, int64_t now_ns)
+{
+    if (call->state == CALL_REPLIED) {
+        return;
+    }
+    cancel_attempts(call, RP_ATTEMPT_CANCELLED, now_ns);
+    fail_call(call, call->may_have_run ? 504 : 503, 1,
+              "this entry VM is stopping", now_ns);
+}
+
+/* Ends a call whose caller disconnected, whose body is incomplete or too
+ * large, or for which a stop leaves no time. */
 void
 dispatch_call_abort(struct dispatch_call *call, enum rp_abort_reason reason,
                     int64_t now_ns)
@@ -893,6 +906,9 @@
         fail_call(call, 413, 0, "the body is over the limit of the service",
                   now_ns);
     }
+    else if (reason == RP_ABORT_STOPPING) {
+        fail_stopping(call, now_ns);
+    }
     else {
         rp_counter_add(&call->dispatch->context->counters,
                        RP_COUNTER_CALLS_CALLER_GONE, 1);
--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -160,6 +160,38 @@
     free_closed(entry);
 }
 
+/* Lets dispatch answer all calls that have no answer yet, so that the answers
+ * behind them on their connections are not lost with the process. */
+static void
+on_stop_timer(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+    (void)ev;
+    (void)events;
+    struct rp_entry *entry = watcher->data;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, entry->requests);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct entry_request *request = value;
+        if (!request->has_reply && !request->has_local) {
+            entry_send_abort(request, RP_ABORT_STOPPING);
+        }
+    }
+}
+
+static void
+begin_stop(struct rp_entry *entry, int64_t now_ns)
+{
+    entry->stopping = true;
+    rp_stop_plan_init(&entry->stop,
+                      (int64_t)entry->config.address_ttl_ms * 1000000,
+                      entry->config.stop_timeout_ns, now_ns);
+    ev_now_update(entry->ev);
+    ev_timer_set(&entry->stop_timer,
+                 (double)(entry->stop.answer_ns - now_ns) / 1e9, 0.0);
+    ev_timer_start(entry->ev, &entry->stop_timer);
+}
+
 static void
 on_wakeup(struct ev_loop *ev, ev_timer *watcher, int events)
 {
@@ -213,10 +245,7 @@
             ((const struct rp_snapshot_message *)message->body)->snapshot);
         break;
     case RP_MSG_STOP:
-        entry->stopping = true;
-        rp_stop_plan_init(&entry->stop,
-                          (int64_t)entry->config.address_ttl_ms * 1000000,
-                          entry->config.stop_timeout_ns, now_ns);
+        begin_stop(entry, now_ns);
         break;
     default:
         break;
@@ -237,6 +266,7 @@
     close_listener(entry);
     ev_timer_stop(entry->ev, &entry->wakeup_timer);
     ev_timer_stop(entry->ev, &entry->maintenance_timer);
+    ev_timer_stop(entry->ev, &entry->stop_timer);
     g_ptr_array_unref(entry->closed);
     g_hash_table_unref(entry->connections);
     g_hash_table_unref(entry->requests);
@@ -282,7 +312,9 @@
     ev_timer_init(&entry->maintenance_timer, on_maintenance,
                   MAINTENANCE_INTERVAL_S, MAINTENANCE_INTERVAL_S);
     entry->acceptor.data = entry;
+    ev_timer_init(&entry->stop_timer, on_stop_timer, 0.0, 0.0);
     entry->maintenance_timer.data = entry;
+    entry->stop_timer.data = entry;
     ev_io_start(entry->ev, &entry->acceptor);
     ev_timer_start(entry->ev, &entry->maintenance_timer);
 }
--- a/src/call/entry_private.h
+++ b/src/call/entry_private.h
@@ -21,6 +21,7 @@
     int listener; /* -1 once it is closed */
     ev_io acceptor;
     ev_timer maintenance_timer; /* checks time limits, frees connections */
+    ev_timer stop_timer;        /* answers calls before a stop ends */
     ev_timer wakeup_timer; /* wakes the loop so that the kernel delivers */
     uint16_t port;
     uint64_t next_call_id;
--- a/src/call/stop_plan.h
+++ b/src/call/stop_plan.h
@@ -10,6 +10,7 @@
     int64_t any_request_until_ns; /* requests of any deadline until then */
     int64_t accept_until_ns;      /* connections, and requests that end in
                                      time, until then */
+    int64_t answer_ns;            /* calls without an answer get one then */
     int64_t end_ns;
 };
 
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -125,6 +125,14 @@
         });
     }
 
+    void abort_call(enum rp_abort_reason reason)
+    {
+        struct rp_call_abort abort = {1, reason};
+        rp_task_send(entry, dispatch(), RP_MSG_CALL_ABORT, &abort,
+                     sizeof(abort));
+        run();
+    }
+
     // Answers the oldest probe.
     void answer_probe(const struct rp_load_report &load)
     {
@@ -489,4 +497,40 @@
     }
 }
 
+// Guards against a stop that tells a caller that its request did not run
+// although a target had it, and against a second reply.
+TEST(dispatch, stop_answers_calls_without_an_answer)
+{
+    enum state { QUEUED, SENT, ANSWERED };
+    struct {
+        const char *name;
+        enum state state;
+        enum rp_outcome outcome;
+        uint32_t status;
+    } cases[] = {
+        {"queued", QUEUED, RP_OUTCOME_NOT_RUN, 503},
+        {"sent", SENT, RP_OUTCOME_UNKNOWN, 504},
+        {"answered", ANSWERED, RP_OUTCOME_NONE, 0},
+    };
+    for (const auto &entry : cases) {
+        process instance;
+        instance.apply([&](struct rp_snapshot *snapshot) {
+            add_service(snapshot, "maps", {"10.0.0.1:1"},
+                        entry.state == QUEUED);
+            add_route(snapshot, {"maps"});
+        });
+        instance.start_call();
+        ASSERT_EQ(instance.starts.size(), entry.state == QUEUED ? 0u : 1u)
+            << entry.name;
+        if (entry.state == ANSWERED) {
+            instance.complete(instance.starts[0]);
+        }
+        instance.abort_call(RP_ABORT_STOPPING);
+        instance.run_until(START_NS + 20000 * MS);
+        ASSERT_EQ(instance.replies.size(), 1u) << entry.name;
+        EXPECT_EQ(instance.replies[0].outcome, entry.outcome) << entry.name;
+        EXPECT_EQ(instance.replies[0].status, entry.status) << entry.name;
+    }
+}
+
 } // namespace
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -178,12 +178,31 @@
         send_reply(&reply);
     }
 
+    // Answers as dispatch does when a call may have run.
+    void fail(uint64_t call_id)
+    {
+        struct rp_call_reply reply = {};
+        reply.call_id = call_id;
+        reply.outcome = RP_OUTCOME_UNKNOWN;
+        reply.status = 504;
+        reply.reason = "stopping";
+        rp_task_send(dispatch, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
+                     RP_MSG_CALL_REPLY, &reply, sizeof(reply));
+    }
+
     static void on_message(struct rp_task *, const struct rp_message *message,
                            int64_t, void *data)
     {
+        auto instance = static_cast<vm *>(data);
         if (message->kind == RP_MSG_CALL_START) {
             auto start = static_cast<const rp_call_start *>(message->body);
-            static_cast<vm *>(data)->calls.push_back(rp_call_ref(start->call));
+            instance->calls.push_back(rp_call_ref(start->call));
+        }
+        else if (message->kind == RP_MSG_CALL_ABORT) {
+            auto abort = static_cast<const rp_call_abort *>(message->body);
+            if (abort->reason == RP_ABORT_STOPPING) {
+                instance->fail(abort->call_id);
+            }
         }
     }
 
@@ -197,6 +216,17 @@
 
 const struct rp_task_ops vm::ops = {vm::on_message, nullptr, nullptr};
 
+size_t
+count(const std::string &text, const std::string &part)
+{
+    size_t found = 0;
+    for (size_t at = 0; (at = text.find(part, at)) != std::string::npos; at++)
+    {
+        found++;
+    }
+    return found;
+}
+
 // Returns how many complete answers with bodies of that size are in text.
 size_t
 count_answers(const std::string &text, uint32_t body_bytes)
@@ -456,6 +486,52 @@
     }
 }
 
+// Guards against answers that are lost with a stopping process because they
+// wait behind a slow request of their connection.
+TEST(entry, stop_delivers_answers_behind_a_slow_request)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct {
+        const char *what;
+        size_t requests;
+        size_t slow; /* the first ones, without an answer */
+    } cases[] = {
+        {"no slow request", 2, 0},
+        {"a slow request", 3, 1},
+        {"only slow requests", 2, 2},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        for (size_t i = 0; i < entry.requests; i++) {
+            send(caller, get.data(), get.size(), 0);
+        }
+        vm.run();
+        vm.stop();
+        std::vector<struct rp_call *> slow(vm.calls.begin(),
+                                           vm.calls.begin() +
+                                               static_cast<long>(entry.slow));
+        vm.calls.erase(vm.calls.begin(),
+                       vm.calls.begin() + static_cast<long>(entry.slow));
+        vm.answer_calls(false, 10);
+        std::string answers;
+        bool closed = false;
+        int64_t end_ns = rp_loop_now_ns() + 890 * MS;
+        while (!closed && rp_loop_now_ns() < end_ns) {
+            g_usleep(1000);
+            vm.run();
+            answers += receive(caller, &closed);
+        }
+        EXPECT_EQ(count(answers, "HTTP/1.1 504"), entry.slow) << entry.what;
+        EXPECT_EQ(count(answers, "HTTP/1.1 200"), entry.requests - entry.slow)
+            << entry.what;
+        for (struct rp_call *call : slow) {
+            rp_call_unref(call);
+        }
+        close(caller);
+    }
+}
+
 // Guards against a second run of a request: one behind an answer that ends the
 // connection, which the caller sends again elsewhere, and which is started
 // while that answer is still being written.
--- a/tests/test_stop_plan.cc
+++ b/tests/test_stop_plan.cc
@@ -65,6 +65,8 @@
         EXPECT_LE(plan.end_ns, STOP + entry.max_end_ms * MS);
         EXPECT_LE(plan.any_request_until_ns, plan.accept_until_ns);
         EXPECT_LE(plan.accept_until_ns, plan.end_ns);
+        EXPECT_GE(plan.answer_ns, STOP + entry.timeout_ms * MS * 5 / 6);
+        EXPECT_LE(plan.answer_ns, plan.end_ns);
     }
 }
 
