Accept fractions in the bounds of probes and further attempts

Cause: the setting took whole numbers only, while the platform's bounds may be fractions. The same holds for probes-per-s.

Change: both take decimals.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -330,11 +330,10 @@
                        rp_settings_decimal(settings, RP_SETTING_RETRY_RATIO),
         .retry_allowance =
             RETRY_BUDGET_FRACTION *
-            (double)rp_settings_number(settings, RP_SETTING_RETRY_ALLOWANCE),
+            rp_settings_decimal(settings, RP_SETTING_RETRY_ALLOWANCE),
         .retry_window_ns =
             rp_settings_number(settings, RP_SETTING_RETRY_WINDOW_MS) * 1000000,
-        .probes_per_s =
-            (double)rp_settings_number(settings, RP_SETTING_PROBES_PER_S),
+        .probes_per_s = rp_settings_decimal(settings, RP_SETTING_PROBES_PER_S),
         .remote_cost_ns_per_kb =
             rp_settings_number(settings, RP_SETTING_REMOTE_COST_US_PER_KB) *
             1000,
--- a/tests/test_setting.cc
+++ b/tests/test_setting.cc
@@ -89,6 +89,8 @@
         {RP_SETTING_RETRY_WINDOW_MS, "2500", 2500},
         {RP_SETTING_RETRY_WINDOW_MS, "", 10000},
         {RP_SETTING_RETRY_ALLOWANCE, "58", 58},
+        {RP_SETTING_RETRY_ALLOWANCE, "23.142857142857142", 23.142857142857142},
+        {RP_SETTING_PROBES_PER_S, "0.5", 0.5},
         {RP_SETTING_RETRY_ALLOWANCE, "", 42},
         {RP_SETTING_RETRY_RATIO, "0.2", 0.2},
         {RP_SETTING_RETRY_RATIO, "", 0.1},
@@ -98,7 +100,9 @@
         struct rp_settings *settings = rp_settings_new();
         rp_settings_set_flag(settings, entry.setting, entry.value);
         bool decimal = entry.setting == RP_SETTING_RETRY_RATIO ||
-                       entry.setting == RP_SETTING_CPU_SHARE;
+                       entry.setting == RP_SETTING_CPU_SHARE ||
+                       entry.setting == RP_SETTING_RETRY_ALLOWANCE ||
+                       entry.setting == RP_SETTING_PROBES_PER_S;
         double result =
             decimal ? rp_settings_decimal(settings, entry.setting)
                     : (double)rp_settings_number(settings, entry.setting);
