End callers that go on sending and read no answer

A caller that sent requests and read none of the answers kept its connection, and what it sent was held in memory: 16 kB more for each idle timeout.

Cause: the check of time limits reads a connection before it ends it, also one whose reader is stopped since its input has reached the bound. The read counted as activity, so that the idle timeout began again.

Change: only connections whose reader runs are read.

Evidence: entry.callers_that_exceed_limits_are_ended failed for a caller that sends 4 MB of requests and reads nothing: its connection was open after 2.4 s with an idle timeout of 0.1 s.

--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -538,7 +538,8 @@
         if (pending_output_bytes(connection) > 0) {
             entry_connection_advance(connection, now_ns);
         }
-        if (!connection->closed) {
+        /* The reader is stopped while no more input is to be held. */
+        if (ev_is_active(&connection->reader)) {
             read_input(connection, now_ns);
         }
         if (connection->closed || connection->lingering) {
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -395,6 +395,45 @@
     }
 }
 
+// Guards against a connection that is never ended although its caller exceeds
+// a limit: one that goes on sending and reads no answer.
+TEST(entry, callers_that_exceed_limits_are_ended)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::string flood;
+    while (flood.size() < 4000000) {
+        flood += get;
+    }
+    struct {
+        const char *what;
+        std::string requests;
+        uint32_t body_bytes;
+    } cases[] = {
+        {"reads nothing", get, 50000},
+        {"reads nothing and sends", flood, 50000},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        vm.shrink_send_buffers();
+        int caller = vm.connect_caller(1);
+        send(caller, entry.requests.data(), entry.requests.size(),
+             MSG_DONTWAIT);
+        vm.run();
+        vm.answer_calls(false, entry.body_bytes);
+        for (int i = 0; i < 8; i++) {
+            g_usleep(300000); // beyond each limit and a check of them
+            vm.run();
+        }
+        bool closed = false;
+        for (int i = 0; i < 1000 && !closed; i++) {
+            receive(caller, &closed); // what the kernel holds
+            g_usleep(1000);
+        }
+        EXPECT_TRUE(closed) << entry.what;
+        close(caller);
+    }
+}
+
 // Guards against a planned stop that cuts off callers: with a connection that
 // waits to be accepted, with a request that waits in a socket, or with an
 // answer of which the last bytes are not written yet.
