Read a large header to its end before its time limit ends it

After a pause of its entry VM, a caller whose header was on its way got 408 although all of it had arrived, when more than 16 kB were missing.

Cause: the check of time limits read once before it judged the header.

Change: it reads until the header is complete, too large or not all there.

Evidence: entry.input_is_read_before_time_limits_apply failed for the last 40 kB of a header that came during a pause: 408 and a closed connection, 200 now.

--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -413,19 +413,20 @@
     entry_connection_close(connection, reason);
 }
 
-/* Reads what the socket holds, at most RP_STREAM_READ_BYTES, and serves it. */
-static void
+/* Reads what the socket holds, at most RP_STREAM_READ_BYTES, and serves it.
+ * Returns whether there was anything. */
+static bool
 read_input(struct entry_connection *connection, int64_t now_ns)
 {
     uint8_t bytes[RP_STREAM_READ_BYTES];
     ssize_t count =
         recv(connection->socket, bytes, sizeof(bytes), MSG_DONTWAIT);
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-        return;
+        return false;
     }
     if (count <= 0) {
         handle_caller_closed(connection, NULL);
-        return;
+        return false;
     }
     if (!connection->lingering) {
         connection->last_activity_ns = now_ns;
@@ -433,7 +434,7 @@
     if (connection->lingering || connection->discard_input) {
         rp_counter_add(&connection->entry->context->counters,
                        RP_COUNTER_INPUT_DISCARDED_BYTES, (uint64_t)count);
-        return;
+        return true;
     }
     g_byte_array_append(connection->input, bytes, (guint)count);
     if (!connection->paused) {
@@ -443,6 +444,7 @@
         ev_io_stop(connection->entry->ev, &connection->reader);
     }
     entry_connection_advance(connection, now_ns);
+    return true;
 }
 
 static void
@@ -516,6 +518,7 @@
 {
     int64_t limit_ns = (int64_t)connection->entry->limits.header_ms * 1000000;
     return connection->head_start_ns > 0 && connection->reading != NULL &&
+           !connection->discard_input &&
            now_ns - connection->head_start_ns > limit_ns;
 }
 
@@ -538,9 +541,12 @@
         if (pending_output_bytes(connection) > 0) {
             entry_connection_advance(connection, now_ns);
         }
-        /* The reader is stopped while no more input is to be held. */
-        if (ev_is_active(&connection->reader)) {
-            read_input(connection, now_ns);
+        /* The reader is stopped while no more input is to be held. A header
+         * may need several reads, but not more than its limit allows. */
+        bool again = true;
+        while (again && ev_is_active(&connection->reader)) {
+            again = read_input(connection, now_ns) &&
+                    header_is_late(connection, now_ns);
         }
         if (connection->closed || connection->lingering) {
             return;
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -83,6 +83,7 @@
         rp_route_add_part(route, "a", 1);
         struct rp_caller_limits limits = *rp_snapshot_limits(message.snapshot);
         limits.idle_ms = limits.header_ms = 100;
+        limits.header_bytes = 65536;
         rp_snapshot_set_limits(message.snapshot, &limits);
         rp_task_send_owned(nullptr, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
                            RP_MSG_SNAPSHOT, &message, sizeof(message),
@@ -336,6 +337,8 @@
         {"a request on an idle connection", "", get, 1, false},
         {"two requests on an idle connection", "", get + get, 2, false},
         {"the rest of a header", get.substr(0, 20), get.substr(20), 1, false},
+        {"the rest of a header of 40 kB", get.substr(0, 20),
+         "t: x\r\nY: " + std::string(40000, 'y') + "\r\n\r\n", 1, false},
         {"a part of a header", get.substr(0, 20), get.substr(20, 5), 0, true},
     };
     for (const auto &entry : cases) {
