End callers that leave out the rest of a body after its answer

A caller that had its answer and did not send the rest of its request kept its connection for as long as it liked, and held up a stop until its timeout.

Cause: a request whose body is not complete stays in the queue of its connection, which therefore did not count as idle.

Change: a connection is idle when each answer is written.

Evidence: entry.callers_that_exceed_limits_are_ended failed for half a body: the connection was open after 2.4 s with an idle timeout of 0.1 s.

--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -522,6 +522,17 @@
            now_ns - connection->head_start_ns > limit_ns;
 }
 
+/* Returns whether each answer is written: nothing is left to do before the
+ * caller sends a request or the rest of the last one. */
+static bool
+is_idle(const struct entry_connection *connection)
+{
+    const GList *first = connection->requests.head;
+    return pending_output_bytes(connection) == 0 &&
+           (first == NULL ||
+            ((const struct entry_request *)first->data)->body_written);
+}
+
 /* Ends a connection whose caller exceeds a time limit, and an idle one when
  * this VM is stopping. */
 void
@@ -561,9 +572,7 @@
         entry_connection_advance(connection, now_ns);
         return;
     }
-    bool idle = connection->requests.length == 0 &&
-                pending_output_bytes(connection) == 0;
-    if (idle && is_inactive(connection, now_ns)) {
+    if (is_idle(connection) && is_inactive(connection, now_ns)) {
         shut_down(connection, now_ns);
     }
     else if (pending_output_bytes(connection) > 0 &&
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -399,7 +399,8 @@
 }
 
 // Guards against a connection that is never ended although its caller exceeds
-// a limit: one that goes on sending and reads no answer.
+// a limit: one that goes on sending and reads no answer, or one that has its
+// answer and leaves out the rest of its body.
 TEST(entry, callers_that_exceed_limits_are_ended)
 {
     const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -414,6 +415,8 @@
     } cases[] = {
         {"reads nothing", get, 50000},
         {"reads nothing and sends", flood, 50000},
+        {"half a body, answered",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc", 10},
     };
     for (const auto &entry : cases) {
         vm vm;
