Read behind an answer that ends its connection

A caller that sent all of its requests before it read got a reset while it was still sending, when a stopping VM ended the connection with an earlier answer. A caller that closed its connection then held up the stop for up to 1 s.

Cause: input is held up to 64 kB, and the reader is stopped at this bound. What is held was not discarded when the connection began to close, so that the reader was not started again.

Change: a closing connection holds no input.

Evidence: entry.input_is_read_behind_an_answer_that_ends_the_connection failed for a request of 8 MB behind another one: 4,348,011 of 8,000,082 bytes were sent.

--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -327,6 +327,10 @@
         connection->reading = NULL;
         shut_down(connection, now_ns);
     }
+    if (connection->closing) {
+        /* What follows the last request is read, but not held. */
+        g_byte_array_set_size(connection->input, 0);
+    }
     if (!connection->closed && connection->input->len < MAX_INPUT_BYTES) {
         ev_io_start(connection->entry->ev, &connection->reader);
     }
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -440,6 +440,52 @@
     }
 }
 
+// Guards against a connection that reads nothing behind the answer that ends
+// it: a caller that sends all of its requests before it reads gets a reset.
+TEST(entry, input_is_read_behind_an_answer_that_ends_the_connection)
+{
+    struct {
+        const char *what;
+        size_t bytes; /* of a request behind another one, of a stopping VM */
+    } cases[] = {
+        {"fits into the stream", 50000},
+        {"fits into the input", 100000},
+        {"fits into the socket", 900000},
+        {"fits into no socket", 8000000},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        vm.stop();
+        int caller = vm.connect_caller();
+        std::string requests = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+                               "POST /a HTTP/1.1\r\nHost: x\r\n"
+                               "Content-Length: " +
+                               std::to_string(entry.bytes) + "\r\n\r\n" +
+                               std::string(entry.bytes, 'x');
+        size_t sent = 0;
+        for (int i = 0; i < 3000 && sent < requests.size(); i++) {
+            ssize_t count =
+                send(caller, requests.data() + sent, requests.size() - sent,
+                     MSG_DONTWAIT | MSG_NOSIGNAL);
+            sent += count > 0 ? static_cast<size_t>(count) : 0;
+            vm.run();
+            if (i == 20) {
+                vm.answer_calls(false, 10);
+            }
+            if (i > 100) {
+                g_usleep(1000);
+            }
+        }
+        EXPECT_EQ(sent, requests.size()) << entry.what;
+        vm.run();
+        vm.answer_calls(false, 10);
+        bool closed = false;
+        EXPECT_EQ(count_answers(receive(caller, &closed), 10), 1u)
+            << entry.what;
+        close(caller);
+    }
+}
+
 // Guards against a planned stop that cuts off callers: with a connection that
 // waits to be accepted, with a request that waits in a socket, or with an
 // answer of which the last bytes are not written yet.
