Check that a caller that goes on sending is ended

The change "End a stopping process when its answers are written" also ends a connection 1 s after it was shut down although its caller goes on sending. No test failed without that part; entry.callers_that_exceed_limits_are_ended does now, when the bytes after the last answer count as activity.

--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -399,8 +399,9 @@
 }
 
 // Guards against a connection that is never ended although its caller exceeds
-// a limit: one that goes on sending and reads no answer, or one that has its
-// answer and leaves out the rest of its body.
+// a limit: one that goes on sending and reads no answer, one that has its
+// answer and leaves out the rest of its body, or one that goes on sending
+// behind the last answer.
 TEST(entry, callers_that_exceed_limits_are_ended)
 {
     const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -412,11 +413,15 @@
         const char *what;
         std::string requests;
         uint32_t body_bytes;
+        bool sends; /* one byte after another, as long as it can */
     } cases[] = {
-        {"reads nothing", get, 50000},
-        {"reads nothing and sends", flood, 50000},
+        {"reads nothing", get, 50000, false},
+        {"reads nothing and sends", flood, 50000, false},
         {"half a body, answered",
-         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc", 10},
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc", 10,
+         false},
+        {"sends behind the last answer",
+         "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 10, true},
     };
     for (const auto &entry : cases) {
         vm vm;
@@ -426,10 +431,13 @@
              MSG_DONTWAIT);
         vm.run();
         vm.answer_calls(false, entry.body_bytes);
+        bool sends = entry.sends;
         for (int i = 0; i < 8; i++) {
             g_usleep(300000); // beyond each limit and a check of them
             vm.run();
+            sends = sends && send(caller, "x", 1, MSG_NOSIGNAL) == 1;
         }
+        EXPECT_FALSE(sends) << entry.what;
         bool closed = false;
         for (int i = 0; i < 1000 && !closed; i++) {
             receive(caller, &closed); // what the kernel holds
