--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -327,6 +327,10 @@
         connection->reading = NULL;
         shut_down(connection, now_ns);
     }
+    if (connection->closing) {
+        /* What follows the last request is read, but not held. */
+        g_byte_array_set_size(connection->input, 0);
+    }
     if (!connection->closed && connection->input->len < MAX_INPUT_BYTES) {
         ev_io_start(connection->entry->ev, &connection->reader);
     }
@@ -413,19 +417,20 @@
     entry_connection_close(connection, reason);
 }
 
-/* Reads what the socket holds, at most RP_STREAM_READ_BYTES, and serves it. */
-static void
+/* Reads what the socket holds, at most RP_STREAM_READ_BYTES, and serves it.
+ * Returns whether there was anything. */
+static bool
 read_input(struct entry_connection *connection, int64_t now_ns)
 {
     uint8_t bytes[RP_STREAM_READ_BYTES];
     ssize_t count =
         recv(connection->socket, bytes, sizeof(bytes), MSG_DONTWAIT);
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-        return;
+        return false;
     }
     if (count <= 0) {
         handle_caller_closed(connection, NULL);
-        return;
+        return false;
     }
     if (!connection->lingering) {
         connection->last_activity_ns = now_ns;
@@ -433,7 +438,7 @@
     if (connection->lingering || connection->discard_input) {
         rp_counter_add(&connection->entry->context->counters,
                        RP_COUNTER_INPUT_DISCARDED_BYTES, (uint64_t)count);
-        return;
+        return true;
     }
     g_byte_array_append(connection->input, bytes, (guint)count);
     if (!connection->paused) {
@@ -443,6 +448,7 @@
         ev_io_stop(connection->entry->ev, &connection->reader);
     }
     entry_connection_advance(connection, now_ns);
+    return true;
 }
 
 static void
@@ -516,9 +522,21 @@
 {
     int64_t limit_ns = (int64_t)connection->entry->limits.header_ms * 1000000;
     return connection->head_start_ns > 0 && connection->reading != NULL &&
+           !connection->discard_input &&
            now_ns - connection->head_start_ns > limit_ns;
 }
 
+/* Returns whether each answer is written: nothing is left to do before the
+ * caller sends a request or the rest of the last one. */
+static bool
+is_idle(const struct entry_connection *connection)
+{
+    const GList *first = connection->requests.head;
+    return pending_output_bytes(connection) == 0 &&
+           (first == NULL ||
+            ((const struct entry_request *)first->data)->body_written);
+}
+
 /* Ends a connection whose caller exceeds a time limit, and an idle one when
  * this VM is stopping. */
 void
@@ -538,8 +556,12 @@
         if (pending_output_bytes(connection) > 0) {
             entry_connection_advance(connection, now_ns);
         }
-        if (!connection->closed) {
-            read_input(connection, now_ns);
+        /* The reader is stopped while no more input is to be held. A header
+         * may need several reads, but not more than its limit allows. */
+        bool again = true;
+        while (again && ev_is_active(&connection->reader)) {
+            again = read_input(connection, now_ns) &&
+                    header_is_late(connection, now_ns);
         }
         if (connection->closed || connection->lingering) {
             return;
@@ -554,9 +576,7 @@
         entry_connection_advance(connection, now_ns);
         return;
     }
-    bool idle = connection->requests.length == 0 &&
-                pending_output_bytes(connection) == 0;
-    if (idle && is_inactive(connection, now_ns)) {
+    if (is_idle(connection) && is_inactive(connection, now_ns)) {
         shut_down(connection, now_ns);
     }
     else if (pending_output_bytes(connection) > 0 &&
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -83,6 +83,7 @@
         rp_route_add_part(route, "a", 1);
         struct rp_caller_limits limits = *rp_snapshot_limits(message.snapshot);
         limits.idle_ms = limits.header_ms = 100;
+        limits.header_bytes = 65536;
         rp_snapshot_set_limits(message.snapshot, &limits);
         rp_task_send_owned(nullptr, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
                            RP_MSG_SNAPSHOT, &message, sizeof(message),
@@ -366,6 +367,8 @@
         {"a request on an idle connection", "", get, 1, false},
         {"two requests on an idle connection", "", get + get, 2, false},
         {"the rest of a header", get.substr(0, 20), get.substr(20), 1, false},
+        {"the rest of a header of 40 kB", get.substr(0, 20),
+         "t: x\r\nY: " + std::string(40000, 'y') + "\r\n\r\n", 1, false},
         {"a part of a header", get.substr(0, 20), get.substr(20, 5), 0, true},
     };
     for (const auto &entry : cases) {
@@ -425,6 +428,102 @@
     }
 }
 
+// Guards against a connection that is never ended although its caller exceeds
+// a limit: one that goes on sending and reads no answer, one that has its
+// answer and leaves out the rest of its body, or one that goes on sending
+// behind the last answer.
+TEST(entry, callers_that_exceed_limits_are_ended)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::string flood;
+    while (flood.size() < 4000000) {
+        flood += get;
+    }
+    struct {
+        const char *what;
+        std::string requests;
+        uint32_t body_bytes;
+        bool sends; /* one byte after another, as long as it can */
+    } cases[] = {
+        {"reads nothing", get, 50000, false},
+        {"reads nothing and sends", flood, 50000, false},
+        {"half a body, answered",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc", 10,
+         false},
+        {"sends behind the last answer",
+         "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 10, true},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        vm.shrink_send_buffers();
+        int caller = vm.connect_caller(1);
+        send(caller, entry.requests.data(), entry.requests.size(),
+             MSG_DONTWAIT);
+        vm.run();
+        vm.answer_calls(false, entry.body_bytes);
+        bool sends = entry.sends;
+        for (int i = 0; i < 8; i++) {
+            g_usleep(300000); // beyond each limit and a check of them
+            vm.run();
+            sends = sends && send(caller, "x", 1, MSG_NOSIGNAL) == 1;
+        }
+        EXPECT_FALSE(sends) << entry.what;
+        bool closed = false;
+        for (int i = 0; i < 1000 && !closed; i++) {
+            receive(caller, &closed); // what the kernel holds
+            g_usleep(1000);
+        }
+        EXPECT_TRUE(closed) << entry.what;
+        close(caller);
+    }
+}
+
+// Guards against a connection that reads nothing behind the answer that ends
+// it: a caller that sends all of its requests before it reads gets a reset.
+TEST(entry, input_is_read_behind_an_answer_that_ends_the_connection)
+{
+    struct {
+        const char *what;
+        size_t bytes; /* of a request behind another one, of a stopping VM */
+    } cases[] = {
+        {"fits into the stream", 50000},
+        {"fits into the input", 100000},
+        {"fits into the socket", 900000},
+        {"fits into no socket", 8000000},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        vm.stop();
+        int caller = vm.connect_caller();
+        std::string requests = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+                               "POST /a HTTP/1.1\r\nHost: x\r\n"
+                               "Content-Length: " +
+                               std::to_string(entry.bytes) + "\r\n\r\n" +
+                               std::string(entry.bytes, 'x');
+        size_t sent = 0;
+        for (int i = 0; i < 3000 && sent < requests.size(); i++) {
+            ssize_t count =
+                send(caller, requests.data() + sent, requests.size() - sent,
+                     MSG_DONTWAIT | MSG_NOSIGNAL);
+            sent += count > 0 ? static_cast<size_t>(count) : 0;
+            vm.run();
+            if (i == 20) {
+                vm.answer_calls(false, 10);
+            }
+            if (i > 100) {
+                g_usleep(1000);
+            }
+        }
+        EXPECT_EQ(sent, requests.size()) << entry.what;
+        vm.run();
+        vm.answer_calls(false, 10);
+        bool closed = false;
+        EXPECT_EQ(count_answers(receive(caller, &closed), 10), 1u)
+            << entry.what;
+        close(caller);
+    }
+}
+
 // Guards against a planned stop that cuts off callers: with a connection that
 // waits to be accepted, with a request that waits in a socket, or with an
 // answer of which the last bytes are not written yet.
