Answer 502 when a further attempt finds the mailbox full

A caller of the gateway platform could be told 503, which promises that the request did not run, although an attempt had run: its connection closed, and the next attempt found the mailbox of upstream full.

Cause: send_attempt answered 503 whatever had happened before; only the outcome, which that platform does not send, said unknown.

Test: dispatch.a_full_mailbox_promises_only_what_is_true. Before: status 503 instead of 502 for the attempt over a new connection; the first attempt passed.

The status follows from may_have_run, as in the other failures.

--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -139,7 +139,9 @@
              bool fresh, int64_t now_ns)
 {
     if (!dispatch_attempt_send(call, attempt, fresh, now_ns)) {
-        fail_call(call, 503, 100, "this entry VM is overloaded", now_ns);
+        cancel_attempts(call, RP_ATTEMPT_CANCELLED, now_ns);
+        fail_call(call, call->may_have_run ? 502 : 503, 100,
+                  "this entry VM is overloaded", now_ns);
     }
 }
 
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -205,6 +205,10 @@
 
     void run()
     {
+        while (fill_upstream &&
+               rp_task_send(nullptr, upstream, RP_MSG_TARGET_HINT, nullptr, 0))
+        {
+        }
         due_ns = rp_kernel_run(kernel, now_ns);
     }
 
@@ -220,6 +224,7 @@
     }
 
     int64_t now_ns = START_NS;
+    bool fill_upstream = false; // its mailbox, before each run
     std::vector<struct rp_attempt_start> starts;
     std::vector<struct rp_call_reply> replies;
     std::vector<struct rp_probe_start> probes;
@@ -489,4 +494,37 @@
     }
 }
 
+// Guards against a status that promises that a request did not run, when an
+// attempt may have run and the next one finds the mailbox of upstream full.
+TEST(dispatch, a_full_mailbox_promises_only_what_is_true)
+{
+    struct {
+        const char *name;
+        bool retried;
+        uint32_t status;
+        enum rp_outcome outcome;
+    } cases[] = {
+        {"first attempt", false, 503, RP_OUTCOME_NOT_RUN},
+        {"over a new connection", true, 502, RP_OUTCOME_UNKNOWN},
+    };
+    for (const auto &entry : cases) {
+        process instance(1000);
+        instance.configure(false, false);
+        if (entry.retried) {
+            instance.start_call();
+            ASSERT_EQ(instance.starts.size(), 1u);
+        }
+        instance.fill_upstream = true;
+        if (entry.retried) {
+            instance.lose_connection(instance.starts[0]);
+        }
+        else {
+            instance.start_call();
+        }
+        ASSERT_EQ(instance.replies.size(), 1u) << entry.name;
+        EXPECT_EQ(instance.replies[0].status, entry.status) << entry.name;
+        EXPECT_EQ(instance.replies[0].outcome, entry.outcome) << entry.name;
+    }
+}
+
 } // namespace
