End an attempt whose cancel message was lost

A connection to a target, and the request on it, could be kept for good: the message that cancels the attempt is dropped when the mailbox of upstream is full (16,384 messages in one turn, as when thousands of calls reach their deadline at once), and an attempt that waits for room in the stream of its body has no time limit.

Cause: dispatch_attempt_cancel cannot repeat the message; the paused transfer reads nothing, so that it does not see its target leave either.

Test: upstream.an_attempt_ends_without_its_cancel_message, with the real task, libcurl and a server. Before: the attempt had not ended after 5 s. After: it ends within 0.26 s.

Dispatch breaks the body of an attempt that it cancels; the check for stalled attempts, each 250 ms, now ends those with a broken body.

--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -185,7 +185,8 @@
 }
 
 /* Ends attempts whose answer body made no progress although the caller accepts
- * bytes: their connections are considered silent. */
+ * bytes: their connections are considered silent. Those that dispatch has
+ * cancelled end too. */
 static void
 on_stall_check(struct ev_loop *ev, ev_timer *watcher, int events)
 {
@@ -200,7 +201,11 @@
     g_hash_table_iter_init(&iterator, upstream->attempts);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct rp_upstream_attempt *attempt = value;
-        if (rp_upstream_attempt_stalled(attempt, limit_ns, now_ns)) {
+        /* Dispatch breaks the body of an attempt that it cancels; the message
+         * may have been lost in a full mailbox. */
+        bool cancelled = rp_stream_state(attempt->body) == RP_STREAM_BROKEN;
+        if (cancelled ||
+            rp_upstream_attempt_stalled(attempt, limit_ns, now_ns)) {
             g_ptr_array_add(stalled, attempt);
         }
     }
