--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -384,6 +384,33 @@
     }
 }
 
+// Guards against records of an earlier life of the platform, from a replica
+// that was not restored, and against a reader that stays with them.
+TEST_F(platform, epoch_that_goes_back_is_refused)
+{
+    struct {
+        const char *key;
+        uint64_t epoch;
+        bool read;
+    } cases[] = {{"first", 3, true}, {"back", 2, false}, {"next", 4, true}};
+    put(port, "restore", R"({"revision":0,"epoch":3})");
+    publish("a");
+    start({});
+    EXPECT_TRUE(run_until([&] { return received.complete_reads >= 1; }));
+    for (const auto &entry : cases) {
+        uint64_t failures = counter(RP_COUNTER_PLATFORM_READ_FAILURES);
+        put(port, "restore",
+            R"({"revision":1,"epoch":)" + std::to_string(entry.epoch) + "}");
+        publish(entry.key);
+        EXPECT_TRUE(run_until([&] {
+            return received.records.count(entry.key) == 1 ||
+                   counter(RP_COUNTER_PLATFORM_READ_FAILURES) >= failures + 2;
+        })) << entry.key;
+        EXPECT_EQ(received.records.count(entry.key), entry.read ? 1u : 0u)
+            << entry.key;
+    }
+}
+
 // Guards against answers that exceed the memory, and against large values that
 // are never read.
 TEST_F(platform, large_answers_are_read_in_smaller_pages)
