Check the start of a VM from records of peers in another epoch

platform.records_of_peers_are_listed_again_in_another_epoch guards against a VM that starts with records of a peer of an earlier version, whose revisions have no epoch, or of an earlier epoch, and misses changes up to their revision.

--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -263,6 +263,10 @@
         data = this;
         records_path = path;
         parse_answer = parse;
+        revision_path = "/records?after=0&limit=1";
+        parse_revision = [](void *, uint32_t, const char *, size_t) {
+            return UINT64_C(0);
+        };
     }
 
     static char *path(void *data, uint64_t after, int64_t wait_ms,
@@ -411,6 +415,45 @@
     }
 }
 
+// Guards against a VM that gets its records from a peer of an earlier version,
+// whose revisions have no epoch, and then watches a restored platform from
+// there: changes up to that position would be missed.
+TEST_F(platform, records_of_peers_are_listed_again_in_another_epoch)
+{
+    struct {
+        const char *what;
+        uint64_t epoch; // of the peer's records; the platform's is 2
+    } cases[] = {{"no epoch", 0}, {"an earlier one", 1}};
+    listing_protocol protocol;
+    protocol.vms_path = nullptr;
+    protocol.skip_listing = [](void *) { return true; };
+    struct rp_platform_settings settings = {};
+    settings.protocol = &protocol;
+    settings.is_seed = true;
+    settings.first_read_delay_ns = 60000 * MS;
+    put(port, "restore", R"({"revision":0,"epoch":2})");
+    for (const char *key : {"a", "b", "c"}) {
+        publish(key);
+    }
+    for (const auto &entry : cases) {
+        rp_kernel_free(kernel);
+        kernel = rp_kernel_new(context);
+        rp_loop_free(loop);
+        loop = rp_loop_new(kernel);
+        received = receiver();
+        rp_kernel_add_task(kernel, "config", &receiver_ops, &received,
+                           nullptr);
+        start(settings);
+        struct rp_config_state state = {};
+        state.phase = RP_CONFIG_IN_FORCE;
+        state.revision = rp_revision_make(entry.epoch, 3);
+        rp_task_send(nullptr, rp_kernel_find_task(kernel, "platform"),
+                     RP_MSG_CONFIG_STATE, &state, sizeof(state));
+        EXPECT_TRUE(run_until([&] { return received.records.size() == 3; }))
+            << entry.what;
+    }
+}
+
 // Guards against answers that exceed the memory, and against large values that
 // are never read.
 TEST_F(platform, large_answers_are_read_in_smaller_pages)
