Let the next probe of a test start after the answer

prober.results_become_hints failed in a run with sanitizers beside other work: two results where one is expected.

Cause: the test probed each 10 ms.

Ruled out: one probe with two results; the number of results never exceeded that of the probes that may be under way.

Change: probes of the test start each 500 ms.

--- a/tests/test_prober.cc
+++ b/tests/test_prober.cc
@@ -71,7 +71,8 @@
     struct rp_snapshot_message message = {rp_snapshot_new(), true};
     struct rp_service *service =
         rp_snapshot_add_service(message.snapshot, "lookups");
-    service->probes_per_10s = 1000;
+    /* At an interval of 500 ms, no second probe starts before the answer. */
+    service->probes_per_10s = 20;
     g_free(service->probe_path);
     service->probe_path = g_strdup("/load");
     rp_service_add_target(service, "a", address, "bilbo", "new");
