Keep the values of several epochs of the platform

Entry VMs that had three values of one key from three epochs could exchange them without end, and the value in force depended on the order of arrival.

Cause: values were compared in pairs, by counter within an epoch and by the writer's position between epochs. For positions that fall or are unknown this order has cycles: (epoch 1, position 9) is replaced by a removal of unknown position (epoch 2), that by (epoch 3, position 5), and that by the first.

Ruled out: one lexicographic key. With the position first, a target that starts again with its clock set back is refused within an epoch; with the epoch first, the copy replaces what is newer.

Change: a set keeps the greatest value and the greatest removal of each of the last 8 epochs of a key, which is a join whatever the positions, and chooses the value in force from them, epoch by epoch. rp_record_order_compare is the plain order of publication. A removal of unknown position no longer hides the position of the entry it removes. A new verdict, RP_RECORD_KEPT, lets values that are not in force spread. Invariant I7 admits a step by way of the offered value: when it replaces the one in force, a kept value of a later epoch may replace it in turn.

Tests: record_order.is_total replaces is_total_for_rising_numbers, which left out falling and unknown positions; it covers all values. record_order.any_values_join_to_the_same_in_every_order covers the sets, in all orders of arrival and as an exchange of two VMs. The tests that compared the digest of a set with that of a set of the value in force now compare the value in force (content and revision), and that all orders of arrival give one digest: a set also has the values that are not in force.

--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -238,26 +238,38 @@
            (now->sequence == then->sequence && !before->retired);
 }
 
+static bool
+is_newer(const struct rp_record_order *current,
+         const struct rp_record_order *before)
+{
+    if (current->epoch_bound &&
+        !rp_revision_same_epoch(current->revision, before->revision))
+    {
+        return is_newer_in_other_epoch(current, before);
+    }
+    return current->version > before->version ||
+           (current->version == before->version &&
+            current->revision >= before->revision);
+}
+
 /* Invariant I7: the version of a key never decreases, nor does its revision
  * within one version, and no key is removed. Versions that count the changes
- * of the platform are compared within one of its epochs. Does not use
- * rp_record_order_compare, so that a fault in it is detected. */
+ * of the platform are compared within one of its epochs. When the offered
+ * value takes the place of the one in force, a known value of a later epoch
+ * may in turn replace it. Does not use the functions of the set, so that a
+ * fault in them is detected. */
 static void
 check_monotonic(struct rp_config_task *config, const char *key,
                 const struct rp_record_offer_result *result,
                 uint32_t keys_before, int64_t now_ns)
 {
     const struct rp_record_order *before = &result->previous;
+    const struct rp_record_order *offered = &result->offered;
     struct rp_record_order current = {0};
     bool found = rp_record_set_find(config->set, key, &current, NULL);
-    bool same_version = current.version == before->version &&
-                        current.revision >= before->revision;
-    bool is_newer =
-        current.epoch_bound &&
-                !rp_revision_same_epoch(current.revision, before->revision)
-            ? is_newer_in_other_epoch(&current, before)
-            : current.version > before->version || same_version;
-    bool is_monotonic = (before->version == 0 || (found && is_newer)) &&
+    bool is_after = is_newer(&current, before) ||
+                    (is_newer(offered, before) && is_newer(&current, offered));
+    bool is_monotonic = (before->version == 0 || (found && is_after)) &&
                         rp_record_set_count(config->set) >= keys_before;
     rp_invariant_check(config->context, RP_INVARIANT_CONFIG_MONOTONIC,
                        is_monotonic, now_ns, key);
@@ -283,6 +295,11 @@
     case RP_RECORD_RENEWED:
         batch->revision_changed = true;
         break;
+    case RP_RECORD_KEPT:
+        count(config, RP_COUNTER_RECORDS_OLDER);
+        report_older(config, item->key, &result, peer, now_ns);
+        batch->revision_changed = true;
+        break;
     case RP_RECORD_OLDER:
         count(config, RP_COUNTER_RECORDS_OLDER);
         report_older(config, item->key, &result, peer, now_ns);
--- a/src/config/record_build.c
+++ b/src/config/record_build.c
@@ -61,7 +61,7 @@
 collect_entry(gpointer key, gpointer value, gpointer data)
 {
     const struct record_entry *entry = value;
-    const struct rp_record *record = entry->record;
+    const struct rp_record *record = entry->in_force->record;
     if (record->retired) {
         return FALSE;
     }
@@ -89,7 +89,7 @@
     }
     for (uint32_t i = 0; i < record->target_count; i++) {
         struct candidate candidate = {&record->targets[i], record,
-                                      entry->order};
+                                      entry->in_force->order};
         g_array_append_val(records->candidates, candidate);
     }
     return FALSE;
--- a/src/config/record_set.c
+++ b/src/config/record_set.c
@@ -13,12 +13,21 @@
     return strcmp(a, b);
 }
 
+static void
+free_value(gpointer data)
+{
+    struct record_value *value = data;
+    rp_record_free(value->record);
+    g_bytes_unref(value->bytes);
+    g_free(value);
+}
+
 static void
 free_entry(gpointer data)
 {
     struct record_entry *entry = data;
-    rp_record_free(entry->record);
-    g_bytes_unref(entry->value);
+    g_ptr_array_unref(entry->values);
+    g_free(entry->key);
     g_free(entry);
 }
 
@@ -69,41 +78,18 @@
     return 0;
 }
 
-/* Returns whether a value of a later epoch of the platform replaces one of an
- * earlier epoch. The copy from which the platform came back may be older than
- * the earlier value, which the positions show: the later value then has a
- * lower one, or the same one although the target was removed after it. */
-static bool
-replaces_earlier_epoch(const struct rp_record_order *later,
-                       const struct rp_record_order *earlier)
-{
-    if (later->retired || !is_position_known(&later->position) ||
-        !is_position_known(&earlier->position))
-    {
-        return true;
-    }
-    int order = compare_positions(&later->position, &earlier->position);
-    return order > 0 || (order == 0 && !earlier->retired);
-}
-
-/* Compares two values of one key. Values of one epoch of the platform, and
- * those whose versions the operators number, are ordered by version, then by
- * platform revision. Of one revision, the greatest position decides, since VMs
- * that had different entries of a target give its removal different ones; then
- * a removal comes after an entry, and the content decides the rest. Values of
- * two epochs are ordered by their writer's numbers where these are known, else
- * by epoch. This is a total order as long as those numbers rise within each
- * epoch, not if they fall there or are known for some values only.
- * Returns -1, 0 or 1. */
+/* Compares two values of one key by the order of their publication, which is a
+ * total order. Values of one epoch of the platform, and those whose versions
+ * the operators number, are ordered by version, then by platform revision. Of
+ * one revision, the greatest position decides, since VMs that had different
+ * entries of a target give its removal different ones; then a removal comes
+ * after an entry, and the content decides the rest. Returns -1, 0 or 1. */
 int
 rp_record_order_compare(const struct rp_record_order *a,
                         const struct rp_record_order *b)
 {
     if (a->epoch_bound && !rp_revision_same_epoch(a->revision, b->revision)) {
-        if (a->revision > b->revision) {
-            return replaces_earlier_epoch(a, b) ? 1 : -1;
-        }
-        return replaces_earlier_epoch(b, a) ? -1 : 1;
+        return a->revision < b->revision ? -1 : 1;
     }
     if (a->version != b->version) {
         return a->version < b->version ? -1 : 1;
@@ -124,6 +110,49 @@
     return 0;
 }
 
+/* Returns whether the value that was published next replaces the one in force.
+ * In a later epoch of the platform it may be of the copy from which the
+ * platform came back, and older than the one in force, which the positions
+ * show. known is the greatest position up to the value in force. */
+static bool
+replaces(const struct rp_record_order *next,
+         const struct rp_record_order *in_force,
+         const struct rp_record_position *known)
+{
+    if (rp_revision_same_epoch(next->revision, in_force->revision) ||
+        next->retired || !is_position_known(&next->position) ||
+        !is_position_known(known))
+    {
+        return true;
+    }
+    int order = compare_positions(&next->position, known);
+    return order > 0 || (order == 0 && !in_force->retired);
+}
+
+/* Sets which of an entry's values is in force. A pairwise order of the values
+ * would have cycles, since counters decide within an epoch and positions
+ * between epochs. */
+static void
+choose_value(struct record_entry *entry)
+{
+    const struct record_value *chosen = g_ptr_array_index(entry->values, 0);
+    struct rp_record_position known = chosen->order.position;
+    for (guint i = 1; i < entry->values->len; i++) {
+        const struct record_value *next = g_ptr_array_index(entry->values, i);
+        if (!replaces(&next->order, &chosen->order, &known)) {
+            continue;
+        }
+        chosen = next;
+        /* A removal may be of a VM that had an older entry or none. */
+        if (!next->order.retired ||
+            compare_positions(&next->order.position, &known) > 0)
+        {
+            known = next->order.position;
+        }
+    }
+    entry->in_force = chosen;
+}
+
 static uint32_t
 find_bucket(const char *key)
 {
@@ -142,26 +171,27 @@
     return XXH3_64bits(parts, sizeof(parts));
 }
 
-/* Adds an entry's digest to the sums of its bucket and of the set, or
- * subtracts it. Sums do not depend on the order of arrival, and an entry is
- * replaced in constant time. */
+/* Adds a value's digest to the sums of its bucket and of the set, or subtracts
+ * it. Sums do not depend on the order of arrival, and a value is replaced in
+ * constant time. */
 static void
-add_digest(struct rp_record_set *set, const struct record_entry *entry,
+add_digest(struct rp_record_set *set, const struct record_value *value,
            bool is_removal)
 {
-    uint64_t digest = entry_digest(entry->record->key, &entry->order);
+    const char *key = value->record->key;
+    uint64_t digest = entry_digest(key, &value->order);
     uint64_t change = is_removal ? UINT64_C(0) - digest : digest;
-    set->bucket_digests[find_bucket(entry->record->key)] += change;
+    set->bucket_digests[find_bucket(key)] += change;
     set->digest += change;
 }
 
 static bool
-has_room(const struct rp_record_set *set, const struct record_entry *previous,
-         GBytes *value, const char *key, GError **error)
+has_room(const struct rp_record_set *set, bool is_new_key,
+         const struct record_value *previous, GBytes *value, const char *key,
+         GError **error)
 {
     uint64_t bytes = set->bytes + g_bytes_get_size(value);
-    if (previous == NULL && rp_record_set_count(set) >= RP_RECORD_SET_MAX_KEYS)
-    {
+    if (is_new_key && rp_record_set_count(set) >= RP_RECORD_SET_MAX_KEYS) {
         g_set_error(error, RP_ERROR, RP_ERROR_FULL,
                     "record '%.100s' refused: the limit of %d keys is "
                     "reached, retired ones included; reuse a retired key, or "
@@ -170,7 +200,7 @@
         return false;
     }
     if (previous != NULL) {
-        bytes -= g_bytes_get_size(previous->value);
+        bytes -= g_bytes_get_size(previous->bytes);
     }
     if (bytes > RP_RECORD_SET_MAX_BYTES) {
         g_set_error(error, RP_ERROR, RP_ERROR_FULL,
@@ -182,41 +212,152 @@
     return true;
 }
 
+static gint
+compare_values(gconstpointer a, gconstpointer b)
+{
+    const struct record_value *const *left = a;
+    const struct record_value *const *right = b;
+    return rp_record_order_compare(&(*left)->order, &(*right)->order);
+}
+
 static void
-put_entry(struct rp_record_set *set, struct record_entry *previous,
-          struct rp_record *record, GBytes *value,
-          const struct rp_record_order *order)
+remove_value(struct rp_record_set *set, struct record_entry *entry,
+             struct record_value *value)
 {
-    if (previous != NULL) {
-        add_digest(set, previous, true);
-        set->bytes -= g_bytes_get_size(previous->value);
-        set->retired_count -= previous->record->retired ? 1 : 0;
+    add_digest(set, value, true);
+    set->bytes -= g_bytes_get_size(value->bytes);
+    g_ptr_array_remove(entry->values, value);
+}
+
+static uint64_t
+lowest_epoch(const struct record_entry *entry)
+{
+    const struct record_value *first = g_ptr_array_index(entry->values, 0);
+    return rp_revision_epoch(first->order.revision);
+}
+
+static bool
+has_all_epochs(const struct record_entry *entry)
+{
+    uint32_t epochs = 0;
+    const struct record_value *previous = NULL;
+    for (guint i = 0; i < entry->values->len; i++) {
+        const struct record_value *value = g_ptr_array_index(entry->values, i);
+        if (previous == NULL ||
+            !rp_revision_same_epoch(previous->order.revision,
+                                    value->order.revision))
+        {
+            epochs++;
+        }
+        previous = value;
     }
-    struct record_entry *entry = g_new0(struct record_entry, 1);
-    entry->record = record;
-    entry->value = g_bytes_ref(value);
-    entry->order = *order;
-    add_digest(set, entry, false);
-    set->bytes += g_bytes_get_size(value);
-    set->retired_count += record->retired ? 1 : 0;
+    return epochs >= RP_RECORD_SET_MAX_EPOCHS;
+}
+
+/* Keeps the greatest epochs, in whatever order they arrive. */
+static void
+remove_lowest_epoch(struct rp_record_set *set, struct record_entry *entry)
+{
+    uint64_t epoch = lowest_epoch(entry);
+    while (entry->values->len > 0 && lowest_epoch(entry) == epoch) {
+        remove_value(set, entry, g_ptr_array_index(entry->values, 0));
+    }
+}
+
+/* Returns the value that an offered one competes with, or NULL. The greatest
+ * entry and the greatest removal of each epoch are kept. */
+static struct record_value *
+find_rival(const struct record_entry *entry,
+           const struct rp_record_order *offered)
+{
+    for (guint i = 0; entry != NULL && i < entry->values->len; i++) {
+        struct record_value *value = g_ptr_array_index(entry->values, i);
+        if (!offered->epoch_bound ||
+            (rp_revision_same_epoch(value->order.revision,
+                                    offered->revision) &&
+             value->order.retired == offered->retired))
+        {
+            return value;
+        }
+    }
+    return NULL;
+}
+
+static struct record_value *
+find_content(const struct record_entry *entry,
+             const struct rp_record_order *offered)
+{
+    for (guint i = 0; entry != NULL && i < entry->values->len; i++) {
+        struct record_value *value = g_ptr_array_index(entry->values, i);
+        if (value->order.content == offered->content &&
+            (!value->order.epoch_bound ||
+             rp_revision_same_epoch(value->order.revision, offered->revision)))
+        {
+            return value;
+        }
+    }
+    return NULL;
+}
+
+static void
+put_value(struct rp_record_set *set, struct record_entry *entry,
+          struct rp_record *record, GBytes *bytes,
+          const struct rp_record_order *order)
+{
+    struct record_value *value = g_new0(struct record_value, 1);
+    value->record = record;
+    value->bytes = g_bytes_ref(bytes);
+    value->order = *order;
+    add_digest(set, value, false);
+    set->bytes += g_bytes_get_size(bytes);
     set->revision = MAX(set->revision, order->revision);
-    /* Replaces the key as well, which belongs to the record. */
-    g_tree_replace(set->entries, record->key, entry);
+    g_ptr_array_add(entry->values, value);
+}
+
+static struct record_entry *
+add_entry(struct rp_record_set *set, const char *key)
+{
+    struct record_entry *entry = g_new0(struct record_entry, 1);
+    entry->key = g_strdup(key);
+    entry->values = g_ptr_array_new_with_free_func(free_value);
+    g_tree_insert(set->entries, entry->key, entry);
+    return entry;
+}
+
+/* Chooses the value in force after a change of an entry's values. Returns the
+ * verdict on the offered one. */
+static enum rp_record_verdict
+settle_entry(struct rp_record_set *set, struct record_entry *entry,
+             const struct rp_record_order *before)
+{
+    g_ptr_array_sort(entry->values, compare_values);
+    choose_value(entry);
+    const struct rp_record_order *after = &entry->in_force->order;
+    if (before != NULL && before->retired) {
+        set->retired_count--;
+    }
+    set->retired_count += after->retired ? 1 : 0;
+    if (before == NULL || after->content != before->content) {
+        return RP_RECORD_ACCEPTED;
+    }
+    return after->revision == before->revision ? RP_RECORD_KEPT
+                                               : RP_RECORD_RENEWED;
 }
 
 static enum rp_record_verdict
 raise_revision(struct rp_record_set *set, struct record_entry *entry,
-               uint64_t revision)
+               struct record_value *value, uint64_t revision)
 {
-    if (revision <= entry->order.revision) {
-        return revision == entry->order.revision ? RP_RECORD_KNOWN
+    if (revision <= value->order.revision) {
+        return revision == value->order.revision ? RP_RECORD_KNOWN
                                                  : RP_RECORD_OLDER;
     }
-    add_digest(set, entry, true);
-    entry->order.revision = revision;
-    add_digest(set, entry, false);
+    struct rp_record_order before = entry->in_force->order;
+    add_digest(set, value, true);
+    value->order.revision = revision;
+    add_digest(set, value, false);
     set->revision = MAX(set->revision, revision);
-    return RP_RECORD_RENEWED;
+    return settle_entry(set, entry, &before);
 }
 
 static void
@@ -238,6 +379,35 @@
             rp_revision_same_epoch(a->revision, b->revision));
 }
 
+static bool
+is_new_epoch(const struct record_entry *entry,
+             const struct rp_record_order *offered)
+{
+    if (!offered->epoch_bound) {
+        return false;
+    }
+    for (guint i = 0; i < entry->values->len; i++) {
+        const struct record_value *value = g_ptr_array_index(entry->values, i);
+        if (rp_revision_same_epoch(value->order.revision, offered->revision)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns whether an offered value is not kept: a greater one takes its place,
+ * or its epoch is below those that are kept. */
+static bool
+is_older(const struct record_entry *entry, const struct record_value *rival,
+         const struct rp_record_order *offered)
+{
+    if (rival != NULL) {
+        return rp_record_order_compare(offered, &rival->order) < 0;
+    }
+    return entry != NULL && has_all_epochs(entry) &&
+           rp_revision_epoch(offered->revision) < lowest_epoch(entry);
+}
+
 /* Offers a published value to the set. It is accepted as a whole or not at
  * all; a refused or older value leaves the record in force unchanged. result,
  * when not NULL, receives the verdict and what it was based on. Returns
@@ -255,15 +425,16 @@
     out->verdict = RP_RECORD_REFUSED;
     out->offered.revision = item->revision;
     out->offered.content = content_digest(item->value);
-    struct record_entry *previous = g_tree_lookup(set->entries, item->key);
-    if (previous != NULL) {
-        out->previous = previous->order;
-        if (previous->order.content == out->offered.content) {
-            set_order(&out->offered, previous->record);
-            out->retired = previous->record->retired;
-            out->verdict = raise_revision(set, previous, item->revision);
-            return out->verdict;
-        }
+    struct record_entry *entry = g_tree_lookup(set->entries, item->key);
+    if (entry != NULL) {
+        out->previous = entry->in_force->order;
+    }
+    struct record_value *known = find_content(entry, &out->offered);
+    if (known != NULL) {
+        set_order(&out->offered, known->record);
+        out->retired = known->record->retired;
+        out->verdict = raise_revision(set, entry, known, item->revision);
+        return out->verdict;
     }
     size_t bytes = 0;
     const char *text = g_bytes_get_data(item->value, &bytes);
@@ -275,20 +446,32 @@
     set_order(&out->offered, record);
     out->retired = record->retired;
     out->conflict =
-        previous != NULL && is_same_version(&previous->order, &out->offered);
-    if (previous != NULL &&
-        rp_record_order_compare(&out->offered, &previous->order) < 0)
-    {
+        entry != NULL && is_same_version(&out->previous, &out->offered);
+    struct record_value *rival = find_rival(entry, &out->offered);
+    if (is_older(entry, rival, &out->offered)) {
         out->verdict = RP_RECORD_OLDER;
         rp_record_free(record);
         return out->verdict;
     }
-    if (!has_room(set, previous, item->value, item->key, error)) {
+    if (!has_room(set, entry == NULL, rival, item->value, item->key, error)) {
         rp_record_free(record);
         return out->verdict;
     }
-    put_entry(set, previous, record, item->value, &out->offered);
-    out->verdict = RP_RECORD_ACCEPTED;
+    bool is_new_key = entry == NULL;
+    if (is_new_key) {
+        entry = add_entry(set, item->key);
+    }
+    if (rival != NULL) {
+        remove_value(set, entry, rival);
+    }
+    else if (!is_new_key && is_new_epoch(entry, &out->offered) &&
+             has_all_epochs(entry))
+    {
+        remove_lowest_epoch(set, entry);
+    }
+    put_value(set, entry, record, item->value, &out->offered);
+    out->verdict =
+        settle_entry(set, entry, is_new_key ? NULL : &out->previous);
     return out->verdict;
 }
 
@@ -301,11 +484,11 @@
                              uint64_t revision)
 {
     const struct record_entry *entry = g_tree_lookup(set->entries, key);
-    if (entry == NULL || entry->record->kind != RP_RECORD_TARGET) {
+    if (entry == NULL || entry->in_force->record->kind != RP_RECORD_TARGET) {
         return NULL;
     }
-    char *text =
-        rp_record_format_retired(entry->record, rp_revision_counter(revision));
+    char *text = rp_record_format_retired(entry->in_force->record,
+                                          rp_revision_counter(revision));
     return g_bytes_new_take(text, strlen(text));
 }
 
@@ -320,10 +503,10 @@
         return false;
     }
     if (order != NULL) {
-        *order = entry->order;
+        *order = entry->in_force->order;
     }
     if (retired != NULL) {
-        *retired = entry->record->retired;
+        *retired = entry->in_force->order.retired;
     }
     return true;
 }
@@ -339,7 +522,7 @@
 {
     const struct foreach_state *state = data;
     const struct record_entry *entry = value;
-    state->each(entry->record, &entry->order, state->data);
+    state->each(entry->in_force->record, &entry->in_force->order, state->data);
     return FALSE;
 }
 
@@ -384,7 +567,7 @@
     return set->digest;
 }
 
-/* Returns the greatest platform revision among the records. */
+/* Returns the greatest platform revision among the values. */
 uint64_t
 rp_record_set_revision(const struct rp_record_set *set)
 {
@@ -408,6 +591,20 @@
     struct rp_record_batch *last;
 };
 
+static void
+export_value(struct export_state *state, const char *key,
+             const struct record_value *value)
+{
+    uint64_t bytes = g_bytes_get_size(value->bytes) + strlen(key);
+    if (state->last == NULL ||
+        rp_record_batch_bytes(state->last) + bytes > state->batch_bytes)
+    {
+        state->last = rp_record_batch_new();
+        g_ptr_array_add(state->batches, state->last);
+    }
+    rp_record_batch_add(state->last, key, value->order.revision, value->bytes);
+}
+
 static gboolean
 export_entry(gpointer key, gpointer value, gpointer data)
 {
@@ -419,14 +616,9 @@
     {
         return FALSE;
     }
-    uint64_t bytes = g_bytes_get_size(entry->value) + strlen(key);
-    if (state->last == NULL ||
-        rp_record_batch_bytes(state->last) + bytes > state->batch_bytes)
-    {
-        state->last = rp_record_batch_new();
-        g_ptr_array_add(state->batches, state->last);
+    for (guint i = 0; i < entry->values->len; i++) {
+        export_value(state, key, g_ptr_array_index(entry->values, i));
     }
-    rp_record_batch_add(state->last, key, entry->order.revision, entry->value);
     return FALSE;
 }
 
--- a/src/config/record_set.h
+++ b/src/config/record_set.h
@@ -17,19 +17,25 @@
  * that only differing buckets are transferred. */
 #define RP_RECORD_SET_BUCKETS 64
 
-/* The accepted records, the greatest version of each key. Offering a value is
- * a join: the result does not depend on the order of the offers. */
+/* Epochs of the platform whose values of a key are kept. */
+#define RP_RECORD_SET_MAX_EPOCHS 8
+
+/* The accepted records: of each key, the greatest entry and the greatest
+ * removal of each epoch of the platform. The value in force follows from them.
+ * Offering a value is a join: the result does not depend on the order of the
+ * offers. */
 struct rp_record_set;
 
 enum rp_record_verdict {
     RP_RECORD_ACCEPTED, /* now in force */
     RP_RECORD_RENEWED,  /* same content with a later platform revision */
-    RP_RECORD_KNOWN,    /* already in force */
-    RP_RECORD_OLDER,    /* a greater version of the key is in force */
+    RP_RECORD_KEPT,     /* new in the set, but the value in force stays */
+    RP_RECORD_KNOWN,    /* already in the set */
+    RP_RECORD_OLDER,    /* the set has a greater version of the key */
     RP_RECORD_REFUSED,  /* invalid, or the set is full */
 };
 
-/* What orders the values of one key, see rp_record_order_compare. */
+/* What decides between the values of one key. */
 struct rp_record_order {
     int64_t version;
     uint64_t revision; /* of the platform, see revision.h */
--- a/src/config/record_set_internal.h
+++ b/src/config/record_set_internal.h
@@ -3,14 +3,22 @@
 
 #include "record_set.h"
 
-struct record_entry {
+struct record_value {
     struct rp_record *record;
-    GBytes *value;
+    GBytes *bytes;
     struct rp_record_order order;
 };
 
+/* The values of one key. Those that are not in force decide with later ones
+ * which value is. */
+struct record_entry {
+    char *key;
+    GPtrArray *values; /* of struct record_value, in order of publication */
+    const struct record_value *in_force;
+};
+
 struct rp_record_set {
-    GTree *entries; /* key, owned by the record, to struct record_entry */
+    GTree *entries; /* key, owned by the entry, to struct record_entry */
     uint64_t bucket_digests[RP_RECORD_SET_BUCKETS];
     uint64_t digest;
     uint64_t revision;
