Count the wait of removals from when a restore became known

A VM that read the restored platform long after the restore, as one that is promoted later, held removals back for 2 s from that read, so that calls could go on to targets that had left.

Cause: the wait began with the first answer that this VM read in the new epoch, although its peers had told it of the epoch before.

Change: the platform task notes when the epoch of the greatest known revision, also from peers, became known, and the wait begins then. A restore does not shorten the wait after an outage that ended later.

Evidence: platform.removals_wait_from_when_the_restore_became_known fails on the code before (the removal takes 1.9 s or more after the answer) and passes after, with platform.*, platform_outage.* and restore.*.

--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -55,6 +55,7 @@
     uint64_t read_epoch;        /* of these records */
     uint64_t read_revision;     /* all records up to it were read */
     uint64_t latest_revision;   /* greatest known, also from peers */
+    int64_t latest_epoch_ns;    /* when its epoch became known */
     uint64_t accepted_revision; /* greatest of the accepted records */
     bool peers_differ;          /* no peer has the same records */
     GHashTable *listed_keys;    /* of the listing in progress; else NULL */
@@ -291,6 +292,17 @@
     }
 }
 
+static void
+raise_latest_revision(struct rp_platform *platform, uint64_t revision,
+                      int64_t now_ns)
+{
+    if (rp_revision_epoch(revision) >
+        rp_revision_epoch(platform->latest_revision)) {
+        platform->latest_epoch_ns = now_ns;
+    }
+    platform->latest_revision = MAX(platform->latest_revision, revision);
+}
+
 /* Passes the records of an answer to the config task. An answer with a lower
  * revision than the greatest known one is stale: its records are still passed
  * on, since older versions are not accepted, but fresh is false. */
@@ -301,8 +313,7 @@
 {
     *fresh = answer->revision >= platform->latest_revision &&
              answer->revision >= platform->read_revision;
-    platform->latest_revision =
-        MAX(platform->latest_revision, answer->revision);
+    raise_latest_revision(platform, answer->revision, now_ns);
     if (*fresh) {
         platform->consecutive_stale_answers = 0;
     }
@@ -437,7 +448,9 @@
 restart_in_epoch(struct rp_platform *platform, uint64_t epoch, int64_t now_ns)
 {
     platform->read_epoch = epoch;
-    rp_platform_outage_record_restore(&platform->outage, now_ns);
+    raise_latest_revision(platform, rp_revision_make(epoch, 0), now_ns);
+    rp_platform_outage_record_restore(&platform->outage,
+                                      platform->latest_epoch_ns);
     if (platform->protocol->restart_listing != NULL) {
         platform->protocol->restart_listing(platform->protocol->data);
     }
@@ -466,15 +479,16 @@
 }
 
 static void
-process_revision(struct rp_platform *platform, long status, uint64_t epoch)
+process_revision(struct rp_platform *platform, long status, uint64_t epoch,
+                 int64_t now_ns)
 {
     const struct rp_platform_protocol *protocol = platform->protocol;
     uint64_t counter = protocol->parse_revision(
         protocol->data, (uint32_t)status, (const char *)platform->answer->data,
         platform->answer->len);
     if (counter > 0) {
-        platform->latest_revision =
-            MAX(platform->latest_revision, rp_revision_make(epoch, counter));
+        raise_latest_revision(platform, rp_revision_make(epoch, counter),
+                              now_ns);
     }
 }
 
@@ -492,7 +506,7 @@
         report_epoch(platform, epoch, now_ns);
     }
     if (platform->reading == RP_WATCH_READ_REVISION) {
-        process_revision(platform, status, epoch);
+        process_revision(platform, status, epoch, now_ns);
         return true;
     }
     if (epoch < platform->read_epoch) {
@@ -654,15 +668,13 @@
     struct rp_platform *platform = data;
     if (message->kind == RP_MSG_PLATFORM_FRESHNESS) {
         const struct rp_platform_freshness *body = message->body;
-        platform->latest_revision =
-            MAX(platform->latest_revision, body->revision);
+        raise_latest_revision(platform, body->revision, now_ns);
         rp_watch_record_peer_freshness(platform->watch, body->fresh_ns,
                                        now_ns);
     }
     else if (message->kind == RP_MSG_CONFIG_STATE) {
         const struct rp_config_state *body = message->body;
-        platform->latest_revision =
-            MAX(platform->latest_revision, body->revision);
+        raise_latest_revision(platform, body->revision, now_ns);
         platform->accepted_revision =
             MAX(platform->accepted_revision, body->revision);
         if (body->phase != RP_CONFIG_STARTING) {
--- a/src/config/platform_outage.c
+++ b/src/config/platform_outage.c
@@ -20,15 +20,17 @@
     outage->consecutive_failures = 0;
 }
 
-/* Records that the platform came back from an older copy of its data, which
- * lacks the entries that were added since. They are added again like those
- * that expired during an outage. */
+/* Records that the platform came back from an older copy of its data, at
+ * back_ns or before. The copy lacks the entries that were added since. They
+ * are added again like those that expired during an outage. */
 void
 rp_platform_outage_record_restore(struct rp_platform_outage *outage,
-                                  int64_t now_ns)
+                                  int64_t back_ns)
 {
+    if (!outage->had_outage || back_ns > outage->outage_end_ns) {
+        outage->outage_end_ns = back_ns;
+    }
     outage->had_outage = true;
-    outage->outage_end_ns = now_ns;
 }
 
 /* Returns when the removal of a target that the platform reports now takes
--- a/src/config/platform_outage.h
+++ b/src/config/platform_outage.h
@@ -30,7 +30,7 @@
 void rp_platform_outage_record_read(struct rp_platform_outage *outage,
                                     bool succeeded, int64_t now_ns);
 void rp_platform_outage_record_restore(struct rp_platform_outage *outage,
-                                       int64_t now_ns);
+                                       int64_t back_ns);
 int64_t
 rp_platform_outage_removal_due_ns(const struct rp_platform_outage *outage,
                                   int64_t now_ns);
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -454,6 +454,49 @@
     }
 }
 
+// Guards against removals that wait for entries to come back long after a
+// restore, on a VM that knew of it from its peers.
+TEST_F(platform, removals_wait_from_when_the_restore_became_known)
+{
+    struct {
+        uint64_t known_epoch; // from peers, before the platform is read
+        bool waits;
+    } cases[] = {{2, false}, {1, true}};
+    listing_protocol protocol;
+    protocol.vms_path = nullptr;
+    protocol.skip_listing = [](void *) { return true; };
+    struct rp_platform_settings settings = {};
+    settings.protocol = &protocol;
+    settings.is_seed = true;
+    settings.first_read_delay_ns = 60000 * MS;
+    put(port, "restore", R"({"revision":0,"epoch":2})");
+    publish("removed");
+    for (const auto &entry : cases) {
+        rp_kernel_free(kernel);
+        kernel = rp_kernel_new(context);
+        rp_loop_free(loop);
+        loop = rp_loop_new(kernel);
+        received = receiver();
+        rp_kernel_add_task(kernel, "config", &receiver_ops, &received,
+                           nullptr);
+        start(settings);
+        struct rp_task *task = rp_kernel_find_task(kernel, "platform");
+        struct rp_config_state state = {};
+        state.phase = RP_CONFIG_STARTING;
+        state.revision = rp_revision_make(entry.known_epoch, 1);
+        rp_task_send(nullptr, task, RP_MSG_CONFIG_STATE, &state,
+                     sizeof(state));
+        run_until([] { return false; }, 2100);
+        state.phase = RP_CONFIG_IN_FORCE;
+        state.revision = rp_revision_make(1, 1);
+        rp_task_send(nullptr, task, RP_MSG_CONFIG_STATE, &state,
+                     sizeof(state));
+        EXPECT_TRUE(run_until([&] { return received.removal_ns > 0; }));
+        EXPECT_EQ(received.removal_ns - received.records_ns >= 1900 * MS,
+                  entry.waits);
+    }
+}
+
 // Guards against answers that exceed the memory, and against large values that
 // are never read.
 TEST_F(platform, large_answers_are_read_in_smaller_pages)
