Retire targets that a peer has from before a restore

A target that joined in the time that the platform lost, and is gone, could be known only to a VM that was cut off from the platform and its peers. When that VM was back, its record came into force on all, with calls to a target that does not exist, until the next listing, which may be minutes away.

Cause: a listing was forgotten once it had been applied, so that it said nothing about records that arrive later.

Change: the configuration task keeps the latest listing. When a peer's record of an earlier epoch comes into force and the listing lacks its key, the listing is applied again.

Evidence: restore_task.listing_retires_what_a_peer_has_of_an_earlier_epoch fails on the code before (case 'gone in the copy') and passes after, with restore.*, restore_task.* and config_task.*.

--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -50,8 +50,10 @@
     enum rp_config_phase phase;
     GHashTable *reported_digests; /* of refusals, conflicts and warnings */
     struct rp_config_refusals *refusals;
-    GHashTable *leaving_addresses; /* of targets, from the list of VMs */
-    GPtrArray *warnings;       /* about the snapshot in force; may be NULL */
+    GHashTable *leaving_addresses;    /* of targets, from the list of VMs */
+    struct rp_config_listing listing; /* latest one; keys may be NULL */
+    bool has_unlisted;   /* a peer sent a target that the listing retires */
+    GPtrArray *warnings; /* about the snapshot in force; may be NULL */
     int64_t last_agreement_ns; /* last time that a peer had the same digest */
     bool peers_differ;         /* as last reported to the platform task */
     bool build_scheduled;      /* TIMER_BUILD is set */
@@ -275,6 +277,18 @@
                        is_monotonic, now_ns, key);
 }
 
+/* Returns whether a record is of an earlier epoch of the platform than its
+ * latest listing, which lacks it: the platform came back without it. */
+static bool
+is_unlisted(const struct rp_config_task *config, const char *key,
+            uint64_t revision)
+{
+    return config->listing.keys != NULL &&
+           rp_revision_epoch(revision) <
+               rp_revision_epoch(config->listing.revision) &&
+           !g_hash_table_contains(config->listing.keys, key);
+}
+
 static void
 offer_item(struct rp_config_task *config, const struct rp_record_item *item,
            const char *peer, int64_t now_ns, struct batch_result *batch)
@@ -291,6 +305,8 @@
     case RP_RECORD_ACCEPTED:
         report_accepted(config, item->key, &result, peer, now_ns);
         batch->records_changed = true;
+        config->has_unlisted = config->has_unlisted ||
+                               is_unlisted(config, item->key, item->revision);
         break;
     case RP_RECORD_RENEWED:
         batch->revision_changed = true;
@@ -695,12 +711,13 @@
     g_bytes_unref(value);
 }
 
-/* Retires the targets that a full listing of the platform lacks. */
+/* Retires the targets that the latest listing of the platform lacks. */
 static void
-apply_listing(struct rp_config_task *config,
-              const struct rp_config_listing *listing, int64_t now_ns)
+retire_unlisted(struct rp_config_task *config, int64_t now_ns)
 {
-    struct retirement missing = {config->set, listing, rp_record_batch_new()};
+    config->has_unlisted = false;
+    struct retirement missing = {config->set, &config->listing,
+                                 rp_record_batch_new()};
     rp_record_set_foreach(config->set, retire_missing, &missing);
     if (rp_record_batch_count(missing.retired) > 0) {
         struct rp_config_records records = {.batch = missing.retired};
@@ -709,6 +726,28 @@
     rp_record_batch_unref(missing.retired);
 }
 
+static void
+apply_listing(struct rp_config_task *config,
+              const struct rp_config_listing *listing, int64_t now_ns)
+{
+    g_hash_table_ref(listing->keys);
+    g_clear_pointer(&config->listing.keys, g_hash_table_unref);
+    config->listing = *listing;
+    retire_unlisted(config, now_ns);
+}
+
+/* Applies records of a peer, which may have targets that the platform lost
+ * when it came back from an older copy. */
+static void
+apply_peer_records(struct rp_config_task *config,
+                   const struct rp_config_records *records, int64_t now_ns)
+{
+    apply_records(config, records, false, now_ns);
+    if (config->has_unlisted) {
+        retire_unlisted(config, now_ns);
+    }
+}
+
 /* Returns whether the record in force is of a later epoch of the platform than
  * its removal, which was held back: the restored platform has the entry, and
  * reports when that is removed. */
@@ -771,7 +810,7 @@
         apply_listing(config, message->body, now_ns);
         break;
     case RP_MSG_CONFIG_RECORDS:
-        apply_records(config, message->body, false, now_ns);
+        apply_peer_records(config, message->body, now_ns);
         break;
     case RP_MSG_CONFIG_PEER_STATE:
         receive_peer_state(config, message->body, now_ns);
@@ -818,6 +857,7 @@
     rp_config_refusals_free(config->refusals);
     g_hash_table_unref(config->leaving_addresses);
     g_clear_pointer(&config->warnings, g_ptr_array_unref);
+    g_clear_pointer(&config->listing.keys, g_hash_table_unref);
     g_free(config);
 }
 
--- a/tests/test_restore.cc
+++ b/tests/test_restore.cc
@@ -352,6 +352,33 @@
     }
 }
 
+// Guards against a target of the lost time that comes back to all VMs from one
+// that was cut off from them and from the platform since before the restore.
+TEST_F(restore_task, listing_retires_what_a_peer_has_of_an_earlier_epoch)
+{
+    struct {
+        const char *what;
+        std::vector<const char *> listed;
+        published entry; // of the peer
+        bool retired;
+    } cases[] = {
+        {"gone in the copy", {}, target("lost", 1, 40, position(7, 3)), true},
+        {"added again since the listing",
+         {},
+         target("again", 2, 36, position(7, 4)),
+         false},
+        {"newer than that of the copy",
+         {"target/t"},
+         target("drains", 1, 41, position(7, 5), "draining"),
+         false},
+    };
+    for (const auto &entry : cases) {
+        send_listing(entry.listed, 2, 33);
+        send(RP_MSG_CONFIG_RECORDS, entry.entry);
+        EXPECT_EQ(is_retired(), entry.retired) << entry.what;
+    }
+}
+
 // Guards against a gauge that shows an epoch and a counter as one number of
 // 13 digits, which matches no revision of the platform.
 TEST_F(restore_task, gauges_show_the_revision_of_the_platform)
