Let a VM rejoin whose clock was set back before its start

A VM whose process starts with a lower incarnation than its former one, since its clock was set back by more than the former one ran, was dead to all peers for as long as they remember a dead member: 10 minutes, and an hour if the platform lists it. The directory of the others did not name it, and its requests for records were dropped.

Cause: an incarnation is the wall time of the start, and peers drop what comes from a lower one than the greatest known. Nobody told the new process.

Change: a peer answers a message of a lower incarnation, at most twice a second, with what it knows of that VM; the process then takes a greater incarnation, as it refutes a suspicion. Tickets keep the incarnation of the process: those of such a VM are answered 502 by other entry VMs, as before.

Evidence: gossip.vm_that_starts_after_its_clock_was_set_back_is_known fails on the code before (not a member 20 s after the start, in both cases) and passes after, with gossip.* and member.*.

--- a/src/peers/gossip_receive.c
+++ b/src/peers/gossip_receive.c
@@ -374,6 +374,23 @@
     }
 }
 
+/* Tells a process that its VM is known by a greater incarnation: the clock was
+ * set back between the starts of its former process and of this one. */
+static void
+answer_lower_incarnation(struct rp_gossip *gossip, struct gossip_peer *peer,
+                         int64_t now_ns)
+{
+    const struct rp_member_info *member =
+        rp_member_find(gossip->members, peer->id);
+    if (member == NULL ||
+        now_ns - peer->last_answer_ns < MIN_ANSWER_INTERVAL_NS) {
+        return;
+    }
+    peer->last_answer_ns = now_ns;
+    rp_gossip_send_heartbeat(gossip, member->id, member->peer_address,
+                             HEARTBEAT_ANSWER | HEARTBEAT_PROFILES, now_ns);
+}
+
 /* Handles one message from a peer. Malformed, unsupported and stale messages
  * are counted and dropped. */
 void
@@ -404,6 +421,9 @@
          message.kind != RP_PEER_CONFIG_RECORDS))
     {
         rp_counter_add(counters, RP_COUNTER_PEER_STALE, 1);
+        if (peer != NULL && message.incarnation < peer->incarnation) {
+            answer_lower_incarnation(gossip, peer, now_ns);
+        }
         return;
     }
     rp_hlc_merge(rp_event_ring_clock(events), message.hlc,
--- a/src/peers/member.c
+++ b/src/peers/member.c
@@ -327,12 +327,19 @@
 }
 
 /* Refutes a suspicion of this entry VM. A suspicion with an older refutation
- * has been refuted already and is ignored. */
+ * has been refuted already and is ignored. A former process of this VM may
+ * have a greater incarnation, if the clock was set back since: this one then
+ * takes a still greater incarnation, since members ignore lower ones. */
 static bool
 refute(struct rp_member_table *table, const struct rp_member_update *update,
        int64_t now_ns)
 {
     struct rp_member_info *info = &table->self->member.info;
+    if (update->info.incarnation > info->incarnation) {
+        info->incarnation = update->info.incarnation + 1;
+        table->self->transmit_count = 0;
+        return true;
+    }
     if (update->info.incarnation != info->incarnation ||
         update->info.refutation < info->refutation ||
         update->info.state <= info->state)
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -566,6 +566,33 @@
     g_bytes_unref(old);
 }
 
+// Guards against a VM that no peer knows for as long as they remember its
+// former process: its clock was set back, so that its incarnation is lower.
+TEST_F(gossip, vm_that_starts_after_its_clock_was_set_back_is_known)
+{
+    struct {
+        const char *what;
+        bool is_known_dead;
+        uint64_t incarnation;
+    } cases[] = {
+        {"at once", false, 1600000000000},
+        {"after its death is known", true, 1500000000000},
+    };
+    start(5);
+    for (const auto &entry : cases) {
+        fake_fleet_kill(fleet, 1);
+        if (entry.is_known_dead) {
+            ASSERT_GE(time_until([&] { return settled(); }, 30), 0);
+        }
+        fake_fleet_start(fleet, 1, entry.incarnation);
+        fake_fleet_run(fleet, 20 * FAKE_S);
+        EXPECT_TRUE(settled()) << entry.what;
+        uint64_t stale = counter(0, RP_COUNTER_PEER_STALE);
+        fake_fleet_run(fleet, 5 * FAKE_S);
+        EXPECT_EQ(counter(0, RP_COUNTER_PEER_STALE), stale) << entry.what;
+    }
+}
+
 // Guards against a crash or a flood of events caused by malformed or unknown
 // messages, and against a change of the view by them.
 TEST_F(gossip, malformed_and_unknown_messages)
