Check that a restart brings back nothing that was withdrawn

gossip.restarted_vm_does_not_bring_back_what_was_withdrawn restarts a process of three, twice, while the platform has come back from a copy with a target that had left and a route that was withdrawn. Neither is in use on any VM at any time, and all have the same records in the end.

It passes on the code as it is. With a choice of values that lets each later epoch win (trial), it fails: the withdrawn ones are in use on the restarted VM.

--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -9,6 +9,8 @@
 extern "C" {
 #include "fake_fleet.h"
 #include "peer_message.h"
+#include "record_set.h"
+#include "revision.h"
 #include "wire.h"
 }
 
@@ -593,6 +595,68 @@
     }
 }
 
+// Guards against a restarted process that uses what its peers know to be
+// withdrawn, a target that had left or a route, since the platform came back
+// from a copy that has them, and against peers that take them from it.
+TEST_F(gossip, restarted_vm_does_not_bring_back_what_was_withdrawn)
+{
+    const char *serves =
+        R"({"schema":3,"kind":"target","name":"t","version":20,)"
+        R"("service":"a","address":"10.0.0.1:80","domain":"d",)"
+        R"("started_ms":7,"sequence":1})";
+    const char *left =
+        R"({"schema":3,"kind":"target","name":"t","version":50,)"
+        R"("started_ms":7,"sequence":1,"retired":true})";
+    auto routes = [](int version, const char *prefix) {
+        return R"({"schema":3,"kind":"routes","version":)" +
+               std::to_string(version) + R"(,"sequence":)" +
+               std::to_string(version) +
+               R"(,"services":[{"name":"a"}],"routes":[{"name":"r",)"
+               R"("host":"h","path_prefix":")" +
+               prefix +
+               R"(","repeatable":true,"timeout_ms":100,"attempts":1,)"
+               R"("services":{"a":1}}]})";
+    };
+    start(3);
+    fake_fleet_publish(fleet, 0, "target/t", rp_revision_make(1, 20), serves);
+    fake_fleet_publish(fleet, 0, "routes", rp_revision_make(1, 30),
+                       routes(30, "/withdrawn/").c_str());
+    fake_fleet_publish(fleet, 0, "target/t", rp_revision_make(1, 50), left);
+    fake_fleet_publish(fleet, 0, "routes", rp_revision_make(1, 51),
+                       routes(51, "/").c_str());
+    fake_fleet_run(fleet, 5 * FAKE_S);
+    ASSERT_TRUE(same_records());
+    auto uses_withdrawn = [&](uint32_t index) {
+        struct rp_config_task *config = fleet->vms[index].config;
+        struct rp_record_order target = {};
+        struct rp_record_order routes_order = {};
+        const struct rp_record_set *set = rp_config_task_set(config);
+        bool is_in_use = rp_config_task_phase(config) != RP_CONFIG_STARTING;
+        return is_in_use &&
+               ((rp_record_set_find(set, "target/t", &target, nullptr) &&
+                 !target.retired) ||
+                (rp_record_set_find(set, "routes", &routes_order, nullptr) &&
+                 routes_order.position.sequence != 51));
+    };
+    for (uint64_t epoch : {2, 3}) {
+        fake_fleet_kill(fleet, 2);
+        fake_fleet_start(fleet, 2, 1770000000000 + epoch);
+        fake_fleet_publish(fleet, 2, "target/t", rp_revision_make(epoch, 20),
+                           serves);
+        fake_fleet_publish(fleet, 2, "routes", rp_revision_make(epoch, 30),
+                           routes(30, "/withdrawn/").c_str());
+        for (int i = 0; i < 200; i++) {
+            fake_fleet_run(fleet, 50 * FAKE_MS);
+            for (uint32_t j = 0; j < 3; j++) {
+                ASSERT_FALSE(uses_withdrawn(j)) << "VM " << j;
+            }
+        }
+        EXPECT_EQ(rp_config_task_phase(fleet->vms[2].config),
+                  RP_CONFIG_IN_FORCE);
+        EXPECT_TRUE(same_records());
+    }
+}
+
 // Guards against a crash or a flood of events caused by malformed or unknown
 // messages, and against a change of the view by them.
 TEST_F(gossip, malformed_and_unknown_messages)
