Treat a target that starts again under its name as a new one

A target that starts again with its id and address was treated as what it was: if it had reported that it drains, it got no calls until a probe or a peer's hint said otherwise, and its ejection and its limits went on although it knows nothing of before.

Cause: an entry VM told two runs at one address apart by the id only.

Evidence: balancer_test.target_that_starts_again_is_a_new_one fails on the code before (refused with a later and with an earlier start) and passes after, with balancer_test.*, dispatch*, record_set.* and restore*.

--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -109,6 +109,7 @@
     struct balancer_target fresh = {
         .address = g_strdup(source->address),
         .instance = g_strdup(source->instance),
+        .started_ms = source->started_ms,
         .joined_later = balancer->configured,
     };
     bool local = g_strcmp0(source->domain, balancer->config.domain) == 0;
@@ -121,7 +122,8 @@
     return balancer_get(balancer, balancer->targets->len - 1);
 }
 
-/* Resets the state of a target whose address now belongs to another instance.
+/* Resets the state of a target whose address now belongs to another instance,
+ * or to another run of it.
  * Requests in flight at the address still count. */
 static void
 replace_instance(struct rp_balancer *balancer, struct balancer_target *target,
@@ -131,6 +133,7 @@
                              now_ns);
     g_free(target->instance);
     target->instance = g_strdup(source->instance);
+    target->started_ms = source->started_ms;
     target->reported_draining = false;
     target->joined_later = true;
     rp_limit_init(&target->limit, source->slots, true);
@@ -157,7 +160,9 @@
         if (target == NULL) {
             target = add_target(balancer, source, now_ns);
         }
-        else if (strcmp(target->instance, source->instance) != 0) {
+        else if (strcmp(target->instance, source->instance) != 0 ||
+                 target->started_ms != source->started_ms)
+        {
             replace_instance(balancer, target, source, now_ns);
         }
         g_free(target->name);
--- a/src/balance/balancer_private.h
+++ b/src/balance/balancer_private.h
@@ -30,6 +30,7 @@
     uint64_t sent;
     char *address;
     char *instance;
+    int64_t started_ms; /* of the instance; 0 when unknown */
     char *name;
     char *estate_name;
 };
--- a/src/call/dispatch_hint.c
+++ b/src/call/dispatch_hint.c
@@ -15,6 +15,7 @@
     int64_t hint_sent_ns; /* 0 when none was sent */
     enum rp_target_state hint_state;
     struct rp_drain drain;
+    int64_t started_ms; /* of the run that the drain state is about */
 };
 
 static struct dispatch_target *
@@ -34,15 +35,21 @@
     return target;
 }
 
-/* Records which targets the service's records drain. */
+/* Records which targets the service's records drain. What a target reported in
+ * an earlier run no longer holds. */
 void
 dispatch_drain_apply_records(struct dispatch_service *service, int64_t now_ns)
 {
     const struct rp_service *record = service->service;
     for (uint32_t i = 0; record != NULL && i < record->target_count; i++) {
         const struct rp_target *target = &record->targets[i];
-        rp_drain_set(&find_or_add_target(service, target->address)->drain,
-                     RP_DRAIN_RECORD, target->draining, now_ns);
+        struct dispatch_target *known =
+            find_or_add_target(service, target->address);
+        if (known->started_ms != target->started_ms) {
+            known->started_ms = target->started_ms;
+            rp_drain_set(&known->drain, RP_DRAIN_TARGET, false, now_ns);
+        }
+        rp_drain_set(&known->drain, RP_DRAIN_RECORD, target->draining, now_ns);
     }
 }
 
--- a/src/config/record_build.c
+++ b/src/config/record_build.c
@@ -216,6 +216,7 @@
         if (source->instance != NULL) {
             replace_text(&target->instance, source->instance);
         }
+        target->started_ms = candidate->record->position.started_ms;
         target->draining = source->draining;
     }
 }
--- a/src/config/snapshot.h
+++ b/src/config/snapshot.h
@@ -32,8 +32,9 @@
 /* A server that answers requests of one service. */
 struct rp_target {
     char *name;
-    char *instance; /* id of its current run; "" when unknown */
-    char *address;  /* "ip:port"; unique within a service */
+    char *instance;     /* id of its current run; "" when unknown */
+    int64_t started_ms; /* of its current run; 0 when unknown */
+    char *address;      /* "ip:port"; unique within a service */
     char *domain;
     uint32_t estate; /* index into the service's estates */
     uint32_t slots;
--- a/tests/test_balancer.cc
+++ b/tests/test_balancer.cc
@@ -30,7 +30,8 @@
     }
 
     void publish(const std::vector<std::string> &names,
-                 const std::vector<std::string> &draining, bool probes = false)
+                 const std::vector<std::string> &draining, bool probes = false,
+                 int64_t started_ms = 0)
     {
         struct rp_snapshot *snapshot = rp_snapshot_new();
         struct rp_service *service = rp_snapshot_add_service(snapshot, "s");
@@ -39,6 +40,7 @@
             struct rp_target *target = rp_service_add_target(
                 service, name.c_str(), name.c_str(), "d0", "old");
             target->slots = 6;
+            target->started_ms = started_ms;
             target->draining =
                 std::count(draining.begin(), draining.end(), name) > 0;
         }
@@ -136,6 +138,29 @@
     EXPECT_GT(verdict.retry_after_ns, 0);
 }
 
+// Guards against a target that starts again under its name and address and is
+// treated as what it was: it knows nothing of before.
+TEST_F(balancer_test, target_that_starts_again_is_a_new_one)
+{
+    struct {
+        int64_t started_ms;
+        bool gets_work;
+    } cases[] = {{7, false}, {8, true}, {6, true}};
+    for (const auto &entry : cases) {
+        publish({"a"}, {}, false, 5);
+        publish({"a"}, {}, false, 7);
+        finish(0, RP_ATTEMPT_OK, RP_TARGET_DRAINING);
+        ASSERT_EQ(offer().action, RP_BALANCER_REFUSE);
+        publish({"a"}, {}, false, entry.started_ms);
+        struct rp_balancer_verdict verdict = offer();
+        EXPECT_EQ(verdict.action == RP_BALANCER_SEND, entry.gets_work)
+            << entry.started_ms;
+        if (verdict.action == RP_BALANCER_SEND) {
+            finish(verdict.target, RP_ATTEMPT_OK);
+        }
+    }
+}
+
 // Guards against long calls occupying all slots: some stay for short calls.
 TEST_F(balancer_test, long_calls_leave_slots)
 {
