Measure the delay of peers' messages by a clock that is not set back

What callers and operators saw: after a wall clock of the fleet had been set back by 2 s, the news of peers seemed up to 2 to 3 s too old for one or two minutes. Entry VMs read the platform themselves "because the freshness was stale", and hints of targets came late or not at all. The same when the VM with the clock furthest ahead stopped.

Cause: the delay of a message was estimated from its hybrid logical clock. That clock follows the wall clock of the VM furthest ahead, and stands still when that goes back. The fastest message of the last one or two minutes then seemed faster than any later one.

Change: messages have the time since the start of the sender's machine (CLOCK_BOOTTIME, which also counts suspensions). Delays are estimated from it, and begin anew with each incarnation of the sender. For peers of an earlier version, without the field, the hybrid clock serves as before.

Evidence: gossip.ages_do_not_follow_wall_clocks fails on the code before (hints 0.07 to 3.1 s too old, one counted twice; 20 ms expected) and passes after, with gossip.*, peer_message.* and member.*.

--- a/src/base/context.h
+++ b/src/base/context.h
@@ -33,6 +33,7 @@
     struct rp_event_ring *events;
     uint64_t invariant_failures[8];
     GRand *random;
+    int64_t suspended_ms; /* of the machine; the monotonic clock lacks it */
 };
 
 #ifdef __cplusplus
--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -31,8 +31,10 @@
 }
 
 static void
-set_wall_offset(struct rp_kernel *kernel, int64_t now_ns)
+set_clock_offsets(struct rp_kernel *kernel, int64_t now_ns)
 {
+    rp_kernel_context(kernel)->suspended_ms =
+        (read_clock_ns(CLOCK_BOOTTIME) - now_ns) / 1000000;
     int64_t wall_ms = read_clock_ns(CLOCK_REALTIME) / 1000000;
     rp_event_ring_set_wall_offset(rp_kernel_context(kernel)->events,
                                   wall_ms - now_ns / 1000000);
@@ -44,7 +46,7 @@
     (void)events;
     struct rp_loop *loop = watcher->data;
     int64_t now_ns = rp_loop_now_ns();
-    set_wall_offset(loop->kernel, now_ns);
+    set_clock_offsets(loop->kernel, now_ns);
     int64_t due_ns = rp_kernel_run(loop->kernel, now_ns);
     if (loop->before_sleep != NULL) {
         loop->before_sleep(loop->before_sleep_data, now_ns);
@@ -73,7 +75,7 @@
     struct rp_loop *loop = g_new0(struct rp_loop, 1);
     loop->ev = ev_loop_new(EVFLAG_AUTO | EVFLAG_NOENV);
     loop->kernel = kernel;
-    set_wall_offset(kernel, rp_loop_now_ns());
+    set_clock_offsets(kernel, rp_loop_now_ns());
     ev_prepare_init(&loop->prepare, on_prepare);
     /* Runs after all other prepare watchers, to deliver what they queued. */
     ev_set_priority(&loop->prepare, EV_MINPRI);
--- a/src/peers/gossip_receive.c
+++ b/src/peers/gossip_receive.c
@@ -30,12 +30,19 @@
     peer = g_new0(struct gossip_peer, 1);
     g_strlcpy(peer->id, id, sizeof(peer->id));
     peer->last_answer_ns = INT64_MIN / 2;
-    peer->min_offset_ms = INT64_MAX;
-    peer->next_min_offset_ms = INT64_MAX;
     g_hash_table_insert(gossip->peers, peer->id, peer);
     return peer;
 }
 
+static void
+forget_offsets(struct gossip_peer *peer)
+{
+    peer->min_offset_ms = INT64_MAX;
+    peer->next_min_offset_ms = INT64_MAX;
+    peer->offset_period_start_ns = 0;
+    peer->first_message_ns = 0;
+}
+
 /* Advances the peer's sequence to a message. Returns false when the message is
  * a duplicate, is older than another of the same process, or comes from an
  * earlier process. */
@@ -46,6 +53,7 @@
     if (message->incarnation > peer->incarnation) {
         peer->incarnation = message->incarnation;
         peer->seq = 0;
+        forget_offsets(peer);
     }
     if (message->incarnation < peer->incarnation || message->seq <= peer->seq)
     {
@@ -59,10 +67,12 @@
  * sender, in milliseconds. A constant difference between the clocks cancels
  * out. */
 static uint32_t
-estimate_delay(struct gossip_peer *peer, const struct rp_hlc *hlc,
+estimate_delay(struct gossip_peer *peer, const struct rp_peer_message *message,
                int64_t now_ns)
 {
-    int64_t offset_ms = now_ns / 1000000 - hlc->wall_ms;
+    int64_t sent_ms = message->sent_ms > 0 ? (int64_t)message->sent_ms
+                                           : message->hlc.wall_ms;
+    int64_t offset_ms = now_ns / 1000000 - sent_ms;
     if (peer->first_message_ns == 0) {
         peer->first_message_ns = now_ns;
     }
@@ -351,7 +361,7 @@
 handle_message(struct rp_gossip *gossip, struct gossip_peer *peer,
                struct rp_peer_message *message, int64_t now_ns)
 {
-    uint32_t delay_ms = estimate_delay(peer, &message->hlc, now_ns);
+    uint32_t delay_ms = estimate_delay(peer, message, now_ns);
     switch (message->kind) {
     case RP_PEER_HEARTBEAT:
         on_heartbeat(gossip, peer, message, delay_ms, now_ns);
--- a/src/peers/gossip_send.c
+++ b/src/peers/gossip_send.c
@@ -28,6 +28,8 @@
     message->seq = ++gossip->seq;
     message->hlc = rp_hlc_tick(rp_event_ring_clock(events),
                                rp_event_ring_wall_ms(events, now_ns));
+    message->sent_ms =
+        (uint64_t)(now_ns / 1000000 + gossip->context->suspended_ms);
     struct rp_wire_send send = {.payload = rp_peer_message_encode(message)};
     g_strlcpy(send.peer_address, address, sizeof(send.peer_address));
     struct rp_counters *counters = &gossip->context->counters;
--- a/src/peers/peer_message.c
+++ b/src/peers/peer_message.c
@@ -247,7 +247,7 @@
     msgpack_packer packer;
     msgpack_sbuffer_init(&buffer);
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_map(&packer, 5 + body_field_count(message->kind));
+    msgpack_pack_map(&packer, 6 + body_field_count(message->kind));
     pack_text(&packer, "v");
     msgpack_pack_uint32(&packer, message->version);
     pack_text(&packer, "kind");
@@ -264,6 +264,8 @@
     msgpack_pack_array(&packer, 2);
     msgpack_pack_int64(&packer, message->hlc.wall_ms);
     msgpack_pack_uint32(&packer, message->hlc.count);
+    pack_text(&packer, "sent");
+    msgpack_pack_uint64(&packer, message->sent_ms);
     pack_body(&packer, message);
     GBytes *bytes = g_bytes_new(buffer.data, buffer.size);
     msgpack_sbuffer_destroy(&buffer);
@@ -593,6 +595,14 @@
     return true;
 }
 
+static bool
+read_sent(const msgpack_object *object, uint64_t *sent_ms)
+{
+    *sent_ms = 0;
+    return object == NULL ||
+           (read_u64(object, sent_ms) && *sent_ms <= INT64_MAX / 2);
+}
+
 static bool
 read_envelope(const msgpack_object *map, struct rp_peer_message *message)
 {
@@ -611,7 +621,8 @@
            read_id(find_field(from, "id"), message->from) &&
            read_u64(find_field(from, "incarnation"), &message->incarnation) &&
            read_u64(find_field(map, "seq"), &message->seq) &&
-           read_hlc(find_field(map, "hlc"), &message->hlc);
+           read_hlc(find_field(map, "hlc"), &message->hlc) &&
+           read_sent(find_field(map, "sent"), &message->sent_ms);
 }
 
 static bool
--- a/src/peers/peer_message.h
+++ b/src/peers/peer_message.h
@@ -109,6 +109,9 @@
     uint64_t incarnation;
     uint64_t seq; /* increases with each message sent in an incarnation */
     struct rp_hlc hlc;
+    /* Time since the sender's machine started, in ms, which no wall clock
+     * changes; 0 from peers of an earlier version. */
+    uint64_t sent_ms;
     union {
         struct rp_peer_heartbeat heartbeat;
         struct rp_peer_config_sync_request config_sync_request;
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -722,6 +722,57 @@
     }
 }
 
+// Guards against news of peers that seem older than they are for a minute or
+// two, after a clock of the fleet went back: a platform that all VMs read, and
+// hints that are dropped.
+TEST_F(gossip, ages_do_not_follow_wall_clocks)
+{
+    static const struct rp_task_ops reader_ops = {on_reader_message, nullptr,
+                                                  nullptr};
+    struct {
+        const char *what;
+        bool is_killed; // else its clock is set back
+    } cases[] = {{"a clock is set back", false},
+                 {"the VM with a clock ahead is gone", true}};
+    for (const auto &entry : cases) {
+        std::vector<hint_reader> readers(5);
+        start(5);
+        auto set_wall_s = [&](uint32_t index, int64_t offset_s) {
+            rp_event_ring_set_wall_offset(fleet->vms[index].context->events,
+                                          offset_s * 1000);
+        };
+        for (uint32_t i = 0; i < 5; i++) {
+            set_wall_s(i, i == 1 ? 102 : 100);
+            rp_kernel_add_task(fleet->vms[i].kernel, "dispatch", &reader_ops,
+                               &readers[i], nullptr);
+        }
+        fake_fleet_run(fleet, 10 * FAKE_S);
+        if (entry.is_killed) {
+            fake_fleet_kill(fleet, 1);
+            ASSERT_GE(time_until([&] { return settled(); }, 30), 0);
+        }
+        else {
+            set_wall_s(1, 100);
+        }
+        fake_fleet_run(fleet, 10 * FAKE_S);
+        struct rp_target_hint hint = {};
+        g_strlcpy(hint.service, "lookup", sizeof(hint.service));
+        g_strlcpy(hint.address, "10.1.0.1:80", sizeof(hint.address));
+        hint.kind = RP_HINT_DRAINING;
+        hint.observed_ns = fleet->now_ns;
+        rp_task_send(nullptr,
+                     rp_kernel_find_task(fleet->vms[2].kernel, "gossip"),
+                     RP_MSG_TARGET_HINT, &hint, sizeof(hint));
+        fake_fleet_run(fleet, 5 * FAKE_S);
+        for (uint32_t i : {0, 3, 4}) {
+            EXPECT_EQ(readers[i].count, 1u) << entry.what;
+            EXPECT_NEAR(readers[i].last.observed_ns, hint.observed_ns,
+                        20 * FAKE_MS)
+                << entry.what;
+        }
+    }
+}
+
 // Guards against hints that don't reach all VMs, that reach a VM repeatedly,
 // or that lose their age in transit.
 TEST_F(gossip, hints_are_pooled_with_their_age)
