--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -9,6 +9,8 @@
 extern "C" {
 #include "fake_fleet.h"
 #include "peer_message.h"
+#include "record_set.h"
+#include "revision.h"
 #include "wire.h"
 }
 
@@ -566,6 +568,95 @@
     g_bytes_unref(old);
 }
 
+// Guards against a VM that no peer knows for as long as they remember its
+// former process: its clock was set back, so that its incarnation is lower.
+TEST_F(gossip, vm_that_starts_after_its_clock_was_set_back_is_known)
+{
+    struct {
+        const char *what;
+        bool is_known_dead;
+        uint64_t incarnation;
+    } cases[] = {
+        {"at once", false, 1600000000000},
+        {"after its death is known", true, 1500000000000},
+    };
+    start(5);
+    for (const auto &entry : cases) {
+        fake_fleet_kill(fleet, 1);
+        if (entry.is_known_dead) {
+            ASSERT_GE(time_until([&] { return settled(); }, 30), 0);
+        }
+        fake_fleet_start(fleet, 1, entry.incarnation);
+        fake_fleet_run(fleet, 20 * FAKE_S);
+        EXPECT_TRUE(settled()) << entry.what;
+        uint64_t stale = counter(0, RP_COUNTER_PEER_STALE);
+        fake_fleet_run(fleet, 5 * FAKE_S);
+        EXPECT_EQ(counter(0, RP_COUNTER_PEER_STALE), stale) << entry.what;
+    }
+}
+
+// Guards against a restarted process that uses what its peers know to be
+// withdrawn, a target that had left or a route, since the platform came back
+// from a copy that has them, and against peers that take them from it.
+TEST_F(gossip, restarted_vm_does_not_bring_back_what_was_withdrawn)
+{
+    const char *serves =
+        R"({"schema":3,"kind":"target","name":"t","version":20,)"
+        R"("service":"a","address":"10.0.0.1:80","domain":"d",)"
+        R"("started_ms":7,"sequence":1})";
+    const char *left =
+        R"({"schema":3,"kind":"target","name":"t","version":50,)"
+        R"("started_ms":7,"sequence":1,"retired":true})";
+    auto routes = [](int version, const char *prefix) {
+        return R"({"schema":3,"kind":"routes","version":)" +
+               std::to_string(version) + R"(,"sequence":)" +
+               std::to_string(version) +
+               R"(,"services":[{"name":"a"}],"routes":[{"name":"r",)"
+               R"("host":"h","path_prefix":")" +
+               prefix +
+               R"(","repeatable":true,"timeout_ms":100,"attempts":1,)"
+               R"("services":{"a":1}}]})";
+    };
+    start(3);
+    fake_fleet_publish(fleet, 0, "target/t", rp_revision_make(1, 20), serves);
+    fake_fleet_publish(fleet, 0, "routes", rp_revision_make(1, 30),
+                       routes(30, "/withdrawn/").c_str());
+    fake_fleet_publish(fleet, 0, "target/t", rp_revision_make(1, 50), left);
+    fake_fleet_publish(fleet, 0, "routes", rp_revision_make(1, 51),
+                       routes(51, "/").c_str());
+    fake_fleet_run(fleet, 5 * FAKE_S);
+    ASSERT_TRUE(same_records());
+    auto uses_withdrawn = [&](uint32_t index) {
+        struct rp_config_task *config = fleet->vms[index].config;
+        struct rp_record_order target = {};
+        struct rp_record_order routes_order = {};
+        const struct rp_record_set *set = rp_config_task_set(config);
+        bool is_in_use = rp_config_task_phase(config) != RP_CONFIG_STARTING;
+        return is_in_use &&
+               ((rp_record_set_find(set, "target/t", &target, nullptr) &&
+                 !target.retired) ||
+                (rp_record_set_find(set, "routes", &routes_order, nullptr) &&
+                 routes_order.position.sequence != 51));
+    };
+    for (uint64_t epoch : {2, 3}) {
+        fake_fleet_kill(fleet, 2);
+        fake_fleet_start(fleet, 2, 1770000000000 + epoch);
+        fake_fleet_publish(fleet, 2, "target/t", rp_revision_make(epoch, 20),
+                           serves);
+        fake_fleet_publish(fleet, 2, "routes", rp_revision_make(epoch, 30),
+                           routes(30, "/withdrawn/").c_str());
+        for (int i = 0; i < 200; i++) {
+            fake_fleet_run(fleet, 50 * FAKE_MS);
+            for (uint32_t j = 0; j < 3; j++) {
+                ASSERT_FALSE(uses_withdrawn(j)) << "VM " << j;
+            }
+        }
+        EXPECT_EQ(rp_config_task_phase(fleet->vms[2].config),
+                  RP_CONFIG_IN_FORCE);
+        EXPECT_TRUE(same_records());
+    }
+}
+
 // Guards against a crash or a flood of events caused by malformed or unknown
 // messages, and against a change of the view by them.
 TEST_F(gossip, malformed_and_unknown_messages)
@@ -631,6 +722,57 @@
     }
 }
 
+// Guards against news of peers that seem older than they are for a minute or
+// two, after a clock of the fleet went back: a platform that all VMs read, and
+// hints that are dropped.
+TEST_F(gossip, ages_do_not_follow_wall_clocks)
+{
+    static const struct rp_task_ops reader_ops = {on_reader_message, nullptr,
+                                                  nullptr};
+    struct {
+        const char *what;
+        bool is_killed; // else its clock is set back
+    } cases[] = {{"a clock is set back", false},
+                 {"the VM with a clock ahead is gone", true}};
+    for (const auto &entry : cases) {
+        std::vector<hint_reader> readers(5);
+        start(5);
+        auto set_wall_s = [&](uint32_t index, int64_t offset_s) {
+            rp_event_ring_set_wall_offset(fleet->vms[index].context->events,
+                                          offset_s * 1000);
+        };
+        for (uint32_t i = 0; i < 5; i++) {
+            set_wall_s(i, i == 1 ? 102 : 100);
+            rp_kernel_add_task(fleet->vms[i].kernel, "dispatch", &reader_ops,
+                               &readers[i], nullptr);
+        }
+        fake_fleet_run(fleet, 10 * FAKE_S);
+        if (entry.is_killed) {
+            fake_fleet_kill(fleet, 1);
+            ASSERT_GE(time_until([&] { return settled(); }, 30), 0);
+        }
+        else {
+            set_wall_s(1, 100);
+        }
+        fake_fleet_run(fleet, 10 * FAKE_S);
+        struct rp_target_hint hint = {};
+        g_strlcpy(hint.service, "lookup", sizeof(hint.service));
+        g_strlcpy(hint.address, "10.1.0.1:80", sizeof(hint.address));
+        hint.kind = RP_HINT_DRAINING;
+        hint.observed_ns = fleet->now_ns;
+        rp_task_send(nullptr,
+                     rp_kernel_find_task(fleet->vms[2].kernel, "gossip"),
+                     RP_MSG_TARGET_HINT, &hint, sizeof(hint));
+        fake_fleet_run(fleet, 5 * FAKE_S);
+        for (uint32_t i : {0, 3, 4}) {
+            EXPECT_EQ(readers[i].count, 1u) << entry.what;
+            EXPECT_NEAR(readers[i].last.observed_ns, hint.observed_ns,
+                        20 * FAKE_MS)
+                << entry.what;
+        }
+    }
+}
+
 // Guards against hints that don't reach all VMs, that reach a VM repeatedly,
 // or that lose their age in transit.
 TEST_F(gossip, hints_are_pooled_with_their_age)
--- a/tests/test_restore.cc
+++ b/tests/test_restore.cc
@@ -186,23 +186,31 @@
         for (size_t i = 0; i < order.size(); i++) {
             order[i] = i;
         }
-        struct rp_record_set *expected = rp_record_set_new();
+        struct rp_record_order expected = {};
         for (const auto &item : entry.items) {
             if (std::string(item.name) == entry.in_force) {
-                offer(expected, item);
+                struct rp_record_set *set = rp_record_set_new();
+                offer(set, item);
+                EXPECT_TRUE(rp_record_set_find(set, item.key.c_str(),
+                                               &expected, nullptr));
+                rp_record_set_free(set);
             }
         }
+        uint64_t digest = 0;
         do {
             struct rp_record_set *set = rp_record_set_new();
             for (size_t i : order) {
                 offer(set, entry.items[i]);
             }
-            EXPECT_EQ(rp_record_set_digest(set),
-                      rp_record_set_digest(expected))
-                << entry.what;
+            struct rp_record_order in_force = {};
+            EXPECT_TRUE(rp_record_set_find(set, entry.items[0].key.c_str(),
+                                           &in_force, nullptr));
+            EXPECT_EQ(in_force.content, expected.content) << entry.what;
+            EXPECT_EQ(in_force.revision, expected.revision) << entry.what;
+            digest = digest == 0 ? rp_record_set_digest(set) : digest;
+            EXPECT_EQ(rp_record_set_digest(set), digest) << entry.what;
             rp_record_set_free(set);
         } while (std::next_permutation(order.begin(), order.end()));
-        rp_record_set_free(expected);
     }
 }
 
@@ -344,6 +352,33 @@
     }
 }
 
+// Guards against a target of the lost time that comes back to all VMs from one
+// that was cut off from them and from the platform since before the restore.
+TEST_F(restore_task, listing_retires_what_a_peer_has_of_an_earlier_epoch)
+{
+    struct {
+        const char *what;
+        std::vector<const char *> listed;
+        published entry; // of the peer
+        bool retired;
+    } cases[] = {
+        {"gone in the copy", {}, target("lost", 1, 40, position(7, 3)), true},
+        {"added again since the listing",
+         {},
+         target("again", 2, 36, position(7, 4)),
+         false},
+        {"newer than that of the copy",
+         {"target/t"},
+         target("drains", 1, 41, position(7, 5), "draining"),
+         false},
+    };
+    for (const auto &entry : cases) {
+        send_listing(entry.listed, 2, 33);
+        send(RP_MSG_CONFIG_RECORDS, entry.entry);
+        EXPECT_EQ(is_retired(), entry.retired) << entry.what;
+    }
+}
+
 // Guards against a gauge that shows an epoch and a counter as one number of
 // 13 digits, which matches no revision of the platform.
 TEST_F(restore_task, gauges_show_the_revision_of_the_platform)
