Restore the platform from older copies in the soak in virtual time

What callers saw: a store that comes back from a copy some seconds old hid later changes (CONFIG). The soak in virtual time could not show it: its platform kept every publication, and no record was numbered by the platform.

Routes and the entries of four further targets are numbered by the platform (schema 3); half the requests of one route go to these targets. They leave with and without a draining entry and start again. Checked: nothing in force goes back, a target that left gets no requests (they go on running what they get), and the latest publication of each key is in force on every VM 8 s after it and the VM's last disturbance. The last check also runs at the end of runs without restores. With restores it takes the place of the comparison of the greatest revision, which a VM that has retired a target does not take from a removal; it compares the content of every key and is stricter.

--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -16,6 +16,10 @@
 void fake_platform_free(struct fake_platform *platform);
 uint64_t fake_platform_publish(struct fake_platform *platform, const char *key,
                                const char *value);
+uint64_t fake_platform_find(const struct fake_platform *platform,
+                            const char *key, const char **value);
+void fake_platform_set_away(struct fake_platform *platform);
+void fake_platform_restore(struct fake_platform *platform, int64_t as_of_ns);
 void fake_platform_set_dead(struct fake_platform *platform, bool dead);
 void fake_platform_set_stale(struct fake_platform *platform, bool stale);
 void fake_platform_set_vm_list(struct fake_platform *platform,
--- a/tests/soak_check.c
+++ b/tests/soak_check.c
@@ -4,22 +4,45 @@
 
 #include "drain.h"
 #include "record_set.h"
+#include "revision.h"
+
+/* Returns whether a value in force that the platform numbers replaces one that
+ * its writer published later, or brings back a target that has left. */
+static bool
+goes_back(const struct rp_record_order *order,
+          const struct rp_record_order *before)
+{
+    const struct rp_record_position *now = &order->position;
+    const struct rp_record_position *then = &before->position;
+    if (!order->epoch_bound || before->version == 0 || order->retired) {
+        return false;
+    }
+    if (now->started_ms != then->started_ms) {
+        return now->started_ms < then->started_ms;
+    }
+    bool is_copy = before->retired && now->sequence == then->sequence &&
+                   !rp_revision_same_epoch(order->revision, before->revision);
+    return now->sequence < then->sequence || is_copy;
+}
 
 /* Checks invariant I7: the version of a key that is in force on an entry
- * process never decreases. Also records drains that came into force. */
+ * process never decreases, nor does its number when a restored platform gives
+ * versions out again. Also records drains that came into force. */
 void
 soak_check_config(struct soak *soak, struct soak_vm *vm)
 {
     const struct rp_record_set *set = rp_config_task_set(vm->config);
-    for (uint32_t i = 0; i < soak_operator_key_count(); i++) {
+    for (uint32_t i = 0; i < soak_operator_key_count(soak); i++) {
         struct rp_record_order order = {0};
         rp_record_set_find(set, soak_operator_key(i), &order, NULL);
-        if (rp_record_order_compare(&order, &vm->orders[i]) < 0) {
+        if (rp_record_order_compare(&order, &vm->orders[i]) < 0 ||
+            goes_back(&order, &vm->orders[i]))
+        {
             soak_fail(soak, "config-monotonic", soak_operator_key(i));
         }
         vm->orders[i] = order;
     }
-    for (uint32_t i = 0; i < SOAK_TARGETS; i++) {
+    for (uint32_t i = 0; i < fake_targets_count(soak->targets); i++) {
         if (soak_operator_is_drain_applied(soak->operators, i, vm)) {
             soak_record_drain_received(soak, vm->index,
                                        fake_targets_get(soak->targets, i));
@@ -63,9 +86,49 @@
                       vm->process->context->identity.id);
         }
     }
-    if (revision != fake_platform_revision(soak->platform)) {
+    /* A VM that has retired a target takes no revision from its removal. */
+    if (!soak->restores && revision != fake_platform_revision(soak->platform))
+    {
         soak_fail(soak, "config-agreement", "latest revision");
     }
+    soak_check_in_force(soak);
+}
+
+static bool
+is_latest_in_force(const struct soak *soak, const struct soak_vm *vm,
+                   uint32_t key)
+{
+    const char *value = NULL;
+    fake_platform_find(soak->platform, soak_operator_key(key), &value);
+    const struct rp_record_order *order = &vm->orders[key];
+    if (value == NULL) {
+        return order->version == 0 || order->retired;
+    }
+    return order->content == XXH3_64bits(value, strlen(value));
+}
+
+/* Checks that what was published last is in force on each VM that has run
+ * without disturbance since, and for long enough. */
+void
+soak_check_in_force(struct soak *soak)
+{
+    for (uint32_t i = 0; i < SOAK_VMS; i++) {
+        const struct soak_vm *vm = &soak->vms[i];
+        for (uint32_t key = 0; key < soak_operator_key_count(soak); key++) {
+            int64_t settled_ns =
+                MAX(vm->disturbed_until_ns,
+                    soak_operator_published_ns(soak->operators, key));
+            if (vm->process != NULL && !vm->process->paused &&
+                soak_now_ns(soak) - settled_ns >= SOAK_IN_FORCE_NS &&
+                !is_latest_in_force(soak, vm, key))
+            {
+                char detail[128];
+                g_snprintf(detail, sizeof(detail), "%s on vm-%u",
+                           soak_operator_key(key), i);
+                soak_fail(soak, "in-force", detail);
+            }
+        }
+    }
 }
 
 /* Returns whether the target is leaving and the process on a VM must no longer
--- a/tests/soak_main.c
+++ b/tests/soak_main.c
@@ -10,6 +10,7 @@
     uint64_t seeds;
     bool print;
     bool twice;
+    bool restores;
 };
 
 /* Prints the timeline of the run before a critical message. A failed invariant
@@ -45,6 +46,9 @@
     case 't':
         options->twice = true;
         return 0;
+    case 'r':
+        options->restores = true;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -55,6 +59,8 @@
     {"seeds", 'n', "K", 0, "Number of seeds, one after the other", 0},
     {"twice", 't', NULL, 0, "Run each seed twice and compare the time lines",
      0},
+    {"restores", 'r', NULL, 0,
+     "Let the platform come back from older copies of its data", 0},
     {"print", 'p', NULL, 0, "Print the whole time line", 0},
     {0},
 };
@@ -71,9 +77,9 @@
 
 /* Returns whether a second run of a seed has the same digest. */
 static bool
-is_repeatable(uint64_t seed, uint64_t digest)
+is_repeatable(uint64_t seed, uint64_t digest, bool restores)
 {
-    struct soak *soak = soak_new(seed, false);
+    struct soak *soak = soak_new(seed, false, restores);
     bool same = soak_run(soak) == digest;
     soak_free(soak);
     if (!same) {
@@ -88,7 +94,7 @@
 static bool
 run_seed(uint64_t seed, struct options *options)
 {
-    struct soak *soak = soak_new(seed, options->print);
+    struct soak *soak = soak_new(seed, options->print, options->restores);
     options->running = soak;
     uint64_t digest = soak_run(soak);
     options->running = NULL;
@@ -112,7 +118,8 @@
         (unsigned long long)soak->probe_count);
     fflush(stdout);
     soak_free(soak);
-    return passed && (!options->twice || is_repeatable(seed, digest));
+    return passed &&
+           (!options->twice || is_repeatable(seed, digest, options->restores));
 }
 
 int
--- a/tests/soak_operator.c
+++ b/tests/soak_operator.c
@@ -2,16 +2,26 @@
 
 #include <string.h>
 
-/* Operators that publish new versions of records. Two of them can publish the
- * same version concurrently with different content. */
+#include "revision.h"
+
+#define HEARTBEAT_NS (1500 * SOAK_MS)
+
+/* Operators that publish new versions of records, and the listed targets,
+ * which publish their entries themselves. Two operators can publish the same
+ * version concurrently with different content. */
 struct soak_operator {
     struct soak *soak;
     uint32_t version[SOAK_MAX_KEYS];
+    uint64_t counter[SOAK_MAX_KEYS]; /* of the latest publication */
+    int64_t published_ns[SOAK_MAX_KEYS];
     uint32_t share_permille[3];
     uint32_t timeout_ms[3];
-    bool draining[SOAK_TARGETS];
-    /* Version of the targets record that drains a target; 0 if none. */
-    uint32_t drain_version[SOAK_TARGETS];
+    uint32_t listed_permille; /* of a route's requests */
+    bool draining[SOAK_ALL_TARGETS];
+    /* Version of the record that drains a target; 0 if none. */
+    uint32_t drain_version[SOAK_ALL_TARGETS];
+    int64_t started_ns[SOAK_LISTED_TARGETS];
+    bool removed[SOAK_LISTED_TARGETS];
 };
 
 static const char *const service_names[] = {"lookup", "refill", "maps"};
@@ -21,14 +31,18 @@
     "targets/lookup/a", "targets/refill/a", "targets/maps/a",
     "targets/lookup/b", "targets/refill/b", "targets/maps/b",
     "share/lookup",     "share/refill",     "share/maps",
-    "v1/refill",
+    "v1/refill",        "routes",           "target/t12",
+    "target/t13",       "target/t14",       "target/t15",
 };
 
+#define ROUTES_KEY 13
+#define FIRST_LISTED_KEY 14
+
 /* Returns the number of published keys. */
 uint32_t
-soak_operator_key_count(void)
+soak_operator_key_count(const struct soak *soak)
 {
-    return G_N_ELEMENTS(keys);
+    return soak->restores ? G_N_ELEMENTS(keys) : ROUTES_KEY;
 }
 
 /* Returns a key by its index. */
@@ -38,6 +52,13 @@
     return keys[index];
 }
 
+/* Returns whether a key is the entry of a target. */
+bool
+soak_operator_is_entry(uint32_t key)
+{
+    return key >= FIRST_LISTED_KEY;
+}
+
 static void
 append_service(struct soak_operator *operators, GString *text,
                uint32_t service)
@@ -98,12 +119,73 @@
 }
 
 static void
-publish(struct soak_operator *operators, uint32_t key, uint32_t version)
+append_routes(const struct soak_operator *operators, GString *text)
 {
+    g_string_append_printf(
+        text,
+        "\"kind\":\"routes\",\"sequence\":%u,"
+        "\"services\":[{\"name\":\"listed\"}],"
+        "\"routes\":[{\"name\":\"lookup\",\"path_prefix\":\"/lookup/\","
+        "\"repeatable\":true,\"timeout_ms\":20000,\"attempts\":3,"
+        "\"services\":{\"listed\":%u,\"lookup\":%u}}]}",
+        operators->version[ROUTES_KEY], operators->listed_permille,
+        1000 - operators->listed_permille);
+}
+
+static void
+append_entry(const struct soak_operator *operators, GString *text,
+             uint32_t listed)
+{
+    uint32_t target = SOAK_TARGETS + listed;
+    g_string_append_printf(
+        text,
+        "\"kind\":\"target\",\"service\":\"listed\",\"name\":\"t%u\","
+        "\"address\":\"%s\",\"domain\":\"d%u\",\"slots\":6,"
+        "\"state\":\"%s\",\"started_ms\":%" G_GINT64_FORMAT
+        ",\"sequence\":%u}",
+        target, fake_targets_get(operators->soak->targets, target)->address,
+        target % 3, operators->draining[target] ? "draining" : "serving",
+        operators->started_ns[listed] / SOAK_MS,
+        operators->version[FIRST_LISTED_KEY + listed]);
+}
+
+static void
+add_publication(struct soak_operator *operators, uint32_t key,
+                const char *value)
+{
+    struct soak *soak = operators->soak;
+    uint64_t revision =
+        fake_platform_publish(soak->platform, keys[key], value);
+    operators->counter[key] = rp_revision_counter(revision);
+    operators->published_ns[key] = soak_now_ns(soak);
+    soak_add_line(soak, "operators %s %s version %u revision %u",
+                  value == NULL ? "removes" : "publishes", keys[key],
+                  operators->version[key],
+                  (unsigned)rp_revision_counter(revision));
+}
+
+/* Publishes the present version of a key. The platform numbers the versions of
+ * schema 3. */
+static void
+publish(struct soak_operator *operators, uint32_t key)
+{
+    uint64_t counter = rp_revision_counter(
+                           fake_platform_revision(operators->soak->platform)) +
+                       1;
     GString *text = g_string_new(NULL);
     g_string_append_printf(text, "{\"schema\":%d,\"version\":%u,",
-                           key == 12 ? 1 : 2, version);
-    if (key < 3) {
+                           key >= ROUTES_KEY ? 3
+                           : key == 12       ? 1
+                                             : 2,
+                           key >= ROUTES_KEY ? (unsigned)counter
+                                             : operators->version[key]);
+    if (soak_operator_is_entry(key)) {
+        append_entry(operators, text, key - FIRST_LISTED_KEY);
+    }
+    else if (key == ROUTES_KEY) {
+        append_routes(operators, text);
+    }
+    else if (key < 3) {
         append_service(operators, text, key);
     }
     else if (key < 9) {
@@ -119,11 +201,7 @@
     else {
         append_v1_record(text);
     }
-    uint64_t revision =
-        fake_platform_publish(operators->soak->platform, keys[key], text->str);
-    soak_add_line(operators->soak,
-                  "operators publishes %s version %u revision %u", keys[key],
-                  version, (unsigned)revision);
+    add_publication(operators, key, text->str);
     g_string_free(text, TRUE);
 }
 
@@ -137,8 +215,13 @@
         operators->share_permille[i] = 500;
         operators->timeout_ms[i] = 2000;
     }
-    for (uint32_t key = 0; key < G_N_ELEMENTS(keys); key++) {
-        publish(operators, key, ++operators->version[key]);
+    operators->listed_permille = 500;
+    for (uint32_t i = 0; i < SOAK_LISTED_TARGETS; i++) {
+        operators->started_ns[i] = soak_now_ns(soak);
+    }
+    for (uint32_t key = 0; key < soak_operator_key_count(soak); key++) {
+        operators->version[key]++;
+        publish(operators, key);
     }
     return operators;
 }
@@ -166,33 +249,135 @@
             (uint32_t)g_rand_int_range(random, 100, 901);
         operators->timeout_ms[service] =
             (uint32_t)g_rand_int_range(random, 500, 3000);
-        publish(operators, key, operators->version[key]);
+        publish(operators, key);
+    }
+}
+
+/* Publishes routes with new weights. */
+void
+soak_operator_change_routes(struct soak_operator *operators)
+{
+    operators->version[ROUTES_KEY]++;
+    operators->listed_permille =
+        (uint32_t)g_rand_int_range(operators->soak->random, 100, 901);
+    publish(operators, ROUTES_KEY);
+}
+
+static bool
+is_lost(const struct soak_operator *operators, uint32_t key)
+{
+    uint64_t found =
+        fake_platform_find(operators->soak->platform, keys[key], NULL);
+    return rp_revision_counter(found) != operators->counter[key];
+}
+
+/* A listed target numbers what it publishes by its heartbeats. Those that
+ * change nothing but the number are not published. */
+static void
+count_heartbeats(struct soak_operator *operators, uint32_t key)
+{
+    int64_t running_ns = soak_now_ns(operators->soak) -
+                         operators->started_ns[key - FIRST_LISTED_KEY];
+    uint32_t count = 1 + (uint32_t)(running_ns / HEARTBEAT_NS);
+    operators->version[key] = MAX(operators->version[key], count);
+}
+
+/* Publishes again what a restored platform has lost of a key. With removals,
+ * this includes that an entry was removed. */
+void
+soak_operator_publish_again(struct soak_operator *operators, uint32_t key,
+                            bool removals)
+{
+    if (!is_lost(operators, key)) {
+        return;
+    }
+    if (!soak_operator_is_entry(key)) {
+        publish(operators, key);
+    }
+    else if (!operators->removed[key - FIRST_LISTED_KEY]) {
+        count_heartbeats(operators, key);
+        publish(operators, key);
+    }
+    else if (removals) {
+        add_publication(operators, key, NULL);
     }
 }
 
 static uint32_t
 targets_key_of(uint32_t target)
 {
-    return 3 + service_of(target) + 3 * (target % 2);
+    return target < SOAK_TARGETS ? 3 + service_of(target) + 3 * (target % 2)
+                                 : FIRST_LISTED_KEY + target - SOAK_TARGETS;
 }
 
-/* Publishes a targets record in which the target drains or serves. */
+/* Publishes a record in which the target drains or serves. */
 void
 soak_operator_set_draining(struct soak_operator *operators, uint32_t target,
                            bool draining)
 {
     uint32_t key = targets_key_of(target);
     operators->draining[target] = draining;
-    publish(operators, key, ++operators->version[key]);
+    if (soak_operator_is_entry(key)) {
+        count_heartbeats(operators, key);
+    }
+    operators->version[key]++;
+    publish(operators, key);
     operators->drain_version[target] = draining ? operators->version[key] : 0;
 }
 
+/* Removes the entry of a listed target, which may have drained before. */
+void
+soak_operator_remove_target(struct soak_operator *operators, uint32_t target)
+{
+    uint32_t key = targets_key_of(target);
+    operators->removed[target - SOAK_TARGETS] = true;
+    operators->drain_version[target] = operators->version[key];
+    add_publication(operators, key, NULL);
+}
+
+/* Publishes the entry of a listed target that starts again. */
+void
+soak_operator_start_target(struct soak_operator *operators, uint32_t target)
+{
+    uint32_t key = targets_key_of(target);
+    uint32_t listed = target - SOAK_TARGETS;
+    operators->started_ns[listed] = soak_now_ns(operators->soak);
+    operators->removed[listed] = false;
+    operators->draining[target] = false;
+    operators->drain_version[target] = 0;
+    operators->version[key] = 1;
+    publish(operators, key);
+}
+
+/* Returns when a key was last published or removed. */
+int64_t
+soak_operator_published_ns(const struct soak_operator *operators, uint32_t key)
+{
+    return operators->published_ns[key];
+}
+
+static bool
+is_entry_drain_applied(const struct soak_operator *operators, uint32_t target,
+                       const struct rp_record_order *order)
+{
+    /* An entry that was removed without draining leaves only when it retires.
+     */
+    return order->position.started_ms ==
+               operators->started_ns[target - SOAK_TARGETS] / SOAK_MS &&
+           order->position.sequence >= operators->drain_version[target] &&
+           (order->retired || operators->draining[target]);
+}
+
 /* Returns whether a record that drains the target is in force on a VM. */
 bool
 soak_operator_is_drain_applied(const struct soak_operator *operators,
                                uint32_t target, const struct soak_vm *vm)
 {
-    return operators->drain_version[target] > 0 &&
-           vm->orders[targets_key_of(target)].version >=
-               operators->drain_version[target];
+    const struct rp_record_order *order = &vm->orders[targets_key_of(target)];
+    if (operators->drain_version[target] == 0) {
+        return false;
+    }
+    return target >= SOAK_TARGETS
+               ? is_entry_drain_applied(operators, target, order)
+               : order->version >= operators->drain_version[target];
 }
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -365,11 +365,13 @@
 static void
 add_targets(struct soak *soak)
 {
-    static const char *const services[] = {"lookup", "refill", "maps"};
-    for (uint32_t i = 0; i < SOAK_TARGETS; i++) {
+    static const char *const services[] = {"lookup", "refill", "maps",
+                                           "listed"};
+    uint32_t count = soak->restores ? SOAK_ALL_TARGETS : SOAK_TARGETS;
+    for (uint32_t i = 0; i < count; i++) {
         char address[RP_ADDRESS_BYTES];
         g_snprintf(address, sizeof(address), "10.1.0.%u:80", i);
-        uint32_t service = i < 4 ? 0 : i < 9 ? 1 : 2;
+        uint32_t service = i < 4 ? 0 : i < 9 ? 1 : i < SOAK_TARGETS ? 2 : 3;
         struct fake_target *target =
             fake_targets_add(soak->targets, address, services[service]);
         if (service == 2) {
@@ -398,14 +400,16 @@
 }
 
 /* Creates the simulation of one seed. With print, each line of the timeline is
- * printed when it is added. */
+ * printed when it is added. With restores, the platform also comes back from
+ * older copies of its data, and some targets have entries there. */
 struct soak *
-soak_new(uint64_t seed, bool print)
+soak_new(uint64_t seed, bool print, bool restores)
 {
     struct soak *soak = g_new0(struct soak, 1);
     guint32 seeds[] = {(guint32)seed, (guint32)(seed >> 32)};
     soak->seed = seed;
     soak->print = print;
+    soak->restores = restores;
     soak->clock = fake_clock_new();
     soak->random = g_rand_new_with_seed_array(seeds, G_N_ELEMENTS(seeds));
     soak->lines = g_queue_new();
@@ -449,13 +453,13 @@
     /* The remaining events free their data when their process has ended. */
     while (fake_clock_step(soak->clock, INT64_MAX)) {
     }
+    for (uint32_t i = 0; i < fake_targets_count(soak->targets); i++) {
+        g_array_unref(soak->probe_logs[i].sent_ns);
+    }
     soak_operator_free(soak->operators);
     fake_callers_free(soak->callers);
     fake_targets_free(soak->targets);
     fake_platform_free(soak->platform);
-    for (uint32_t i = 0; i < SOAK_TARGETS; i++) {
-        g_array_unref(soak->probe_logs[i].sent_ns);
-    }
     g_queue_free_full(soak->lines, g_free);
     XXH3_freeState(soak->digest);
     g_rand_free(soak->random);
@@ -472,6 +476,9 @@
         soak_process_start(soak, i);
     }
     soak_schedule_start(soak);
+    if (soak->restores) {
+        soak_restore_start(soak);
+    }
     while (soak->failures == 0 && fake_clock_step(soak->clock, SOAK_END_NS)) {
     }
     for (uint32_t i = 0; i < SOAK_VMS; i++) {
--- a/tests/soak_world.h
+++ b/tests/soak_world.h
@@ -17,14 +17,20 @@
 #define SOAK_S INT64_C(1000000000)
 #define SOAK_VMS 5
 #define SOAK_TARGETS 12
-#define SOAK_MAX_KEYS 16
+/* Further targets with an entry each on the platform; only with restores. */
+#define SOAK_LISTED_TARGETS 4
+#define SOAK_ALL_TARGETS (SOAK_TARGETS + SOAK_LISTED_TARGETS)
+#define SOAK_MAX_KEYS 18
 #define SOAK_PROBES_PER_10S 10
 
 /* Virtual times of a run; the clock starts at 1 s. Faults start between
  * SOAK_FIRST_FAULT_NS and SOAK_FAULTS_END_NS and end by the latter. */
 #define SOAK_FIRST_FAULT_NS (8 * SOAK_S)
 #define SOAK_FAULTS_END_NS (48 * SOAK_S)
-#define SOAK_AGREEMENT_NS (SOAK_FAULTS_END_NS + 8 * SOAK_S)
+/* Within this time after the last fault, an accepted configuration is in force
+ * on all VMs. */
+#define SOAK_IN_FORCE_NS (8 * SOAK_S)
+#define SOAK_AGREEMENT_NS (SOAK_FAULTS_END_NS + SOAK_IN_FORCE_NS)
 #define SOAK_END_NS (SOAK_AGREEMENT_NS + 3 * SOAK_S)
 
 /* An entry VM, which runs at most one entry process at a time. */
@@ -42,7 +48,7 @@
     bool stopping;
     struct rp_record_order orders[SOAK_MAX_KEYS]; /* in force, by key */
     /* When the process received the drain of a target; 0 if it did not. */
-    int64_t drain_received_ns[SOAK_TARGETS];
+    int64_t drain_received_ns[SOAK_ALL_TARGETS];
 };
 
 /* Times of the probes sent to a target by all entry VMs. */
@@ -53,7 +59,8 @@
 
 struct soak {
     uint64_t seed;
-    bool print; /* prints each line when it is added */
+    bool print;    /* prints each line when it is added */
+    bool restores; /* the platform also comes back from older copies */
     struct fake_clock *clock;
     GRand *random;
     struct soak_vm vms[SOAK_VMS];
@@ -61,7 +68,7 @@
     struct fake_targets *targets;
     struct fake_callers *callers;
     struct fake_platform *platform;
-    struct soak_probe_log probe_logs[SOAK_TARGETS];
+    struct soak_probe_log probe_logs[SOAK_ALL_TARGETS];
     struct soak_operator *operators;
     GQueue *lines; /* the latest lines of the timeline */
     uint64_t line_count;
@@ -77,7 +84,7 @@
 void soak_fail(struct soak *soak, const char *check, const char *detail);
 void soak_print_lines(struct soak *soak);
 
-struct soak *soak_new(uint64_t seed, bool print);
+struct soak *soak_new(uint64_t seed, bool print, bool restores);
 void soak_free(struct soak *soak);
 uint64_t soak_run(struct soak *soak);
 int64_t soak_now_ns(const struct soak *soak);
@@ -93,6 +100,7 @@
 void soak_disturb(struct soak *soak, uint32_t vm_index, int64_t until_ns);
 
 void soak_schedule_start(struct soak *soak);
+void soak_restore_start(struct soak *soak);
 
 struct soak_operator *soak_operator_new(struct soak *soak);
 void soak_operator_free(struct soak_operator *operators);
@@ -101,13 +109,24 @@
                                 uint32_t target, bool draining);
 bool soak_operator_is_drain_applied(const struct soak_operator *operators,
                                     uint32_t target, const struct soak_vm *vm);
-uint32_t soak_operator_key_count(void);
+void soak_operator_change_routes(struct soak_operator *operators);
+void soak_operator_publish_again(struct soak_operator *operators, uint32_t key,
+                                 bool removals);
+void soak_operator_remove_target(struct soak_operator *operators,
+                                 uint32_t target);
+void soak_operator_start_target(struct soak_operator *operators,
+                                uint32_t target);
+int64_t soak_operator_published_ns(const struct soak_operator *operators,
+                                   uint32_t key);
+uint32_t soak_operator_key_count(const struct soak *soak);
 const char *soak_operator_key(uint32_t index);
+bool soak_operator_is_entry(uint32_t key);
 
 void soak_check_config(struct soak *soak, struct soak_vm *vm);
 void soak_record_drain_received(struct soak *soak, uint32_t vm_index,
                                 const struct fake_target *target);
 void soak_check_agreement(struct soak *soak);
+void soak_check_in_force(struct soak *soak);
 void soak_check_request_started(struct soak *soak, struct fake_target *target,
                                 struct fake_process *process);
 void soak_check_target_stop(struct soak *soak, struct fake_target *target);
