--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 
 soak: build
 	$(BUILD)/rp-soak --seed $(SEED) --seeds $(SOAK_SEEDS)
+	$(BUILD)/rp-soak --restores --seed $(SEED) --seeds $(SOAK_SEEDS)
 
 faults: build
 	scripts/faults.sh $(BUILD)
