Check callers that stay connected in the soak of real processes

Callers that pipeline and keep their connections lost requests at planned stops. The soak stopped processes, but its callers open a connection for each request and repeat what was not answered, so that they noticed nothing.

Change: before a planned stop, three connections send requests to the process and stay open until it closes them: two requests pipelined behind a GET, behind a POST that takes up to 4 s, and one request 0.4 s later. The first of each connection and every request that a target ran must have an answer or a refusal with its id. The stop timeout of the soak is 2 s, so that some requests take longer than the stop; faults.sh keeps 30 s.

--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -6,6 +6,7 @@
 # platform fails or turns stale, records change and targets drain. Callers
 # reuse open connections. Their results are compared with the executions that
 # targets counted, and the fleet must agree and serve again after the faults.
+# Other callers pipeline and stay connected while a process stops as planned.
 # Usage: scripts/fault_soak.sh BUILD_DIR SEED [SECONDS [ENTRIES [TARGETS]]]
 # KEEP=DIR keeps the logs of a failed run. RESTORES=1 adds times in which the
 # platform is away and comes back from an older copy; they are drawn apart, so
@@ -30,6 +31,7 @@
 links+=(--link "$net.240:18900=$net.250:18900")
 platform_link=$target_count
 platform_url=http://$net.240:18900
+stop_timeout_ms=2000
 
 expected_ends=0
 stopped=() # entry processes that are not running, by number
@@ -48,10 +50,59 @@
     unset "stopped[$1]"
 }
 
+request() { # METHOD QUERY ID
+    printf '%s /jobs?%s HTTP/1.1\r\nHost: x\r\nRP-Request-Id: %s\r\n' "$@"
+    printf 'Content-Length: 0\r\n\r\n'
+}
+
+# Opens three connections to an entry process, sends requests and keeps the
+# connections open until the process closes them. The first request may take
+# longer than a stop; two are pipelined behind it, and one is sent 0.4 s later.
+holders=()
+hold_connections() { # NUMBER
+    local name slow_ms=$(((seed * 31 + expected_ends * 977) % 4000)) first
+    for first in "GET sleep_ms=$slow_ms" "POST sleep_ms=$slow_ms" "GET bytes=9"; do
+        name=held-$expected_ends-${#holders[@]}
+        (
+            exec 3<>"/dev/tcp/$net.$1/18000" || exit
+            : >"$work/$name.open"
+            # shellcheck disable=SC2086  # method and query are two words
+            {
+                request $first "$name-1"
+                request GET bytes=20 "$name-2"
+                request POST bytes=30 "$name-3"
+                sleep 0.4
+                request GET bytes=40 "$name-4"
+            } >&3 &
+            exec cat <&3
+        ) >"$work/$name.held" 2>/dev/null &
+        holders+=($!)
+    done
+    sleep 0.1
+}
+
+# Succeeds when the first request of each of these connections, and all that a
+# target ran, were answered or refused.
+holders_agree() {
+    local lost
+    lost=$({
+        grep -o '^held-[0-9-]*' "$work/ran"
+        for held in "$work"/held-*.open; do
+            [ ! -e "$held" ] || basename "$held" .open | sed 's/$/-1/'
+        done
+    } | sort -u | while read -r id; do
+        grep -aq "RP-Request-Id: $id"$'\r' "$work/${id%-*}.held" || echo "$id"
+    done)
+    # shellcheck disable=SC2086  # one line
+    echo "        connections kept during stops: ${#holders[@]}, lost:" $lost
+    [ -z "$lost" ]
+}
+
 end_entry() { # NUMBER SIGNAL
     [ -z "${stopped[$1]:-}" ] || return
     stopped[$1]=1
     kill -CONT "${entry_pid[$1]}" 2>/dev/null
+    [ "$2" != TERM ] || hold_connections "$1"
     kill "-$2" "${entry_pid[$1]}" 2>/dev/null
     wait "${entry_pid[$1]}" 2>/dev/null
     expected_ends=$((expected_ends + 1))
@@ -249,9 +300,12 @@
 failed_calls=$(grep -vc ' result=done ' "$work/calm.session")
 check "seed $seed: all calls succeed after faults (failed: $failed_calls)" \
     [ "$failed_calls" -eq 0 ]
+[ ${#holders[@]} -eq 0 ] || wait "${holders[@]}"
 accounts_agree '^post'
 check "seed $seed: results of callers and executions of targets agree" \
     [ $? -eq 0 ]
+check "seed $seed: stops lose no request of callers that stay connected" \
+    holders_agree
 alive=0
 for i in $(seq "$entry_count"); do
     kill -0 "${entry_pid[$i]}" 2>/dev/null && alive=$((alive + 1))
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -44,6 +44,7 @@
         --admin-address "$net.$1:18200" --peers "$peers" \
         --platform "${platform_url:-$operator}" --boot-wait-ms 4000 --address-ttl-ms 1000 \
         --first-byte-ms 500 --fleet-size $entry_count \
+        --stop-timeout-ms "${stop_timeout_ms:-30000}" \
         >>"$work/entry-$1.log" 2>&1 &
     entry_pid[$1]=$!
 }
