Hold back removals while the platform fails again

Cause: removals after an outage or a restore wait for 2 s, in which entries come back. Whether the platform can still be read was not asked at the end of that wait.

Change: what retires targets takes effect when the latest read has succeeded, and waits again for 2 s when it ended another outage.

Evidence: platform.removals_wait_on_in_another_outage fails without the question (the removal comes in the outage) and passes with it, as do platform_outage.holds_removals_in_another_outage and the former tests of removals.

--- a/src/config/platform.c
+++ b/src/config/platform.c
@@ -72,7 +72,7 @@
 struct delayed_message {
     int64_t due_ns;
     struct rp_record_batch *batch; /* NULL for a listing */
-    enum rp_message_kind kind;     /* of a batch */
+    enum rp_message_kind kind;
     bool reaches_revision; /* the batch is the last page of an answer */
     GHashTable *listed_keys;
     uint64_t revision;
@@ -234,6 +234,31 @@
     }
 }
 
+static void
+insert_delayed(struct rp_platform *platform, struct delayed_message *message)
+{
+    GPtrArray *delayed = platform->delayed;
+    guint index = delayed->len;
+    while (index > 0 &&
+           ((struct delayed_message *)delayed->pdata[index - 1])->due_ns >
+               message->due_ns)
+    {
+        index--;
+    }
+    g_ptr_array_insert(delayed, (gint)index, message);
+}
+
+/* Returns when a message that is due now takes effect. One that retires
+ * targets waits on when the platform failed again since it was received. */
+static int64_t
+delayed_due_ns(const struct rp_platform *platform,
+               const struct delayed_message *message, int64_t now_ns)
+{
+    return message->kind == RP_MSG_PLATFORM_RECORDS
+               ? now_ns
+               : rp_platform_outage_held_due_ns(&platform->outage, now_ns);
+}
+
 static void
 send_due_messages(struct rp_platform *platform, int64_t now_ns)
 {
@@ -242,8 +267,14 @@
         if (next->due_ns > now_ns) {
             return;
         }
+        g_ptr_array_steal_index(platform->delayed, 0);
+        next->due_ns = delayed_due_ns(platform, next, now_ns);
+        if (next->due_ns > now_ns) {
+            insert_delayed(platform, next);
+            continue;
+        }
         send_delayed_message(platform, next);
-        g_ptr_array_remove_index(platform->delayed, 0);
+        free_delayed_message(next);
     }
 }
 
@@ -253,16 +284,7 @@
 delay_message(struct rp_platform *platform,
               const struct delayed_message *message, int64_t now_ns)
 {
-    GPtrArray *delayed = platform->delayed;
-    guint index = delayed->len;
-    while (index > 0 &&
-           ((struct delayed_message *)delayed->pdata[index - 1])->due_ns >
-               message->due_ns)
-    {
-        index--;
-    }
-    g_ptr_array_insert(delayed, (gint)index,
-                       g_memdup2(message, sizeof(*message)));
+    insert_delayed(platform, g_memdup2(message, sizeof(*message)));
     send_due_messages(platform, now_ns);
 }
 
@@ -285,6 +307,7 @@
         struct delayed_message message = {
             .due_ns =
                 rp_platform_outage_listing_due_ns(&platform->outage, now_ns),
+            .kind = RP_MSG_PLATFORM_LISTING,
             .listed_keys = g_steal_pointer(&platform->listed_keys),
             .revision = answer->revision,
         };
--- a/src/config/platform_outage.c
+++ b/src/config/platform_outage.c
@@ -47,6 +47,17 @@
     return outage->outage_end_ns + RP_PLATFORM_OUTAGE_REMOVAL_HOLD_NS;
 }
 
+/* Returns when a removal that was held back until now takes effect. While the
+ * platform cannot be read, the target's entry may be back unseen. */
+int64_t
+rp_platform_outage_held_due_ns(const struct rp_platform_outage *outage,
+                               int64_t now_ns)
+{
+    return outage->consecutive_failures > 0
+               ? now_ns + RP_PLATFORM_OUTAGE_RECHECK_NS
+               : rp_platform_outage_removal_due_ns(outage, now_ns);
+}
+
 /* Returns when a listing that was received now retires the targets that it
  * lacks. An outage may have ended just before this process started, so that
  * its first listing lacks entries that are about to be added again. */
--- a/src/config/platform_outage.h
+++ b/src/config/platform_outage.h
@@ -19,6 +19,8 @@
 /* After an outage. The platform's users state that entries are back after
  * about two seconds. */
 #define RP_PLATFORM_OUTAGE_REMOVAL_HOLD_NS INT64_C(2000000000)
+/* Interval at which a held removal looks whether reads succeed again. */
+#define RP_PLATFORM_OUTAGE_RECHECK_NS INT64_C(100000000)
 /* Consecutive failed reads that count as an outage; a watch whose connection
  * is cut fails only once. */
 #define RP_PLATFORM_OUTAGE_MIN_FAILURES 2
@@ -34,6 +36,8 @@
 int64_t
 rp_platform_outage_removal_due_ns(const struct rp_platform_outage *outage,
                                   int64_t now_ns);
+int64_t rp_platform_outage_held_due_ns(const struct rp_platform_outage *outage,
+                                       int64_t now_ns);
 int64_t
 rp_platform_outage_listing_due_ns(const struct rp_platform_outage *outage,
                                   int64_t now_ns);
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -328,6 +328,44 @@
     EXPECT_GE(received.removal_ns - end_ns, 1900 * MS);
 }
 
+// Guards against the retirement of living targets while the platform cannot be
+// read: it fails again before their removals, which an earlier outage holds
+// back, take effect.
+TEST_F(platform, removals_wait_on_in_another_outage)
+{
+    listing_protocol protocol;
+    struct rp_platform_settings settings = {};
+    settings.timeout_ms = 200;
+    settings.protocol = &protocol;
+    publish("a");
+    start(settings);
+    EXPECT_TRUE(run_until([&] { return received.complete_reads >= 1; }));
+    auto fail_reads = [&](uint64_t count) {
+        uint64_t failures = counter(RP_COUNTER_PLATFORM_READ_FAILURES);
+        put(port, "mode", R"({"mode":"down"})");
+        EXPECT_TRUE(run_until([&] {
+            return counter(RP_COUNTER_PLATFORM_READ_FAILURES) - failures >=
+                   count;
+        }));
+    };
+    fail_reads(2);
+    publish("removed");
+    put(port, "mode", R"({"mode":"normal"})");
+    EXPECT_TRUE(
+        run_until([&] { return received.records.count("removed") == 1; }));
+    fail_reads(1);
+    int64_t down_ns = rp_loop_now_ns();
+    EXPECT_TRUE(
+        run_until([&] { return rp_loop_now_ns() - down_ns > 3000 * MS; }));
+    EXPECT_EQ(received.removal_ns, 0);
+    publish("b");
+    put(port, "mode", R"({"mode":"normal"})");
+    EXPECT_TRUE(run_until([&] { return received.records.count("b") == 1; }));
+    int64_t end_ns = received.latest_records_ns;
+    EXPECT_TRUE(run_until([&] { return received.removal_ns > 0; }));
+    EXPECT_GE(received.removal_ns - end_ns, 1900 * MS);
+}
+
 // Guards against a VM that starts while entries are about to come back, after
 // an outage or a restore that it does not know of: what its listing lacks
 // would be retired everywhere.
--- a/tests/test_watch_no_vm_list.cc
+++ b/tests/test_watch_no_vm_list.cc
@@ -398,6 +398,36 @@
     }
 }
 
+// Guards against removing targets whose entries may be back unseen, since the
+// platform failed again before a removal that was held back took effect.
+TEST(platform_outage, holds_removals_in_another_outage)
+{
+    struct {
+        const char *what;
+        std::vector<bool> reads; // one each second; an outage ends at 3 s
+        int64_t due_ms;          // of a removal that was held until 5 s
+    } cases[] = {
+        {"no other outage", {true, false, false, true, true, true}, 5000},
+        {"a read fails", {true, false, false, true, false}, 5100},
+        {"another outage", {true, false, false, true, false, false}, 5100},
+        {"one read failed", {true, false, false, true, false, true}, 5000},
+        {"another outage ended",
+         {true, false, false, true, false, false, true},
+         8000},
+    };
+    for (const auto &entry : cases) {
+        struct rp_platform_outage outage = {};
+        for (size_t i = 0; i < entry.reads.size(); i++) {
+            rp_platform_outage_record_read(&outage, entry.reads[i],
+                                           (int64_t)i * SECOND);
+        }
+        int64_t now_ns = 5000 * MS;
+        EXPECT_EQ(rp_platform_outage_held_due_ns(&outage, now_ns),
+                  entry.due_ms * MS)
+            << entry.what;
+    }
+}
+
 // Guards against as many pushes of each change as there are seeds while a
 // fleet starts, when only the seeds watch and all see the same changes.
 TEST(watch_no_vm_list, seeds_spread_one_after_the_other)
