Accept no request that a stop would answer as unknown

On a stop timeout of 10 s, a caller whose request came between 3 and 5 s after the signal and whose deadline lies in the last 0.4 s before the end got 504 before that deadline, although its target was at work.

Cause: since calls without an answer are answered 0.4 s before the process ends, a request that is accepted may last until then only. The plan still compared its deadline with the end. Timeouts up to 6 s are not concerned: each request that they accept comes in the first 3 s.

Change: the deadline is compared with the time of these answers.

Evidence: stop_plan.accepts_only_what_can_finish, "long timeout: call beyond the last answers", was accepted before. The case "long timeout: short call" had a deadline in those 0.4 s, so that its expectation was no longer true; it now has one that can be met, and the new case refuses the other.

--- a/src/call/stop_plan.c
+++ b/src/call/stop_plan.c
@@ -33,7 +33,7 @@
 }
 
 /* Returns whether a request with this deadline is accepted. One that may last
- * beyond the end of the stop is better served by another VM. */
+ * until calls are answered as unknown is better served by another VM. */
 bool
 rp_stop_plan_accepts(const struct rp_stop_plan *plan, int64_t deadline_ns,
                      int64_t now_ns)
@@ -41,5 +41,5 @@
     if (now_ns < plan->any_request_until_ns) {
         return true;
     }
-    return now_ns < plan->accept_until_ns && deadline_ns <= plan->end_ns;
+    return now_ns < plan->accept_until_ns && deadline_ns <= plan->answer_ns;
 }
