Promise nothing about a request that is passed on

A caller that repeated a request with the ticket of another entry VM got 503 with not-run when the mailbox of the upstream task was full, although that VM may have run the first copy. It may then send the request with a new ticket, so that it runs twice. Native protocol only; the gateway has no tickets.

Cause: that the issuer may have run the request was recorded only at the end of a failed attempt, not when the attempt could not be sent.

Change: it is recorded when the call begins.

Evidence: dispatch.a_request_that_is_passed_on_may_have_run, "the mailbox is full": 503 not-run before, 502 unknown now.

--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -277,6 +277,9 @@
         MIN(call->service->fresh_connection_tokens +
                 FRESH_CONNECTION_TOKENS_PER_CALL,
             DISPATCH_MAX_FRESH_CONNECTION_TOKENS);
+    /* The issuer of the ticket may have run an earlier copy, even if it is
+     * unreachable now. */
+    call->may_have_run = dispatch_call_passed_on(call);
     if (dispatch_call_passed_on(call)) {
         struct dispatch_attempt *attempt =
             dispatch_attempt_add(call, RP_BALANCER_NO_TARGET, 0, now_ns);
@@ -538,9 +541,7 @@
     if (not_run) {
         dispatch_call_record_not_run(call);
     }
-    /* The issuer may have run an earlier copy, even if it is unreachable
-     * now. */
-    call->may_have_run |= !not_run || dispatch_call_passed_on(call);
+    call->may_have_run |= !not_run;
     bool other_running = false;
     for (uint32_t i = 0; i < call->attempt_count; i++) {
         struct dispatch_attempt *other = &call->attempts[i];
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -8,7 +8,9 @@
 extern "C" {
 #include "call.h"
 #include "dispatch.h"
+#include "member.h"
 #include "snapshot.h"
+#include "ticket.h"
 }
 
 namespace {
@@ -16,6 +18,8 @@
 const int64_t MS = 1000000;
 const int64_t START_NS = 1000000 * MS;
 const char *const ADDRESSES[] = {"10.0.0.1:1", "10.0.0.2:1"};
+const uint8_t KEY_BYTES[32] = {};
+const struct rp_ticket_key KEY = {KEY_BYTES, sizeof(KEY_BYTES)};
 
 // A process with the dispatch task, and substitutes for the entry and upstream
 // tasks that record the attempts sent to them.
@@ -30,6 +34,7 @@
         kernel = rp_kernel_new(context);
         struct rp_dispatch_config config = {};
         config.probes_per_s = 1000;
+        config.ticket_key = KEY;
         if (retry_allowance > 0) {
             config.retry_allowance = retry_allowance;
             config.retry_window_ns = 1000 * MS;
@@ -103,6 +108,37 @@
         run();
     }
 
+    // Adds another entry VM, and starts a call with a ticket of it.
+    void start_passed_on_call()
+    {
+        struct rp_ticket_config config = {"other", 7, KEY, 3, 5000};
+        struct rp_ticket_table *table = rp_ticket_table_new(&config, now_ns);
+        char prefix[RP_TICKET_PREFIX_BYTES];
+        rp_ticket_table_prefix(table, now_ns, prefix);
+        rp_ticket_table_free(table);
+        auto *view = static_cast<struct rp_member_view *>(g_malloc0(
+            sizeof(struct rp_member_view) + sizeof(struct rp_member)));
+        g_ref_count_init(&view->references);
+        view->count = 1;
+        g_strlcpy(view->members[0].info.id, "other",
+                  sizeof(view->members[0].info.id));
+        g_strlcpy(view->members[0].info.address, "10.0.0.9:1",
+                  sizeof(view->members[0].info.address));
+        view->members[0].info.incarnation = 7;
+        struct rp_member_message members = {view};
+        rp_task_send_owned(nullptr, dispatch(), RP_MSG_MEMBERS, &members,
+                           sizeof(members), rp_member_message_release);
+        struct rp_call *call = rp_call_new(1, "POST", "/a", "");
+        call->method_flag = RP_METHOD_POST;
+        call->received_ns = now_ns;
+        call->ticket =
+            g_strconcat(prefix, ".00112233445566778899aabbccddeeff", nullptr);
+        struct rp_call_start start = {call};
+        rp_task_send_owned(entry, dispatch(), RP_MSG_CALL_START, &start,
+                           sizeof(start), rp_call_start_release);
+        run();
+    }
+
     // Applies a configuration of a probed service, whose calls may make a
     // number of attempts.
     void configure_attempts(uint32_t attempts)
@@ -350,11 +386,12 @@
 }
 
 void
-add_route(struct rp_snapshot *snapshot, const std::vector<const char *> &parts)
+add_route(struct rp_snapshot *snapshot, const std::vector<const char *> &parts,
+          uint32_t repeatable_methods = RP_METHODS_ALL)
 {
     struct rp_route *route = rp_snapshot_add_route(snapshot, "route", "", "/");
     route->timeout_ms = route->max_timeout_ms = 10000;
-    route->repeatable_methods = RP_METHODS_ALL;
+    route->repeatable_methods = repeatable_methods;
     for (const char *part : parts) {
         rp_route_add_part(route, part, 1);
     }
@@ -538,6 +575,37 @@
     }
 }
 
+// Guards against a status that promises that a request did not run, although
+// the entry VM that it is passed on to may have run an earlier copy of it.
+TEST(dispatch, a_request_that_is_passed_on_may_have_run)
+{
+    struct {
+        const char *name;
+        bool full_mailbox;
+        uint32_t status; /* 0 without a reply */
+    } cases[] = {
+        {"sent", false, 0},
+        {"the mailbox is full", true, 502},
+    };
+    for (const auto &entry : cases) {
+        process instance;
+        instance.apply([&](struct rp_snapshot *snapshot) {
+            add_service(snapshot, "maps", {"10.0.0.1:1"}, false);
+            add_route(snapshot, {"maps"}, RP_METHODS_IDEMPOTENT);
+        });
+        instance.fill_upstream = entry.full_mailbox;
+        instance.start_passed_on_call();
+        ASSERT_EQ(instance.starts.size(), entry.status == 0 ? 1u : 0u)
+            << entry.name;
+        ASSERT_EQ(instance.replies.size(), entry.status == 0 ? 0u : 1u)
+            << entry.name;
+        for (const auto &reply : instance.replies) {
+            EXPECT_EQ(reply.outcome, RP_OUTCOME_UNKNOWN) << entry.name;
+            EXPECT_EQ(reply.status, entry.status) << entry.name;
+        }
+    }
+}
+
 // Guards against a status that promises that a request did not run, when an
 // attempt may have run and the next one finds the mailbox of upstream full.
 TEST(dispatch, a_full_mailbox_promises_only_what_is_true)
