Count the time of a request from its arrival

A request that waits behind earlier ones of its connection, since it may not run beside them, was sent to a target with all of its time, although its caller had waited for a part of it or had given up. It was also answered that much later than its route's timeout.

Cause: a call's time began when it was passed to dispatch, not when its header had been read. Both are the same for all requests that do not wait.

Change: it begins with the header, and a call whose deadline has passed when it begins is refused as not run, or as unknown if it is to be passed on.

Evidence: entry.the_time_of_a_request_counts_from_its_arrival failed for a request behind an earlier one (50 ms), and dispatch.a_call_whose_deadline_has_passed_is_refused for calls at and beyond their deadline: sent to a target, then 504; 503 now, without an attempt.

--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -280,6 +280,12 @@
     /* The issuer of the ticket may have run an earlier copy, even if it is
      * unreachable now. */
     call->may_have_run = dispatch_call_passed_on(call);
+    if (now_ns >= call->deadline_ns) {
+        /* It has waited behind earlier requests of its connection. */
+        fail_deadline(call, now_ns);
+        remove_or_reschedule(call);
+        return;
+    }
     if (dispatch_call_passed_on(call)) {
         struct dispatch_attempt *attempt =
             dispatch_attempt_add(call, RP_BALANCER_NO_TARGET, 0, now_ns);
--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -54,11 +54,11 @@
 
 /* Sends a call to dispatch. Returns false when its mailbox is full. */
 bool
-entry_start_call(struct entry_request *request, int64_t now_ns)
+entry_start_call(struct entry_request *request)
 {
     struct rp_entry *entry = request->connection->entry;
     struct rp_call *call = request->call;
-    call->received_ns = now_ns;
+    call->received_ns = request->read_ns;
     request->started = true;
     g_hash_table_insert(entry->requests, GSIZE_TO_POINTER(call->id), request);
     struct rp_call_start start = {.call = rp_call_ref(call)};
--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -130,7 +130,7 @@
 }
 
 static int64_t
-latest_end_ns(const struct entry_request *request, int64_t now_ns)
+latest_end_ns(const struct entry_request *request)
 {
     const struct rp_entry *entry = request->connection->entry;
     const struct rp_call *call = request->call;
@@ -143,7 +143,7 @@
         timeout_ms = MIN(timeout_ms > 0 ? timeout_ms : route->timeout_ms,
                          route->max_timeout_ms);
     }
-    return now_ns + timeout_ms * 1000000;
+    return request->read_ns + timeout_ms * 1000000;
 }
 
 /* Returns whether a stopping VM leaves a request to another one. */
@@ -152,8 +152,7 @@
 {
     const struct rp_entry *entry = request->connection->entry;
     return entry->stopping &&
-           !rp_stop_plan_accepts(&entry->stop, latest_end_ns(request, now_ns),
-                                 now_ns);
+           !rp_stop_plan_accepts(&entry->stop, latest_end_ns(request), now_ns);
 }
 
 static void
@@ -172,7 +171,7 @@
             if (is_too_late(request, now_ns)) {
                 entry_request_fail(request, 503, "this entry VM is stopping");
             }
-            else if (!entry_start_call(request, now_ns)) {
+            else if (!entry_start_call(request)) {
                 entry_request_fail(request, 503,
                                    "this entry VM is overloaded");
             }
--- a/src/call/entry_private.h
+++ b/src/call/entry_private.h
@@ -110,7 +110,7 @@
                 const void *body, uint32_t bytes, void (*release)(void *));
 void entry_send_abort(struct entry_request *request,
                       enum rp_abort_reason reason);
-bool entry_start_call(struct entry_request *request, int64_t now_ns);
+bool entry_start_call(struct entry_request *request);
 
 /* entry_connection.c */
 void entry_connection_open(struct rp_entry *entry, int socket, int64_t now_ns);
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -97,10 +97,11 @@
         run();
     }
 
-    void start_call(uint64_t id = 1, const char *target = "/a")
+    void start_call(uint64_t id = 1, const char *target = "/a",
+                    int64_t waited_ms = 0)
     {
         struct rp_call *call = rp_call_new(id, "GET", target, "");
-        call->received_ns = now_ns;
+        call->received_ns = now_ns - waited_ms * MS;
         call->attempts_left = RP_ATTEMPTS_UNSET;
         struct rp_call_start start = {call};
         rp_task_send_owned(entry, dispatch(), RP_MSG_CALL_START, &start,
@@ -109,7 +110,7 @@
     }
 
     // Adds another entry VM, and starts a call with a ticket of it.
-    void start_passed_on_call()
+    void start_passed_on_call(int64_t waited_ms)
     {
         struct rp_ticket_config config = {"other", 7, KEY, 3, 5000};
         struct rp_ticket_table *table = rp_ticket_table_new(&config, now_ns);
@@ -130,7 +131,7 @@
                            sizeof(members), rp_member_message_release);
         struct rp_call *call = rp_call_new(1, "POST", "/a", "");
         call->method_flag = RP_METHOD_POST;
-        call->received_ns = now_ns;
+        call->received_ns = now_ns - waited_ms * MS;
         call->ticket =
             g_strconcat(prefix, ".00112233445566778899aabbccddeeff", nullptr);
         struct rp_call_start start = {call};
@@ -582,10 +583,12 @@
     struct {
         const char *name;
         bool full_mailbox;
-        uint32_t status; /* 0 without a reply */
+        int64_t waited_ms; /* of a timeout of 10 s */
+        uint32_t status;   /* 0 without a reply */
     } cases[] = {
-        {"sent", false, 0},
-        {"the mailbox is full", true, 502},
+        {"sent", false, 0, 0},
+        {"the mailbox is full", true, 0, 502},
+        {"its deadline has passed", false, 12000, 504},
     };
     for (const auto &entry : cases) {
         process instance;
@@ -594,7 +597,7 @@
             add_route(snapshot, {"maps"}, RP_METHODS_IDEMPOTENT);
         });
         instance.fill_upstream = entry.full_mailbox;
-        instance.start_passed_on_call();
+        instance.start_passed_on_call(entry.waited_ms);
         ASSERT_EQ(instance.starts.size(), entry.status == 0 ? 1u : 0u)
             << entry.name;
         ASSERT_EQ(instance.replies.size(), entry.status == 0 ? 0u : 1u)
@@ -606,6 +609,33 @@
     }
 }
 
+// Guards against a request that is sent to a target after its deadline: it has
+// waited on its connection.
+TEST(dispatch, a_call_whose_deadline_has_passed_is_refused)
+{
+    struct {
+        const char *name;
+        int64_t waited_ms; /* of a timeout of 10 s */
+        size_t starts;
+    } cases[] = {
+        {"a new call", 0, 1},
+        {"shortly before the deadline", 9900, 1},
+        {"at the deadline", 10000, 0},
+        {"beyond the deadline", 12000, 0},
+    };
+    for (const auto &entry : cases) {
+        process instance;
+        instance.configure(false, false);
+        instance.start_call(1, "/a", entry.waited_ms);
+        EXPECT_EQ(instance.starts.size(), entry.starts) << entry.name;
+        ASSERT_EQ(instance.replies.size(), 1 - entry.starts) << entry.name;
+        for (const auto &reply : instance.replies) {
+            EXPECT_EQ(reply.outcome, RP_OUTCOME_NOT_RUN) << entry.name;
+            EXPECT_EQ(reply.status, 503u) << entry.name;
+        }
+    }
+}
+
 // Guards against a status that promises that a request did not run, when an
 // attempt may have run and the next one finds the mailbox of upstream full.
 TEST(dispatch, a_full_mailbox_promises_only_what_is_true)
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -310,6 +310,37 @@
     }
 }
 
+// Guards against a request that gets more time than its caller gave it: one
+// that waits behind earlier ones of its connection, whose time counted from
+// its start.
+TEST(entry, the_time_of_a_request_counts_from_its_arrival)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string post =
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    struct {
+        const char *what;
+        std::string requests;
+    } cases[] = {
+        {"one request", get},
+        {"beside an earlier one", get + get},
+        {"behind an earlier one", post + post},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        send(caller, entry.requests.data(), entry.requests.size(), 0);
+        vm.run();
+        int64_t read_ns = rp_loop_now_ns();
+        g_usleep(50000);
+        while (!vm.calls.empty()) {
+            EXPECT_LE(vm.calls.back()->received_ns, read_ns) << entry.what;
+            vm.answer_calls(false, 10);
+        }
+        close(caller);
+    }
+}
+
 // Guards against a connection that stays open although nothing on it is read
 // any more: later requests get neither an answer nor a refusal.
 TEST(entry, connection_is_served_or_closed)
