Pause between attempts to accept without a file descriptor

An entry VM whose file descriptors were used up spent its processor, and its log, on the connection that it could not accept; its other callers waited for both.

Cause: the listener stays readable while a connection waits, so that accept failed in each iteration of the loop, with a warning each.

Change: after such a failure the listener is not watched until the next check of time limits, 0.25 s at most.

--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -85,6 +85,8 @@
                           "--max-connections or raise the file descriptor "
                           "limit",
                           g_strerror(errno));
+                /* The connection still waits: tried again by maintenance. */
+                ev_io_stop(entry->ev, &entry->acceptor);
             }
             return;
         }
@@ -152,6 +154,9 @@
         accept_connections(entry, LISTEN_BACKLOG);
         close_listener(entry);
     }
+    if (entry->listener >= 0) {
+        ev_io_start(entry->ev, &entry->acceptor);
+    }
     GPtrArray *all = list_connections(entry);
     for (guint i = 0; i < all->len; i++) {
         entry_connection_check_time(all->pdata[i], now_ns);
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -116,6 +117,17 @@
         }
     }
 
+    // Runs the loop for 100 ms and returns how often it woke up.
+    int count_wakeups()
+    {
+        int64_t end_ns = rp_loop_now_ns() + 100 * MS;
+        int wakeups = 0;
+        for (; rp_loop_now_ns() < end_ns; wakeups++) {
+            ev_run(rp_loop_ev(loop), EVRUN_ONCE);
+        }
+        return wakeups;
+    }
+
     // Answers all calls that wait, in order or in reverse order, with bodies
     // of that size.
     void answer_calls(bool reverse, uint32_t body_bytes)
@@ -555,6 +567,39 @@
     }
 }
 
+// Guards against an entry VM that spends its processor on a connection that it
+// cannot accept for want of a file descriptor, or does not accept it later.
+TEST(entry, a_connection_waits_for_a_file_descriptor)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct {
+        const char *what;
+        bool full; /* no file descriptor is left */
+        size_t accepted;
+    } cases[] = {
+        {"descriptors are left", false, 1},
+        {"no descriptor is left", true, 0},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        send(caller, get.data(), get.size(), 0);
+        struct rlimit usual;
+        ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &usual), 0);
+        struct rlimit limit = usual;
+        limit.rlim_cur = entry.full ? 0 : usual.rlim_cur;
+        ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+        int wakeups = vm.count_wakeups();
+        EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &usual), 0);
+        EXPECT_LE(wakeups, 20) << entry.what;
+        EXPECT_EQ(vm.calls.size(), entry.accepted) << entry.what;
+        g_usleep(300000); // beyond the next attempt to accept
+        vm.run();
+        EXPECT_EQ(vm.calls.size(), 1u) << entry.what;
+        close(caller);
+    }
+}
+
 // Guards against a planned stop that cuts off callers: with a connection that
 // waits to be accepted, with a request that waits in a socket, or with an
 // answer of which the last bytes are not written yet.
