Let targets send the framing of a body in small pieces

A caller lost the rest of a proper answer, or got an unknown outcome, when its target sent the chunk headers slowly, byte by byte: from four digits of a size on, or with a chunk extension.

Cause: the limit on bytes that are no body counted reads, whatever their size. The end of one chunk and the header of the next need more than eight reads of a byte.

Change: of several reads in a row without a byte of the body, only those that hold 64 bytes or more are counted. What comes in smaller pieces is bounded by progress-ms, as before.

Evidence: upstream.chunks_may_be_framed_slowly failed for chunks of 65535 and 65536 bytes, a size of 16 digits and a chunk extension: malformed after 0 or 1 of 2 chunks.

--- a/src/base/curl_loop.c
+++ b/src/base/curl_loop.c
@@ -59,7 +59,7 @@
     struct rp_curl_loop *loop = watcher->data;
     const struct curl_socket *socket = (const struct curl_socket *)watcher;
     if ((events & EV_READ) != 0 && loop->on_readable != NULL &&
-        !loop->on_readable(socket->easy, loop->data))
+        !loop->on_readable(socket->easy, watcher->fd, loop->data))
     {
         return; /* the watcher is gone with the transfer */
     }
--- a/src/base/curl_loop.h
+++ b/src/base/curl_loop.h
@@ -13,7 +13,7 @@
     void (*on_done)(CURL *easy, CURLcode result, void *data);
     /* Called before a socket of a transfer is read; NULL for none. Returns
      * false when it removed the easy handle. */
-    bool (*on_readable)(CURL *easy, void *data);
+    bool (*on_readable)(CURL *easy, curl_socket_t socket, void *data);
     void *data;
 };
 
--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -156,12 +156,12 @@
 /* Ends an attempt whose answer consists of bytes that are no body. Returns
  * whether the transfer continues. */
 static bool
-on_readable(CURL *easy, void *data)
+on_readable(CURL *easy, curl_socket_t socket, void *data)
 {
     (void)data;
     struct rp_upstream_attempt *attempt = NULL;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &attempt);
-    if (attempt == NULL || rp_upstream_attempt_count_read(attempt)) {
+    if (attempt == NULL || rp_upstream_attempt_count_read(attempt, socket)) {
         return true; /* probes have no attempt; their time is short */
     }
     finish_attempt(attempt, RP_END_MALFORMED);
--- a/src/call/upstream_attempt.h
+++ b/src/call/upstream_attempt.h
@@ -42,7 +42,8 @@
                               int64_t max_connection_age_s, int64_t now_ns);
 void rp_upstream_attempt_clear(struct rp_upstream_attempt *attempt);
 void rp_upstream_attempt_resume(struct rp_upstream_attempt *attempt);
-bool rp_upstream_attempt_count_read(struct rp_upstream_attempt *attempt);
+bool rp_upstream_attempt_count_read(struct rp_upstream_attempt *attempt,
+                                    curl_socket_t socket);
 bool rp_upstream_attempt_stalled(const struct rp_upstream_attempt *attempt,
                                  int64_t limit_ns, int64_t now_ns);
 enum rp_attempt_end
