End callers that send behind an answer and do not read it

A caller that read no byte of its answer kept its connection, and the answer in the memory of the entry VM, as long as it went on sending: behind an answer that ends the connection, or the rest of a body that is discarded.

Cause: each received byte counted as activity, also while output waited. Only connections whose reader was stopped by the bound of their input were ended.

Change: while output waits, only bytes that the caller takes count.

Evidence: entry.callers_that_exceed_limits_are_ended failed for both: open after 2.4 s with an idle timeout of 0.1 s.

--- a/src/call/entry_connection.c
+++ b/src/call/entry_connection.c
@@ -431,7 +431,8 @@
         handle_caller_closed(connection, NULL);
         return false;
     }
-    if (!connection->lingering) {
+    /* A caller that only sends does not read its answers. */
+    if (!connection->lingering && pending_output_bytes(connection) == 0) {
         connection->last_activity_ns = now_ns;
     }
     if (connection->lingering || connection->discard_input) {
--- a/src/call/entry_private.h
+++ b/src/call/entry_private.h
@@ -93,7 +93,8 @@
                                     * for */
     GByteArray *output;
     uint32_t output_sent_bytes;
-    int64_t last_activity_ns; /* time of the last byte in either direction */
+    int64_t last_activity_ns; /* time of the last byte sent, or received while
+                               * no output waits */
     int64_t head_start_ns;    /* time of the first byte of an incomplete
                                * header; 0 for none */
     bool paused;              /* the parser is paused until there is room */
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -495,6 +495,12 @@
          false},
         {"sends behind the last answer",
          "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 10, true},
+        {"sends behind the last answer and reads nothing",
+         "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 50000,
+         true},
+        {"sends a body after its answer and reads nothing",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 999\r\n\r\nabc",
+         50000, true},
     };
     for (const auto &entry : cases) {
         vm vm;
