Read what came during a pause before a stop ends

A stopping VM that stood still until its stop timeout had expired ended with answers of targets unread in its sockets; the callers' connections were closed without an answer (request_unanswered: this process has stopped).

Cause: the loop runs timers before sockets, and the check of the stop timeout ended the process in the first iteration after the pause.

Change: when the process was paused since the previous check, the end is put off until the next check, once: 0.1 s, of the 0.5 s that are left before a supervisor kills the process.

--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -474,6 +474,29 @@
 wait "$curl_pid"
 check hangup-cuts-nothing "$(cat "$work/hup")" '^200$' 0 0 0
 
+# A stopping process that stands still until its stop timeout has expired: the
+# answer that came meanwhile is delivered, not lost with the process.
+paused=127.0.0.1:$((base + 2))
+serve "$paused" $((base + 14)) --peers "127.0.0.1:$((base + 10))" --stop-timeout-ms 3000
+paused_pid=${serve_pids[-1]}
+for _ in $(seq 100); do
+    curl -s -o /dev/null "http://$paused/" && break
+    sleep 0.05
+done
+curl -s -o /dev/null -w '%{http_code}' -H 'RP-Timeout-Ms: 8000' \
+    "http://$paused/two?bytes=10&sleep_ms=1500" >"$work/paused" &
+curl_pid=$!
+sleep 0.2
+kill -TERM "$paused_pid"
+sleep 0.8
+kill -STOP "$paused_pid"
+sleep 2.3
+kill -CONT "$paused_pid"
+wait "$curl_pid"
+wait "$paused_pid"
+check stop-after-a-pause "status=$? $(cat "$work/paused")" '^status=0 200$' 0 0 0
+unset 'serve_pids[-1]'
+
 stop_output=$(mktemp)
 # A stop while a request is in progress: the request is completed, and the
 # process exits without an error (with sanitizers: without a leak).
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -34,6 +34,8 @@
 #define FLEET_CONNECTIONS_PER_TARGET 200
 #define MIN_CONNECTIONS_PER_TARGET 4
 #define STOP_CHECK_S 0.1
+/* A longer time between two checks means that the process was paused. */
+#define MAX_STOP_CHECK_GAP_NS INT64_C(200000000)
 #define FLEET_KEY_BYTES 32
 
 struct rp_node {
@@ -51,6 +53,8 @@
     ev_timer stop_check;
     int64_t stop_timeout_ns;
     int64_t stop_at_ns;
+    int64_t stop_checked_ns; /* last check of a stop */
+    bool stop_deferred;      /* for a pause */
 };
 
 /* Returns the wall time in microseconds with random low bits. Incarnations of
@@ -92,18 +96,36 @@
     return rp_context_new(&identity, (uint32_t)identity.incarnation);
 }
 
+/* Returns whether the end of a stop is put off until the next check, once: the
+ * process was paused, and what arrived meanwhile is not read yet. */
+static bool
+defer_stop(struct rp_node *node, int64_t now_ns)
+{
+    bool paused = now_ns - node->stop_checked_ns > MAX_STOP_CHECK_GAP_NS;
+    node->stop_checked_ns = now_ns;
+    if (!paused || node->stop_deferred) {
+        return false;
+    }
+    node->stop_deferred = now_ns >= node->stop_at_ns;
+    return node->stop_deferred;
+}
+
 /* Ends the loop when no request is in flight or the stop timeout expires. */
 static void
 on_stop_check(struct ev_loop *ev, ev_timer *watcher, int events)
 {
-    (void)ev;
     (void)events;
     struct rp_node *node = watcher->data;
+    int64_t now_ns = rp_loop_now_ns();
+    if (defer_stop(node, now_ns)) {
+        ev_timer_again(ev, watcher);
+        return;
+    }
     if (rp_entry_finished(node->entry)) {
         g_message("all requests are finished: the shutdown is complete");
         rp_loop_end(node->loop);
     }
-    else if (rp_loop_now_ns() >= node->stop_at_ns) {
+    else if (now_ns >= node->stop_at_ns) {
         g_warning(
             "the stop timeout has expired: requests in flight are aborted; "
             "raise --stop-timeout-ms if they need longer");
@@ -132,6 +154,7 @@
     struct rp_stop_plan plan;
     rp_stop_plan_init(&plan, 0, node->stop_timeout_ns, now_ns);
     node->stop_at_ns = plan.end_ns;
+    node->stop_checked_ns = now_ns;
     rp_kernel_request_stop(node->kernel);
     ev_timer_start(ev, &node->stop_check);
 }
