--- a/tests/test_setting.cc
+++ b/tests/test_setting.cc
@@ -24,8 +24,9 @@
     {"ROSEMARYPULLEY_PEER_ADDRESS", "127.0.0.1:8081"},
 };
 
-// Guards against invalid settings that are accepted and fail later, and
-// against a check that reports only one of several faults.
+// Guards against invalid settings that are accepted and fail later, against
+// valid ones with which a process does not start, and against a check that
+// reports only one of several faults.
 TEST(setting, faults)
 {
     std::string key(40, 'a');
@@ -52,6 +53,11 @@
         {{{"ROSEMARYPULLEY_RETRY_RATIO", "1.5"}}, {"--retry-ratio"}},
         {{{"ROSEMARYPULLEY_RETRY_RATIO", "0,2"}}, {"--retry-ratio"}},
         {{{"ROSEMARYPULLEY_RETRY_RATIO", "nan"}}, {"--retry-ratio"}},
+        {{{"ROSEMARYPULLEY_RETRY_ALLOWANCE", "23.142857142857142"}}, {}},
+        {{{"ROSEMARYPULLEY_RETRY_ALLOWANCE", "-1"}}, {"--retry-allowance"}},
+        {{{"ROSEMARYPULLEY_PROBES_PER_S", "0.5"}}, {}},
+        {{{"ROSEMARYPULLEY_PROBES_PER_S", "10001"}}, {"--probes-per-s"}},
+        {{{"ROSEMARYPULLEY_STOP_TIMEOUT_MS", "2.5s"}}, {}},
         {{{"ROSEMARYPULLEY_FLEET_KEY", "abc"}}, {"--fleet-key"}},
         {{{"ROSEMARYPULLEY_PEER_PUBLIC_KEY", key}}, {"--peer-secret-key"}},
         {{{"ROSEMARYPULLEY_PEER_PUBLIC_KEY", key},
