Pass on a request body while its answer comes

When a target answered before it had read a long body, and kept its connection, the next request on that connection was sent where the rest of the body was due. The target took it for body bytes; its caller waited until an attempt over a fresh connection, or without one until the deadline.

Cause: the entry task discarded a body from the head of the answer on, and then ended its stream as if it were complete. libcurl does not compare what it has sent with the length that it has announced, and reuses the connection.

Change: the body is passed on until the answer ends, which it does when the attempt has ended. Only what comes then is discarded.

Evidence: entry.a_body_is_passed_on_while_its_answer_comes failed in four of five cases: 47 of 400000 bytes were passed on.

--- a/src/call/entry_reply.c
+++ b/src/call/entry_reply.c
@@ -165,10 +165,7 @@
     }
     append_connection_field(request);
     append_text(connection, "\r\n");
-    if (bodyless) {
-        request->body_written = true;
-        return;
-    }
+    request->body_written = bodyless;
     rp_stream_set_reader(body, on_body_readable, request);
 }
 
--- a/src/call/entry_request.c
+++ b/src/call/entry_request.c
@@ -346,6 +346,15 @@
     return 0;
 }
 
+/* Returns whether a target has begun an answer and not ended it. It may still
+ * read the request. */
+static bool
+is_being_answered(const struct entry_request *request)
+{
+    return request->has_reply && request->reply.body != NULL &&
+           rp_stream_state(request->reply.body) == RP_STREAM_OPEN;
+}
+
 /* Writes bytes of a request body to its stream; accepted is set to the number
  * that fitted or was discarded. Returns false when so many were discarded that
  * the connection should be closed. */
@@ -356,7 +365,8 @@
     struct rp_stream *stream =
         request->call == NULL ? NULL : request->call->request;
     *accepted = count;
-    if (stream != NULL && !request->has_local && !request->has_reply &&
+    if (stream != NULL && !request->has_local &&
+        (!request->has_reply || is_being_answered(request)) &&
         rp_stream_state(stream) == RP_STREAM_OPEN)
     {
         *accepted = rp_stream_write(stream, bytes, count);
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -143,6 +143,21 @@
         }
     }
 
+    // Begins to answer the first call that waits. The answer has no length,
+    // and its body is returned.
+    struct rp_stream *begin_answer(uint32_t status)
+    {
+        struct rp_call_reply reply = {};
+        reply.call_id = calls[0]->id;
+        reply.outcome = RP_OUTCOME_NONE;
+        reply.answer = rp_answer_new(status);
+        reply.answer->body_bytes = RP_LENGTH_UNKNOWN;
+        reply.body = rp_stream_new();
+        struct rp_stream *body = rp_stream_ref(reply.body);
+        send_reply(&reply);
+        return body;
+    }
+
     // Lets connections that are opened later queue few bytes in the kernel.
     void shrink_send_buffers()
     {
@@ -606,6 +621,62 @@
     }
 }
 
+// Guards against a request that is sent to a target where the rest of a body
+// is due: the target answers before it has read the body and keeps its
+// connection. Also guards against a connection that waits for a target that
+// has left.
+TEST(entry, a_body_is_passed_on_while_its_answer_comes)
+{
+    const size_t body_bytes = 400000;
+    struct {
+        const char *what;
+        uint32_t status;
+        size_t end_bytes; /* of the body, after which the answer ends */
+    } cases[] = {
+        {"a target that reads all", 200, body_bytes},
+        {"no content, a target that reads all", 204, body_bytes},
+        {"a target that reads a part", 200, 100000},
+        {"no content, a target that reads a part", 204, 100000},
+        {"a target that reads nothing", 400, 0},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        std::string text = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                           std::to_string(body_bytes) + "\r\n\r\n" +
+                           std::string(body_bytes, 'x') +
+                           "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+        size_t sent = 100;
+        send(caller, text.data(), sent, 0);
+        vm.run();
+        ASSERT_EQ(vm.calls.size(), 1u) << entry.what;
+        struct rp_call *call = vm.calls[0];
+        struct rp_stream *answer = vm.begin_answer(entry.status);
+        size_t read = 0;
+        for (int i = 0;
+             i < 1000 && (vm.calls.size() < 2 ||
+                          rp_stream_state(answer) == RP_STREAM_OPEN);
+             i++)
+        {
+            std::vector<char> part(10000);
+            ssize_t count = send(caller, text.data() + sent,
+                                 text.size() - sent, MSG_DONTWAIT);
+            sent += count > 0 ? static_cast<size_t>(count) : 0;
+            if (read < entry.end_bytes) {
+                read += rp_stream_read(call->request, part.data(), 10000);
+            }
+            else {
+                rp_stream_end(answer);
+            }
+            vm.run();
+        }
+        EXPECT_GE(read, entry.end_bytes) << entry.what;
+        EXPECT_EQ(vm.calls.size(), 2u) << entry.what;
+        rp_stream_unref(answer);
+        close(caller);
+    }
+}
+
 // Guards against a planned stop that cuts off callers: with a connection that
 // waits to be accepted, with a request that waits in a socket, or with an
 // answer of which the last bytes are not written yet.
