--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -54,11 +54,11 @@
 
 /* Sends a call to dispatch. Returns false when its mailbox is full. */
 bool
-entry_start_call(struct entry_request *request, int64_t now_ns)
+entry_start_call(struct entry_request *request)
 {
     struct rp_entry *entry = request->connection->entry;
     struct rp_call *call = request->call;
-    call->received_ns = now_ns;
+    call->received_ns = request->read_ns;
     request->started = true;
     g_hash_table_insert(entry->requests, GSIZE_TO_POINTER(call->id), request);
     struct rp_call_start start = {.call = rp_call_ref(call)};
@@ -85,6 +85,8 @@
                           "--max-connections or raise the file descriptor "
                           "limit",
                           g_strerror(errno));
+                /* The connection still waits: tried again by maintenance. */
+                ev_io_stop(entry->ev, &entry->acceptor);
             }
             return;
         }
@@ -152,6 +154,9 @@
         accept_connections(entry, LISTEN_BACKLOG);
         close_listener(entry);
     }
+    if (entry->listener >= 0) {
+        ev_io_start(entry->ev, &entry->acceptor);
+    }
     GPtrArray *all = list_connections(entry);
     for (guint i = 0; i < all->len; i++) {
         entry_connection_check_time(all->pdata[i], now_ns);
--- a/src/call/entry_private.h
+++ b/src/call/entry_private.h
@@ -93,7 +93,8 @@
                                     * for */
     GByteArray *output;
     uint32_t output_sent_bytes;
-    int64_t last_activity_ns; /* time of the last byte in either direction */
+    int64_t last_activity_ns; /* time of the last byte sent, or received while
+                               * no output waits */
     int64_t head_start_ns;    /* time of the first byte of an incomplete
                                * header; 0 for none */
     bool paused;              /* the parser is paused until there is room */
@@ -110,7 +111,7 @@
                 const void *body, uint32_t bytes, void (*release)(void *));
 void entry_send_abort(struct entry_request *request,
                       enum rp_abort_reason reason);
-bool entry_start_call(struct entry_request *request, int64_t now_ns);
+bool entry_start_call(struct entry_request *request);
 
 /* entry_connection.c */
 void entry_connection_open(struct rp_entry *entry, int socket, int64_t now_ns);
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -116,6 +117,17 @@
         }
     }
 
+    // Runs the loop for 100 ms and returns how often it woke up.
+    int count_wakeups()
+    {
+        int64_t end_ns = rp_loop_now_ns() + 100 * MS;
+        int wakeups = 0;
+        for (; rp_loop_now_ns() < end_ns; wakeups++) {
+            ev_run(rp_loop_ev(loop), EVRUN_ONCE);
+        }
+        return wakeups;
+    }
+
     // Answers all calls that wait, in order or in reverse order, with bodies
     // of that size.
     void answer_calls(bool reverse, uint32_t body_bytes)
@@ -131,6 +143,21 @@
         }
     }
 
+    // Begins to answer the first call that waits. The answer has no length,
+    // and its body is returned.
+    struct rp_stream *begin_answer(uint32_t status)
+    {
+        struct rp_call_reply reply = {};
+        reply.call_id = calls[0]->id;
+        reply.outcome = RP_OUTCOME_NONE;
+        reply.answer = rp_answer_new(status);
+        reply.answer->body_bytes = RP_LENGTH_UNKNOWN;
+        reply.body = rp_stream_new();
+        struct rp_stream *body = rp_stream_ref(reply.body);
+        send_reply(&reply);
+        return body;
+    }
+
     // Lets connections that are opened later queue few bytes in the kernel.
     void shrink_send_buffers()
     {
@@ -310,6 +337,37 @@
     }
 }
 
+// Guards against a request that gets more time than its caller gave it: one
+// that waits behind earlier ones of its connection, whose time counted from
+// its start.
+TEST(entry, the_time_of_a_request_counts_from_its_arrival)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string post =
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    struct {
+        const char *what;
+        std::string requests;
+    } cases[] = {
+        {"one request", get},
+        {"beside an earlier one", get + get},
+        {"behind an earlier one", post + post},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        send(caller, entry.requests.data(), entry.requests.size(), 0);
+        vm.run();
+        int64_t read_ns = rp_loop_now_ns();
+        g_usleep(50000);
+        while (!vm.calls.empty()) {
+            EXPECT_LE(vm.calls.back()->received_ns, read_ns) << entry.what;
+            vm.answer_calls(false, 10);
+        }
+        close(caller);
+    }
+}
+
 // Guards against a connection that stays open although nothing on it is read
 // any more: later requests get neither an answer nor a refusal.
 TEST(entry, connection_is_served_or_closed)
@@ -452,6 +510,12 @@
          false},
         {"sends behind the last answer",
          "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 10, true},
+        {"sends behind the last answer and reads nothing",
+         "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 50000,
+         true},
+        {"sends a body after its answer and reads nothing",
+         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 999\r\n\r\nabc",
+         50000, true},
     };
     for (const auto &entry : cases) {
         vm vm;
@@ -524,6 +588,95 @@
     }
 }
 
+// Guards against an entry VM that spends its processor on a connection that it
+// cannot accept for want of a file descriptor, or does not accept it later.
+TEST(entry, a_connection_waits_for_a_file_descriptor)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct {
+        const char *what;
+        bool full; /* no file descriptor is left */
+        size_t accepted;
+    } cases[] = {
+        {"descriptors are left", false, 1},
+        {"no descriptor is left", true, 0},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        send(caller, get.data(), get.size(), 0);
+        struct rlimit usual;
+        ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &usual), 0);
+        struct rlimit limit = usual;
+        limit.rlim_cur = entry.full ? 0 : usual.rlim_cur;
+        ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+        int wakeups = vm.count_wakeups();
+        EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &usual), 0);
+        EXPECT_LE(wakeups, 20) << entry.what;
+        EXPECT_EQ(vm.calls.size(), entry.accepted) << entry.what;
+        g_usleep(300000); // beyond the next attempt to accept
+        vm.run();
+        EXPECT_EQ(vm.calls.size(), 1u) << entry.what;
+        close(caller);
+    }
+}
+
+// Guards against a request that is sent to a target where the rest of a body
+// is due: the target answers before it has read the body and keeps its
+// connection. Also guards against a connection that waits for a target that
+// has left.
+TEST(entry, a_body_is_passed_on_while_its_answer_comes)
+{
+    const size_t body_bytes = 400000;
+    struct {
+        const char *what;
+        uint32_t status;
+        size_t end_bytes; /* of the body, after which the answer ends */
+    } cases[] = {
+        {"a target that reads all", 200, body_bytes},
+        {"no content, a target that reads all", 204, body_bytes},
+        {"a target that reads a part", 200, 100000},
+        {"no content, a target that reads a part", 204, 100000},
+        {"a target that reads nothing", 400, 0},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        std::string text = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                           std::to_string(body_bytes) + "\r\n\r\n" +
+                           std::string(body_bytes, 'x') +
+                           "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+        size_t sent = 100;
+        send(caller, text.data(), sent, 0);
+        vm.run();
+        ASSERT_EQ(vm.calls.size(), 1u) << entry.what;
+        struct rp_call *call = vm.calls[0];
+        struct rp_stream *answer = vm.begin_answer(entry.status);
+        size_t read = 0;
+        for (int i = 0;
+             i < 1000 && (vm.calls.size() < 2 ||
+                          rp_stream_state(answer) == RP_STREAM_OPEN);
+             i++)
+        {
+            std::vector<char> part(10000);
+            ssize_t count = send(caller, text.data() + sent,
+                                 text.size() - sent, MSG_DONTWAIT);
+            sent += count > 0 ? static_cast<size_t>(count) : 0;
+            if (read < entry.end_bytes) {
+                read += rp_stream_read(call->request, part.data(), 10000);
+            }
+            else {
+                rp_stream_end(answer);
+            }
+            vm.run();
+        }
+        EXPECT_GE(read, entry.end_bytes) << entry.what;
+        EXPECT_EQ(vm.calls.size(), 2u) << entry.what;
+        rp_stream_unref(answer);
+        close(caller);
+    }
+}
+
 // Guards against a planned stop that cuts off callers: with a connection that
 // waits to be accepted, with a request that waits in a socket, or with an
 // answer of which the last bytes are not written yet.
