Write the answers of a stop also after a pause over its end

Callers lost requests of a VM that stood still when its stop ended: a slow one, and those behind it on its connection that had their answers, were cut off without one. Cause: shortly before a stop ends, the calls without an answer are answered. A process that stands still over both times asks dispatch for these answers and ends in the same iteration of the loop, before they are made. Answers of targets that wait in its sockets would not be read first. Change: the end of a stop is set when the last answers are asked for, and leaves the time that is planned for writing them. They are asked for after the sockets of that iteration have been read.

--- a/scripts/path_cases.sh
+++ b/scripts/path_cases.sh
@@ -13,6 +13,7 @@
 target_a=127.0.0.1:$((base + 5))
 target_b=127.0.0.1:$((base + 6))
 closed=127.0.0.1:$((base + 7))
+brief=127.0.0.1:$((base + 2))
 pids=()
 serve_pids=()
 failures=0
@@ -474,6 +475,29 @@
 wait "$curl_pid"
 check hangup-cuts-nothing "$(cat "$work/hup")" '^200$' 0 0 0
 
+# A process that stands still over the end of its stop still writes its answers,
+# also those that wait behind a slow request.
+serve "$brief" $((base + 14)) --stop-timeout-ms 1000
+brief_pid=${serve_pids[2]}
+for _ in $(seq 100); do
+    curl -s -o /dev/null "http://$brief/" && break
+    sleep 0.05
+done
+exec 3<>"/dev/tcp/127.0.0.1/$((base + 2))"
+printf 'GET /one?sleep_ms=1400&bytes=3 HTTP/1.1\r\nHost: x\r\nRP-Request-Id: case-pause-1\r\n\r\nGET /one?bytes=4 HTTP/1.1\r\nHost: x\r\nRP-Request-Id: case-pause-2\r\n\r\n' >&3
+sleep 0.1
+kill -TERM "$brief_pid"
+sleep 0.7
+kill -STOP "$brief_pid"
+sleep 0.4
+kill -CONT "$brief_pid"
+got=$(timeout 2 grep -a -o -e 'HTTP/1.1 [0-9]*' -e 'case-pause-[0-9]' <&3 | tr '\n' ' ')
+exec 3>&- 3<&-
+check stop-outlasts-pause "$got" '^HTTP/1.1 504 case-pause-1 HTTP/1.1 200 case-pause-2 $' 0 0 0
+wait "$brief_pid"
+check stop-outlasts-pause-exit "status=$?" '^status=0$' 0 0 0
+unset 'serve_pids[2]'
+
 stop_output=$(mktemp)
 # A stop while a request is in progress: the request is completed, and the
 # process exits without an error (with sanitizers: without a leak).
--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -161,13 +161,17 @@
 }
 
 /* Lets dispatch answer all calls that have no answer yet, so that the answers
- * behind them on their connections are not lost with the process. */
+ * behind them on their connections are not lost with the process. After a
+ * pause of the process, the answers still get their time to be written. */
 static void
 on_stop_timer(struct ev_loop *ev, ev_timer *watcher, int events)
 {
     (void)ev;
     (void)events;
     struct rp_entry *entry = watcher->data;
+    const struct rp_stop_plan *stop = &entry->stop;
+    entry->stop_end_ns =
+        MAX(stop->end_ns, rp_loop_now_ns() + stop->end_ns - stop->answer_ns);
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, entry->requests);
@@ -313,6 +317,8 @@
                   MAINTENANCE_INTERVAL_S, MAINTENANCE_INTERVAL_S);
     entry->acceptor.data = entry;
     ev_timer_init(&entry->stop_timer, on_stop_timer, 0.0, 0.0);
+    /* Runs after the sockets, which may hold answers after a pause. */
+    ev_set_priority(&entry->stop_timer, EV_MINPRI);
     entry->maintenance_timer.data = entry;
     entry->stop_timer.data = entry;
     ev_io_start(entry->ev, &entry->acceptor);
@@ -359,6 +365,7 @@
     entry->listener = listener;
     entry->port = port;
     entry->next_call_id = 1;
+    entry->stop_end_ns = RP_KERNEL_NEVER_NS;
     entry->requests = g_hash_table_new(NULL, NULL);
     entry->connections = g_hash_table_new(NULL, NULL);
     entry->closed = g_ptr_array_new();
@@ -397,3 +404,11 @@
     }
     return true;
 }
+
+/* Returns when a requested stop ends although it cannot be completed;
+ * RP_KERNEL_NEVER_NS until the calls without an answer are answered. */
+int64_t
+rp_entry_stop_end_ns(const struct rp_entry *entry)
+{
+    return entry->stop_end_ns;
+}
--- a/src/call/entry.h
+++ b/src/call/entry.h
@@ -23,6 +23,7 @@
                               GError **error);
 uint16_t rp_entry_port(const struct rp_entry *entry);
 bool rp_entry_finished(const struct rp_entry *entry);
+int64_t rp_entry_stop_end_ns(const struct rp_entry *entry);
 
 #ifdef __cplusplus
 }
--- a/src/call/entry_private.h
+++ b/src/call/entry_private.h
@@ -34,6 +34,7 @@
     bool stopping;            /* RP_MSG_STOP was received */
     bool closing;             /* the listener is closed */
     struct rp_stop_plan stop; /* when stopping is set */
+    int64_t stop_end_ns;      /* set when the stop timer has run */
 };
 
 enum entry_phase {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -19,7 +19,6 @@
 #include "platform.h"
 #include "prober.h"
 #include "record_file.h"
-#include "stop_plan.h"
 #include "upstream.h"
 #include "watch.h"
 #include "wire.h"
@@ -50,7 +49,6 @@
     ev_signal hangup;
     ev_timer stop_check;
     int64_t stop_timeout_ns;
-    int64_t stop_at_ns;
 };
 
 /* Returns the wall time in microseconds with random low bits. Incarnations of
@@ -103,7 +101,7 @@
         g_message("all requests are finished: the shutdown is complete");
         rp_loop_end(node->loop);
     }
-    else if (rp_loop_now_ns() >= node->stop_at_ns) {
+    else if (rp_loop_now_ns() >= rp_entry_stop_end_ns(node->entry)) {
         g_warning(
             "the stop timeout has expired: requests in flight are aborted; "
             "raise --stop-timeout-ms if they need longer");
@@ -126,12 +124,8 @@
     }
     g_message("signal received: no new callers are directed here; a second "
               "signal ends the process at once");
-    int64_t now_ns = rp_loop_now_ns();
-    rp_event_add(node->context->events, RP_EVENT_STOPPING, now_ns,
+    rp_event_add(node->context->events, RP_EVENT_STOPPING, rp_loop_now_ns(),
                  node->context->identity.id);
-    struct rp_stop_plan plan;
-    rp_stop_plan_init(&plan, 0, node->stop_timeout_ns, now_ns);
-    node->stop_at_ns = plan.end_ns;
     rp_kernel_request_stop(node->kernel);
     ev_timer_start(ev, &node->stop_check);
 }
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -72,6 +72,12 @@
         return rp_entry_finished(entry);
     }
 
+    // Returns whether the process ends although requests are in progress.
+    bool expired() const
+    {
+        return rp_loop_now_ns() >= rp_entry_stop_end_ns(entry);
+    }
+
     // Puts a route for "/a" in force, with time limits of callers of 100 ms.
     void configure()
     {
@@ -116,6 +122,12 @@
         }
     }
 
+    // Runs one iteration of the loop.
+    void run_once()
+    {
+        ev_run(rp_loop_ev(loop), EVRUN_NOWAIT);
+    }
+
     // Answers all calls that wait, in order or in reverse order, with bodies
     // of that size.
     void answer_calls(bool reverse, uint32_t body_bytes)
@@ -631,6 +643,52 @@
     }
 }
 
+// Guards against a process that stood still at the end of a stop and then ends
+// before the answers of that end are written.
+TEST(entry, stop_ends_after_its_answers)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    struct {
+        const char *what;
+        int64_t before_ms; /* run before the pause */
+        int64_t pause_ms;
+    } cases[] = {
+        {"no pause", 0, 0},
+        {"a pause over the last answers", 700, 150},
+        {"a pause over the end", 700, 400},
+        {"a pause over the whole stop", 0, 1200},
+    };
+    for (const auto &entry : cases) {
+        vm vm;
+        int caller = vm.connect_caller();
+        for (int i = 0; i < 2; i++) {
+            send(caller, get.data(), get.size(), 0);
+        }
+        vm.run();
+        vm.stop();
+        ASSERT_EQ(vm.calls.size(), 2u) << entry.what;
+        struct rp_call *slow = vm.calls.front();
+        vm.calls.erase(vm.calls.begin());
+        vm.answer_calls(false, 10);
+        int64_t pause_ns = rp_loop_now_ns() + entry.before_ms * MS;
+        while (rp_loop_now_ns() < pause_ns) {
+            g_usleep(1000);
+            vm.run_once();
+        }
+        g_usleep(static_cast<gulong>(entry.pause_ms) * 1000);
+        while (!vm.expired()) {
+            g_usleep(1000);
+            vm.run_once();
+        }
+        bool closed = false;
+        std::string answers = receive(caller, &closed);
+        EXPECT_EQ(count(answers, "HTTP/1.1 504"), 1u) << entry.what;
+        EXPECT_EQ(count(answers, "HTTP/1.1 200"), 1u) << entry.what;
+        rp_call_unref(slow);
+        close(caller);
+    }
+}
+
 // Guards against a second run of a request: one behind an answer that ends the
 // connection, which the caller sends again elsewhere, and which is started
 // while that answer is still being written.
