Count the stop timeout from the signal

A VM that stood still when its stop signal came began its stop late, so that its supervisor killed it before it answered the calls in progress and wrote what waits behind them. Cause: the signal was noticed by the loop. A large configuration keeps the loop of a VM with a tenth of a core busy for 0.5 to 4 s; the supervisor counts from the signal. 0.9 s late, the answers at the end of a stop of 6 s come after the kill. Change: the handler of the signal reads the clock, and RP_MSG_STOP carries that time. The event stopping says how long ago the signal came. Ruled out: that the process does not run when the signal comes.

--- a/src/base/kernel.c
+++ b/src/base/kernel.c
@@ -413,15 +413,17 @@
 }
 
 /* Sends RP_MSG_STOP to all tasks, so that they finish their work in progress.
- * Calls after the first have no effect. */
+ * at_ns is when the stop was requested. Calls after the first have no
+ * effect. */
 void
-rp_kernel_request_stop(struct rp_kernel *kernel)
+rp_kernel_request_stop(struct rp_kernel *kernel, int64_t at_ns)
 {
     if (kernel->stopping) {
         return;
     }
     kernel->stopping = true;
+    struct rp_stop stop = {.at_ns = at_ns};
     for (uint32_t i = 0; i < kernel->task_count; i++) {
-        rp_task_send(NULL, kernel->tasks[i], RP_MSG_STOP, NULL, 0);
+        rp_task_send(NULL, kernel->tasks[i], RP_MSG_STOP, &stop, sizeof(stop));
     }
 }
--- a/src/base/kernel.h
+++ b/src/base/kernel.h
@@ -32,6 +32,11 @@
     int64_t gap_ns; /* since the previous run of the kernel */
 };
 
+/* Body of RP_MSG_STOP. */
+struct rp_stop {
+    int64_t at_ns; /* when the stop was requested */
+};
+
 struct rp_kernel;
 struct rp_task;
 
@@ -58,7 +63,7 @@
                                     const char *name);
 int64_t rp_kernel_run(struct rp_kernel *kernel, int64_t now_ns);
 bool rp_kernel_stopping(const struct rp_kernel *kernel);
-void rp_kernel_request_stop(struct rp_kernel *kernel);
+void rp_kernel_request_stop(struct rp_kernel *kernel, int64_t at_ns);
 
 struct rp_kernel *rp_task_kernel(struct rp_task *task);
 struct rp_context *rp_task_context(struct rp_task *task);
--- a/src/call/entry.c
+++ b/src/call/entry.c
@@ -184,15 +184,15 @@
 }
 
 static void
-begin_stop(struct rp_entry *entry, int64_t now_ns)
+begin_stop(struct rp_entry *entry, int64_t at_ns, int64_t now_ns)
 {
     entry->stopping = true;
     rp_stop_plan_init(&entry->stop,
                       (int64_t)entry->config.address_ttl_ms * 1000000,
-                      entry->config.stop_timeout_ns, now_ns);
+                      entry->config.stop_timeout_ns, at_ns);
+    int64_t wait_ns = MAX(entry->stop.answer_ns - now_ns, 0);
     ev_now_update(entry->ev);
-    ev_timer_set(&entry->stop_timer,
-                 (double)(entry->stop.answer_ns - now_ns) / 1e9, 0.0);
+    ev_timer_set(&entry->stop_timer, (double)wait_ns / 1e9, 0.0);
     ev_timer_start(entry->ev, &entry->stop_timer);
 }
 
@@ -249,7 +249,8 @@
             ((const struct rp_snapshot_message *)message->body)->snapshot);
         break;
     case RP_MSG_STOP:
-        begin_stop(entry, now_ns);
+        begin_stop(entry, ((const struct rp_stop *)message->body)->at_ns,
+                   now_ns);
         break;
     default:
         break;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -35,6 +35,10 @@
 #define STOP_CHECK_S 0.1
 #define FLEET_KEY_BYTES 32
 
+/* When the first stop signal came, 0 before it. Signals are handled by the
+ * process, not by a node. */
+static _Atomic int64_t stop_signal_ns;
+
 struct rp_node {
     const struct rp_adapter *adapter; /* NULL for the built-in protocols */
     struct rp_platform_protocol *protocol;
@@ -109,6 +113,18 @@
     }
 }
 
+/* Reads the clock when a stop signal comes: a process without processor time
+ * may run its loop seconds later, but its supervisor counts from the signal.
+ */
+static void
+record_stop_signal(int number)
+{
+    if (stop_signal_ns == 0) {
+        stop_signal_ns = rp_loop_now_ns();
+    }
+    ev_feed_signal(number);
+}
+
 /* The first signal starts a graceful shutdown, the second ends the process at
  * once. */
 static void
@@ -124,9 +140,13 @@
     }
     g_message("signal received: no new callers are directed here; a second "
               "signal ends the process at once");
-    rp_event_add(node->context->events, RP_EVENT_STOPPING, rp_loop_now_ns(),
-                 node->context->identity.id);
-    rp_kernel_request_stop(node->kernel);
+    int64_t now_ns = rp_loop_now_ns();
+    struct rp_event *event =
+        rp_event_add(node->context->events, RP_EVENT_STOPPING, now_ns,
+                     node->context->identity.id);
+    rp_event_set_detail(event, "the signal came %.1f ms ago",
+                        (double)(now_ns - stop_signal_ns) / 1e6);
+    rp_kernel_request_stop(node->kernel, stop_signal_ns);
     ev_timer_start(ev, &node->stop_check);
 }
 
@@ -161,6 +181,13 @@
     node->stop_check.data = node;
     ev_signal_start(ev, &node->terminate);
     ev_signal_start(ev, &node->interrupt);
+    /* In place of the handlers that libev has set. */
+    struct sigaction action = {.sa_handler = record_stop_signal,
+                               .sa_flags = SA_RESTART};
+    sigfillset(&action.sa_mask);
+    stop_signal_ns = 0;
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
 }
 
 /* Each connection needs a descriptor; the usual soft limit of 1024 is too low
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -252,7 +252,8 @@
     (void)data;
     (void)number;
     if (process != NULL) {
-        rp_kernel_request_stop(process->kernel);
+        rp_kernel_request_stop(process->kernel,
+                               fake_clock_now_ns(process->clock));
     }
 }
 
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -159,9 +159,10 @@
         }
     }
 
-    void stop()
+    // Begins a stop that was requested that long ago.
+    void stop(int64_t delay_ns = 0)
     {
-        rp_kernel_request_stop(kernel);
+        rp_kernel_request_stop(kernel, rp_loop_now_ns() - delay_ns);
         run();
     }
 
@@ -643,6 +644,32 @@
     }
 }
 
+// Guards against a stop that takes longer than its timeout, and is killed with
+// requests in progress, because the process stood still when its signal came.
+TEST(entry, stop_timeout_begins_with_the_signal)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    for (int64_t delay_ms : {0, 300, 600, 1500}) {
+        vm vm;
+        int caller = vm.connect_caller();
+        send(caller, get.data(), get.size(), 0);
+        vm.run();
+        ASSERT_EQ(vm.calls.size(), 1u);
+        int64_t now_ns = rp_loop_now_ns();
+        int64_t kill_ns = MAX(now_ns + (1000 - delay_ms) * MS, now_ns);
+        vm.stop(delay_ms * MS);
+        std::string answers;
+        bool closed = false;
+        do {
+            g_usleep(1000);
+            vm.run();
+            answers += receive(caller, &closed);
+        } while (!closed && rp_loop_now_ns() < kill_ns);
+        EXPECT_EQ(count(answers, "HTTP/1.1 504"), 1u) << delay_ms;
+        close(caller);
+    }
+}
+
 // Guards against a process that stood still at the end of a stop and then ends
 // before the answers of that end are written.
 TEST(entry, stop_ends_after_its_answers)
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -602,7 +602,7 @@
 TEST_F(gossip, leaving_is_announced)
 {
     start(14);
-    rp_kernel_request_stop(fleet->vms[6].kernel);
+    rp_kernel_request_stop(fleet->vms[6].kernel, fleet->now_ns);
     fleet->vms[6].due_ns = fleet->now_ns;
     int64_t time_ms =
         time_until([&] { return has_state_on_all(6, RP_MEMBER_LEAVING); }, 10);
