--- a/src/node/node.c
+++ b/src/node/node.c
@@ -19,7 +19,6 @@
 #include "platform.h"
 #include "prober.h"
 #include "record_file.h"
-#include "stop_plan.h"
 #include "upstream.h"
 #include "watch.h"
 #include "wire.h"
@@ -34,10 +33,12 @@
 #define FLEET_CONNECTIONS_PER_TARGET 200
 #define MIN_CONNECTIONS_PER_TARGET 4
 #define STOP_CHECK_S 0.1
-/* A longer time between two checks means that the process was paused. */
-#define MAX_STOP_CHECK_GAP_NS INT64_C(200000000)
 #define FLEET_KEY_BYTES 32
 
+/* When the first stop signal came, 0 before it. Signals are handled by the
+ * process, not by a node. */
+static _Atomic int64_t stop_signal_ns;
+
 struct rp_node {
     const struct rp_adapter *adapter; /* NULL for the built-in protocols */
     struct rp_platform_protocol *protocol;
@@ -52,9 +53,6 @@
     ev_signal hangup;
     ev_timer stop_check;
     int64_t stop_timeout_ns;
-    int64_t stop_at_ns;
-    int64_t stop_checked_ns; /* last check of a stop */
-    bool stop_deferred;      /* for a pause */
 };
 
 /* Returns the wall time in microseconds with random low bits. Incarnations of
@@ -96,36 +94,18 @@
     return rp_context_new(&identity, (uint32_t)identity.incarnation);
 }
 
-/* Returns whether the end of a stop is put off until the next check, once: the
- * process was paused, and what arrived meanwhile is not read yet. */
-static bool
-defer_stop(struct rp_node *node, int64_t now_ns)
-{
-    bool paused = now_ns - node->stop_checked_ns > MAX_STOP_CHECK_GAP_NS;
-    node->stop_checked_ns = now_ns;
-    if (!paused || node->stop_deferred) {
-        return false;
-    }
-    node->stop_deferred = now_ns >= node->stop_at_ns;
-    return node->stop_deferred;
-}
-
 /* Ends the loop when no request is in flight or the stop timeout expires. */
 static void
 on_stop_check(struct ev_loop *ev, ev_timer *watcher, int events)
 {
+    (void)ev;
     (void)events;
     struct rp_node *node = watcher->data;
-    int64_t now_ns = rp_loop_now_ns();
-    if (defer_stop(node, now_ns)) {
-        ev_timer_again(ev, watcher);
-        return;
-    }
     if (rp_entry_finished(node->entry)) {
         g_message("all requests are finished: the shutdown is complete");
         rp_loop_end(node->loop);
     }
-    else if (now_ns >= node->stop_at_ns) {
+    else if (rp_loop_now_ns() >= rp_entry_stop_end_ns(node->entry)) {
         g_warning(
             "the stop timeout has expired: requests in flight are aborted; "
             "raise --stop-timeout-ms if they need longer");
@@ -133,6 +113,18 @@
     }
 }
 
+/* Reads the clock when a stop signal comes: a process without processor time
+ * may run its loop seconds later, but its supervisor counts from the signal.
+ */
+static void
+record_stop_signal(int number)
+{
+    if (stop_signal_ns == 0) {
+        stop_signal_ns = rp_loop_now_ns();
+    }
+    ev_feed_signal(number);
+}
+
 /* The first signal starts a graceful shutdown, the second ends the process at
  * once. */
 static void
@@ -149,13 +141,12 @@
     g_message("signal received: no new callers are directed here; a second "
               "signal ends the process at once");
     int64_t now_ns = rp_loop_now_ns();
-    rp_event_add(node->context->events, RP_EVENT_STOPPING, now_ns,
-                 node->context->identity.id);
-    struct rp_stop_plan plan;
-    rp_stop_plan_init(&plan, 0, node->stop_timeout_ns, now_ns);
-    node->stop_at_ns = plan.end_ns;
-    node->stop_checked_ns = now_ns;
-    rp_kernel_request_stop(node->kernel);
+    struct rp_event *event =
+        rp_event_add(node->context->events, RP_EVENT_STOPPING, now_ns,
+                     node->context->identity.id);
+    rp_event_set_detail(event, "the signal came %.1f ms ago",
+                        (double)(now_ns - stop_signal_ns) / 1e6);
+    rp_kernel_request_stop(node->kernel, stop_signal_ns);
     ev_timer_start(ev, &node->stop_check);
 }
 
@@ -190,6 +181,13 @@
     node->stop_check.data = node;
     ev_signal_start(ev, &node->terminate);
     ev_signal_start(ev, &node->interrupt);
+    /* In place of the handlers that libev has set. */
+    struct sigaction action = {.sa_handler = record_stop_signal,
+                               .sa_flags = SA_RESTART};
+    sigfillset(&action.sa_mask);
+    stop_signal_ns = 0;
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
 }
 
 /* Each connection needs a descriptor; the usual soft limit of 1024 is too low
