Let runs of the soak of real processes wait for each other

The addresses follow from the seed, so that two runs of one seed at a time, as in two clones on one machine, share targets and the ids of requests.

Change: a run locks its addresses and waits for the one before.

--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -19,6 +19,9 @@
 target_count=${5:-4}
 work=$(mktemp -d)
 net=127.$((20 + seed % 200)).$((seed / 200 % 250))
+# Two runs with the same addresses would share targets; the second one waits.
+exec 9>"${TMPDIR:-/tmp}/rosemarypulley-$net.lock"
+flock 9
 # shellcheck source=scripts/fleet.sh
 . "$(dirname "$0")/fleet.sh"
 
