Fuzz records of the platform with revisions of two epochs

make fuzz did not compile: fuzz_record called rp_record_set_build with too few arguments since targets of a list of VMs may leave.

Change: the missing argument, and routes and targets of schema 3 among the keys, with a later epoch whose counters are lower, so that joins across epochs are compared in both orders of arrival.

--- a/fuzz/fuzz_record.c
+++ b/fuzz/fuzz_record.c
@@ -4,12 +4,21 @@
 #include "msgpack_check.h"
 #include "record_batch.h"
 #include "record_set.h"
+#include "revision.h"
 #include "vm_list.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t count);
 
-static const char *const keys[] = {"v1/a", "service/a", "targets/a/new",
-                                   "share/a"};
+static const char *const keys[] = {"v1/a",    "service/a", "targets/a/new",
+                                   "share/a", "routes",    "target/a"};
+
+/* The revisions of one key are of two epochs of the platform, and the later
+ * epoch has the lower counter. */
+static uint64_t
+revision_of(guint i)
+{
+    return rp_revision_make(i % 2, 2 - i % 2);
+}
 
 /* Offers the input as a record of each kind to two sets in opposite orders.
  * The sets must be equal, because accepting records is a join and doesn't
@@ -25,9 +34,9 @@
                         g_bytes_new(bytes + half, count - half)};
     for (guint i = 0; i < 2 * G_N_ELEMENTS(keys); i++) {
         guint j = 2 * G_N_ELEMENTS(keys) - 1 - i;
-        struct rp_record_item first = {(char *)keys[i / 2], i % 2 + 1,
+        struct rp_record_item first = {(char *)keys[i / 2], revision_of(i),
                                        values[i % 2]};
-        struct rp_record_item last = {(char *)keys[j / 2], j % 2 + 1,
+        struct rp_record_item last = {(char *)keys[j / 2], revision_of(j),
                                       values[j % 2]};
         struct rp_record_offer_result result;
         rp_record_set_offer(forward, &first, &result, NULL);
@@ -37,7 +46,7 @@
         abort();
     }
     GPtrArray *warnings = g_ptr_array_new_with_free_func(g_free);
-    rp_snapshot_unref(rp_record_set_build(forward, warnings));
+    rp_snapshot_unref(rp_record_set_build(forward, NULL, warnings));
     g_ptr_array_unref(warnings);
     rp_vm_list_unref(rp_vm_list_parse((const char *)bytes, count, NULL));
     /* Callers of rp_record_batch_decode check counts and depth first. */
