Compare sets of records by the values in force

Such a VM asks its peers for records again and again, and reads the platform itself.

Cause: since a set keeps values of several epochs, the digest that peers compare also covered values that are not in force. A VM that retires what a listing lacks may be the only one with that removal; when the target is published again, its peers have nothing to ask it for: they agree with each other, and their revision is not lower.

Change: digests cover the values in force. What is exchanged is as before: all values of the parts that differ.

--- a/src/config/record_set.c
+++ b/src/config/record_set.c
@@ -175,11 +175,10 @@
  * it. Sums do not depend on the order of arrival, and a value is replaced in
  * constant time. */
 static void
-add_digest(struct rp_record_set *set, const struct record_value *value,
-           bool is_removal)
+add_digest(struct rp_record_set *set, const char *key,
+           const struct rp_record_order *order, bool is_removal)
 {
-    const char *key = value->record->key;
-    uint64_t digest = entry_digest(key, &value->order);
+    uint64_t digest = entry_digest(key, order);
     uint64_t change = is_removal ? UINT64_C(0) - digest : digest;
     set->bucket_digests[find_bucket(key)] += change;
     set->digest += change;
@@ -224,7 +223,6 @@
 remove_value(struct rp_record_set *set, struct record_entry *entry,
              struct record_value *value)
 {
-    add_digest(set, value, true);
     set->bytes -= g_bytes_get_size(value->bytes);
     g_ptr_array_remove(entry->values, value);
 }
@@ -308,7 +306,6 @@
     value->record = record;
     value->bytes = g_bytes_ref(bytes);
     value->order = *order;
-    add_digest(set, value, false);
     set->bytes += g_bytes_get_size(bytes);
     set->revision = MAX(set->revision, order->revision);
     g_ptr_array_add(entry->values, value);
@@ -333,9 +330,11 @@
     g_ptr_array_sort(entry->values, compare_values);
     choose_value(entry);
     const struct rp_record_order *after = &entry->in_force->order;
-    if (before != NULL && before->retired) {
-        set->retired_count--;
+    if (before != NULL) {
+        add_digest(set, entry->key, before, true);
+        set->retired_count -= before->retired ? 1 : 0;
     }
+    add_digest(set, entry->key, after, false);
     set->retired_count += after->retired ? 1 : 0;
     if (before == NULL || after->content != before->content) {
         return RP_RECORD_ACCEPTED;
@@ -353,9 +352,7 @@
                                                  : RP_RECORD_OLDER;
     }
     struct rp_record_order before = entry->in_force->order;
-    add_digest(set, value, true);
     value->order.revision = revision;
-    add_digest(set, value, false);
     set->revision = MAX(set->revision, revision);
     return settle_entry(set, entry, &before);
 }
