--- a/src/base/kernel.c
+++ b/src/base/kernel.c
@@ -386,16 +386,30 @@
     }
 }
 
+/* Moves the first messages of the queue behind the others. */
+static void
+move_to_end(struct rp_kernel *kernel, uint64_t count)
+{
+    uint64_t mask = kernel->queue_capacity - 1;
+    for (uint64_t i = 0; i < count; i++) {
+        kernel->queue[kernel->queue_tail++ & mask] =
+            kernel->queue[kernel->queue_head++ & mask];
+    }
+}
+
 /* Delivers all queued messages and fires all due timers. now_ns is the
  * current monotonic time and must not decrease. Returns the time at which it
  * must run again at the latest. If more than 500 ms have passed since the
- * previous run, every task first receives RP_MSG_PAUSE_DETECTED. */
+ * previous run, every task first receives RP_MSG_PAUSE_DETECTED, then what the
+ * tasks send in reply to it. */
 int64_t
 rp_kernel_run(struct rp_kernel *kernel, int64_t now_ns)
 {
     int64_t gap_ns = now_ns - kernel->last_run_ns;
     if (kernel->has_run && gap_ns > MIN_PAUSE_NS) {
+        uint64_t waiting = kernel->queue_tail - kernel->queue_head;
         report_pause(kernel, gap_ns, now_ns);
+        move_to_end(kernel, waiting);
     }
     kernel->has_run = true;
     kernel->last_run_ns = now_ns;
--- a/src/config/config_task.c
+++ b/src/config/config_task.c
@@ -821,6 +821,13 @@
     case RP_MSG_STATUS_REQUEST:
         answer_status(config, message);
         break;
+    case RP_MSG_PAUSE_DETECTED:
+        /* Calls that waited would be sent by the former snapshot. */
+        if (config->build_scheduled) {
+            rp_task_cancel_timer(config->task, TIMER_BUILD);
+            build_scheduled_snapshot(config, now_ns);
+        }
+        break;
     case RP_MSG_PLATFORM_VMS: {
         const struct rp_vm_list_message *vms = message->body;
         apply_vms(config, vms->list, now_ns);
--- a/tests/test_config_task.cc
+++ b/tests/test_config_task.cc
@@ -30,6 +30,7 @@
     bool isolated = false; // no messages to or from this VM
     uint32_t push_count = 0;
     uint32_t snapshot_count = 0;    // received
+    uint32_t call_timeout_ms = 0;   // of the snapshot at the latest call
     std::vector<std::string> hints; // addresses of draining targets
 };
 
@@ -69,6 +70,10 @@
         self->ready = body->ready;
         self->snapshot_count++;
     }
+    if (message->kind == RP_MSG_CALL_START) {
+        self->call_timeout_ms =
+            rp_snapshot_find_service(self->snapshot, "a")->timeout_ms;
+    }
     if (message->kind == RP_MSG_TARGET_HINT) {
         auto body = static_cast<const struct rp_target_hint *>(message->body);
         EXPECT_EQ(body->kind, RP_HINT_DRAINING);
@@ -108,12 +113,18 @@
 class config_task : public ::testing::Test {
   protected:
     ~config_task() override
+    {
+        stop_all();
+    }
+
+    void stop_all()
     {
         for (auto &each : fleet) {
             rp_kernel_free(each->kernel);
             rp_snapshot_unref(each->snapshot);
             rp_context_free(each->context);
         }
+        fleet.clear();
     }
 
     vm *start(const char *id)
@@ -548,4 +559,37 @@
     EXPECT_LE(a->snapshot_count - count_before, 2u);
 }
 
+// Guards against calls that waited during a pause and are sent by the snapshot
+// from before records that were accepted in time: the next snapshot is built
+// 10 ms after a change.
+TEST_F(config_task, calls_after_a_pause_follow_the_records_before_it)
+{
+    struct {
+        const char *what;
+        int64_t before_ms; // of the pause, after the change
+        int64_t pause_ms;
+        uint32_t timeout_ms; // in force for the call that waited
+    } cases[] = {
+        {"no pause", 0, 5, 100},
+        {"a pause at once", 1, 600, 200},
+        {"a pause after the build", 50, 600, 200},
+    };
+    for (const auto &entry : cases) {
+        stop_all();
+        vm *a = start("a");
+        send_vm_list(a, {"a"});
+        send_records(a, {{service(1, 100), 1}});
+        run(31000);
+        ASSERT_EQ(service_timeout_ms(a), 100u) << entry.what;
+        send_records(a, {{service(2, 200), 2}});
+        rp_kernel_run(a->kernel, now_ns);
+        now_ns += entry.before_ms * MS;
+        rp_kernel_run(a->kernel, now_ns);
+        rp_task_send(nullptr, a->gossip, RP_MSG_CALL_START, nullptr, 0);
+        now_ns += entry.pause_ms * MS;
+        rp_kernel_run(a->kernel, now_ns);
+        EXPECT_EQ(a->call_timeout_ms, entry.timeout_ms) << entry.what;
+    }
+}
+
 } // namespace
--- a/tests/test_kernel.cc
+++ b/tests/test_kernel.cc
@@ -78,6 +78,64 @@
     }
 }
 
+struct replier {
+    struct rp_task *to;
+    uint32_t replies;
+};
+
+void
+reply_to_pause(struct rp_task *task, const struct rp_message *message, int64_t,
+               void *data)
+{
+    auto *self = static_cast<replier *>(data);
+    for (uint32_t i = 0;
+         message->kind == RP_MSG_PAUSE_DETECTED && i < self->replies; i++)
+    {
+        rp_task_send(task, self->to, RP_MSG_SNAPSHOT, nullptr, 0);
+    }
+}
+
+void
+record_kind(struct rp_task *, const struct rp_message *message, int64_t,
+            void *data)
+{
+    static_cast<std::vector<enum rp_message_kind> *>(data)->push_back(
+        message->kind);
+}
+
+// Guards against messages that waited during a pause and are handled by the
+// state from before it, although a task has replaced that state.
+TEST_F(kernel_test, replies_to_a_pause_come_before_waiting_messages)
+{
+    const struct rp_task_ops replier_ops = {reply_to_pause, nullptr, nullptr};
+    const struct rp_task_ops kind_ops = {record_kind, nullptr, nullptr};
+    std::vector<enum rp_message_kind> kinds;
+    replier data = {nullptr, 0};
+    rp_kernel_add_task(kernel, "replier", &replier_ops, &data, nullptr);
+    data.to = rp_kernel_add_task(kernel, "b", &kind_ops, &kinds, nullptr);
+    int64_t now_ns = 0;
+    rp_kernel_run(kernel, now_ns);
+    struct {
+        uint32_t waiting;
+        uint32_t replies;
+    } cases[] = {{0, 1}, {1, 0}, {1, 1}, {3, 2}, {200, 56}, {300, 300}};
+    for (const auto &entry : cases) {
+        data.replies = entry.replies;
+        std::vector<enum rp_message_kind> expected(1, RP_MSG_PAUSE_DETECTED);
+        expected.insert(expected.end(), entry.replies, RP_MSG_SNAPSHOT);
+        for (uint32_t i = 0; i < entry.waiting; i++) {
+            enum rp_message_kind kind =
+                i == 0 ? RP_MSG_CALL_START : RP_MSG_STOP;
+            rp_task_send(nullptr, data.to, kind, nullptr, 0);
+            expected.push_back(kind);
+        }
+        kinds.clear();
+        now_ns += 501 * MS;
+        rp_kernel_run(kernel, now_ns);
+        EXPECT_EQ(kinds, expected) << entry.waiting << ", " << entry.replies;
+    }
+}
+
 // Guards against an unbounded mailbox and against uncounted loss.
 TEST_F(kernel_test, full_mailbox_refuses_and_counts)
 {
