Check all values of joined sets and what their digest covers

Since digests cover the values in force only, the comparison of digests no longer shows that sets have the same values whatever the order of arrival. record_order.any_values_join_to_the_same_in_every_order now compares all values too, and record_order.digest_covers_the_values_in_force guards against VMs that differ for good.

--- a/tests/test_record_order.cc
+++ b/tests/test_record_order.cc
@@ -60,8 +60,31 @@
 struct joined {
     uint64_t digest;
     struct rp_record_order in_force;
+    std::vector<std::pair<uint64_t, std::string>> values; // all, by revision
 };
 
+std::vector<std::pair<uint64_t, std::string>>
+list_values(const struct rp_record_set *set)
+{
+    std::vector<std::pair<uint64_t, std::string>> values;
+    const uint64_t no_buckets[RP_RECORD_SET_BUCKETS] = {};
+    GPtrArray *batches = rp_record_set_export(set, no_buckets, 65536);
+    for (guint i = 0; i < batches->len; i++) {
+        auto batch = static_cast<struct rp_record_batch *>(
+            g_ptr_array_index(batches, i));
+        for (uint32_t j = 0; j < rp_record_batch_count(batch); j++) {
+            auto item = rp_record_batch_get(batch, j);
+            gsize bytes;
+            auto text = static_cast<const char *>(
+                g_bytes_get_data(item->value, &bytes));
+            values.emplace_back(item->revision, std::string(text, bytes));
+        }
+    }
+    g_ptr_array_unref(batches);
+    std::sort(values.begin(), values.end());
+    return values;
+}
+
 joined
 join(const std::vector<value> &items)
 {
@@ -71,6 +94,7 @@
     }
     joined result = {};
     result.digest = rp_record_set_digest(set);
+    result.values = list_values(set);
     EXPECT_TRUE(
         rp_record_set_find(set, "target/t", &result.in_force, nullptr));
     rp_record_set_free(set);
@@ -196,9 +220,10 @@
             for (size_t i : order) {
                 permuted.push_back(items[i]);
             }
-            ASSERT_TRUE(is_same(join(permuted), expected))
-                << "round " << round << "\n"
-                << describe(permuted);
+            joined other = join(permuted);
+            ASSERT_TRUE(is_same(other, expected)) << "round " << round << "\n"
+                                                  << describe(permuted);
+            ASSERT_EQ(other.values, expected.values) << describe(permuted);
         } while (std::next_permutation(order.begin(), order.end()));
         ASSERT_TRUE(is_same(exchange(items), expected)) << describe(items);
     }
@@ -243,4 +268,30 @@
     }
 }
 
+// Guards against VMs that differ for good: one of them has a value that is not
+// in force, and its peers, which agree with each other, do not ask it.
+TEST(record_order, digest_covers_the_values_in_force)
+{
+    value entry = {2, 45, 7, 3, false, 0};
+    struct {
+        const char *what;
+        value extra;
+        bool same; // digest
+    } cases[] = {
+        {"removal before the entry", {2, 44, 7, 2, true, 0}, true},
+        {"entry of an earlier epoch", {1, 60, 7, 2, false, 0}, true},
+        {"removal of an earlier epoch", {1, 60, 7, 2, true, 0}, true},
+        {"copy of a later epoch", {3, 20, 7, 1, false, 0}, true},
+        {"removal after the entry", {2, 46, 7, 3, true, 0}, false},
+        {"later entry", {2, 46, 7, 4, false, 0}, false},
+    };
+    for (const auto &test : cases) {
+        joined more = join({entry, test.extra});
+        EXPECT_EQ(more.digest == join({entry}).digest, test.same) << test.what;
+        EXPECT_EQ(more.values.size(),
+                  test.extra.counter == 46 && !test.extra.retired ? 1u : 2u)
+            << test.what;
+    }
+}
+
 } // namespace
