--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -12,8 +12,8 @@
  * are processes of the project's program, started with the command of the
  * deploy file. */
 
-#define RIG_MAX_ITEMS 512
-#define RIG_MAX_EVENTS 4096
+#define RIG_MAX_ITEMS 2048
+#define RIG_MAX_EVENTS 32768
 #define RIG_MAX_RUNS 65536
 #define RIG_ID_BYTES 64
 #define RIG_MAX_ENTRIES 16
