Use values out of range in configurations and target entries

Cause: records of schema 3 are translations of what other programs publish, yet they were checked like records that an operator writes and can correct. Each range that is narrower than the store's keeps whole configurations out of force: weights, times, counts, limits, names, hosts, prefixes, probe paths, the number of services of a split, fractions, integers over 64 bits. For target entries, a refusal left the former entry in force, also where the entry names no target (an address that cannot be connected to).

Ruled out: the adapter's conversion to thousandths alone.

Splits have any number of services.

--- a/src/balance/split.h
+++ b/src/balance/split.h
@@ -5,18 +5,27 @@
 
 #include "snapshot.h"
 
-/* Distributes the calls of one route over its services by weight. */
+struct rp_split_part {
+    uint32_t weight;
+    int64_t credit;
+};
+
+/* Distributes the calls of one route over its services by weight. Starts as
+ * zeros; release it with rp_split_clear. */
 struct rp_split {
     uint32_t count;
-    uint32_t weight[RP_SNAPSHOT_MAX_PARTS];
-    int64_t credit[RP_SNAPSHOT_MAX_PARTS];
+    struct rp_split_part *parts;
 };
 
+/* Returned for a route that has no weight above 0. */
+#define RP_SPLIT_NO_PART UINT32_MAX
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 uint32_t rp_split_choose(struct rp_split *split, const struct rp_route *route);
+void rp_split_clear(struct rp_split *split);
 
 #ifdef __cplusplus
 }
--- a/src/base/time_text.c
+++ b/src/base/time_text.c
@@ -3,13 +3,13 @@
 #include <glib.h>
 #include <string.h>
 
-/* Maximum that is accepted: 2^53 ms, up to which a double is exact and the
- * conversion to an integer is safe. */
+/* 2^53 ms, up to which a double is exact and the conversion to an integer is
+ * safe. */
 #define MAX_TIME_MS 9007199254740992.0
 
 /* Parses a time such as "1500ms" or "2.5s". unit is the unit of a number
- * without one, or NULL if the text must contain it. Returns false when the
- * text is malformed or the time is longer than 2^53 ms. */
+ * without one, or NULL if the text must contain it. A time longer than 2^53 ms
+ * is read as 2^53 ms. Returns false when the text is malformed. */
 bool
 rp_time_parse(const char *text, const char *unit, int64_t *time_ms)
 {
@@ -25,9 +25,6 @@
     else if (strcmp(parsed_unit, "ms") != 0) {
         return false;
     }
-    if (number > MAX_TIME_MS) {
-        return false;
-    }
-    *time_ms = (int64_t)(number + 0.5);
+    *time_ms = (int64_t)(MIN(number, MAX_TIME_MS) + 0.5);
     return true;
 }
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -231,6 +231,14 @@
     return new_call;
 }
 
+static void
+free_route(gpointer data)
+{
+    struct dispatch_route_state *state = data;
+    rp_split_clear(&state->split);
+    g_free(state);
+}
+
 /* Returns the state of a route, creating it if necessary. It is freed when a
  * snapshot no longer has the route. */
 struct dispatch_route_state *
@@ -246,7 +254,7 @@
 }
 
 /* Returns the service that the next call of a route is sent to, or NULL when
- * no record describes it. */
+ * the route has none or no record describes it. */
 static struct dispatch_service *
 choose_service(struct rp_dispatch *dispatch, const struct rp_route *route)
 {
@@ -255,6 +263,12 @@
         part = rp_split_choose(
             &dispatch_route_state(dispatch, route->name)->split, route);
     }
+    else if (route->parts[0].weight == 0) {
+        part = RP_SPLIT_NO_PART;
+    }
+    if (part == RP_SPLIT_NO_PART) {
+        return NULL;
+    }
     return g_hash_table_lookup(dispatch->services, route->parts[part].service);
 }
 
@@ -617,7 +631,7 @@
     dispatch->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     dispatch->routes =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_route);
     dispatch->balancer_due_ns = RP_KERNEL_NEVER_NS;
     if (config->ticket_key.byte_count > 0) {
         struct rp_ticket_config tickets = {
--- a/src/config/record.c
+++ b/src/config/record.c
@@ -1,10 +1,12 @@
 #include "record.h"
 
+#include <math.h>
 #include <stddef.h>
 #include <string.h>
 
 #include "error.h"
 #include "record_read.h"
+#include "revision.h"
 
 #define MAX_TIMEOUT_MS 3600000
 #define MAX_BODY_BYTES (INT64_C(1024) * 1024 * 1024)
@@ -12,11 +14,13 @@
 #define MAX_CONNECTIONS 10000
 #define MAX_VERSION INT64_C(1000000000000)
 /* Greatest integer that all JSON libraries preserve. */
-#define MAX_POSITION INT64_C(9007199254740991)
+#define MAX_EXACT_INTEGER INT64_C(9007199254740991)
 #define MAX_WEIGHT 1000000
 #define MAX_ATTEMPTS 100
-#define MAX_RANK 1000
+#define MAX_RANK INT32_MAX
 #define MAX_HEADER_BYTES INT64_C(1048576)
+/* A probe's path is sent in a buffer of RP_PROBE_START_PATH_BYTES. */
+#define MAX_PROBE_PATH_BYTES 255
 /* Estate of all targets that are published in records of their own. */
 #define TARGET_RECORD_ESTATE "published"
 
@@ -69,6 +73,7 @@
         for (uint32_t j = 0; j < route->part_count; j++) {
             g_free(route->parts[j].service);
         }
+        g_free(route->parts);
         g_free(route->name);
         g_free(route->host);
         g_free(route->path_prefix);
@@ -92,6 +97,9 @@
     }
     free_routes(record);
     g_free(record->targets);
+    if (record->warnings != NULL) {
+        g_ptr_array_unref(record->warnings);
+    }
     g_free(record->settings.host);
     g_free(record->settings.path_prefix);
     g_free(record->settings.probe_path);
@@ -378,22 +386,56 @@
     check_unique(reader, place, record);
 }
 
+/* Returns the factor that makes weights whole numbers up to MAX_WEIGHT and
+ * keeps their proportions; 1 when they are. */
+static double
+weight_scale(const json_t *weights)
+{
+    double greatest = 0;
+    bool all_fit = true;
+    const char *service;
+    json_t *weight;
+    json_object_foreach((json_t *)weights, service, weight)
+    {
+        double number = json_number_value(weight);
+        greatest = MAX(greatest, number);
+        all_fit = all_fit && number <= MAX_WEIGHT && number == floor(number);
+    }
+    return all_fit ? 1 : MAX_WEIGHT / greatest;
+}
+
+static void
+read_weight(struct rp_reader *reader, const char *place, const json_t *value,
+            double scale, int64_t *weight)
+{
+    double number = json_number_value(value);
+    if (!json_is_number(value)) {
+        rp_reader_fault(reader, place,
+                        "must be a number from 0 on; correct the value");
+        return;
+    }
+    if (number < 0) {
+        rp_reader_warn(reader, place, "%g is below 0; 0 is used", number);
+        return;
+    }
+    /* The smallest share is not rounded down to none. */
+    *weight = number > 0 ? (int64_t)MAX(round(number * scale), 1) : 0;
+}
+
 static void
 read_parts(struct rp_reader *reader, const char *place, const json_t *value,
            const struct rp_field *field, void *out)
 {
-    static const struct rp_field weight = {"",         NULL, 0,    0,
-                                           MAX_WEIGHT, 0,    false};
     struct rp_record_route *route = out;
     size_t count = json_object_size(value);
-    if (!json_is_object(value) || count == 0 || count > RP_SNAPSHOT_MAX_PARTS)
-    {
+    if (!json_is_object(value) || count == 0) {
         rp_reader_fault(reader, place,
-                        "must be an object of 1 to %d services and their "
-                        "weights; write {\"lookups\": 1}",
-                        RP_SNAPSHOT_MAX_PARTS);
+                        "must be an object of services and their weights; "
+                        "write {\"lookups\": 1}");
         return;
     }
+    route->parts = g_new0(struct rp_record_part, count);
+    double scale = weight_scale(value);
     int64_t sum = 0;
     const char *service;
     json_t *entry;
@@ -402,19 +444,56 @@
         char entry_place[RP_READ_PLACE_BYTES];
         g_snprintf(entry_place, sizeof(entry_place), "%s.%.40s", place,
                    service);
+        struct rp_record_part *part = &route->parts[route->part_count++];
         json_t *name = json_string(service);
-        uint32_t i = route->part_count++;
-        rp_read_name(reader, entry_place, name, &weight,
-                     &route->parts[i].service);
+        rp_read_label(reader, entry_place, name, NULL, &part->service);
         json_decref(name);
-        rp_read_integer(reader, entry_place, entry, &weight,
-                        &route->parts[i].weight);
-        sum += route->parts[i].weight;
+        read_weight(reader, entry_place, entry, scale, &part->weight);
+        sum += part->weight;
     }
     if (sum == 0) {
+        rp_reader_warn(reader, place,
+                       "no weight is above 0; the route's requests are "
+                       "rejected");
+    }
+}
+
+/* Reads a path for probes. One that cannot be requested is left out. */
+static void
+read_probe_path(struct rp_reader *reader, const char *place,
+                const json_t *value, const struct rp_field *field, void *out)
+{
+    const char *text = json_string_value(value);
+    bool is_valid =
+        text != NULL && text[0] == '/' && strlen(text) <= (size_t)field->max;
+    for (const char *c = text; is_valid && *c != '\0'; c++) {
+        is_valid = g_ascii_isgraph(*c) && *c != '#';
+    }
+    if (!is_valid) {
+        rp_reader_warn(reader, place,
+                       "is not a path of at most %" G_GINT64_FORMAT
+                       " visible ASCII characters that begins with /; the "
+                       "service's targets are not probed",
+                       field->max);
+        return;
+    }
+    rp_read_text(reader, place, value, field, out);
+}
+
+/* Reads the prefix of a route's paths, which may have any characters: one that
+ * no request has does not match. */
+static void
+read_prefix(struct rp_reader *reader, const char *place, const json_t *value,
+            const struct rp_field *field, void *out)
+{
+    const char *text = json_string_value(value);
+    if (text == NULL || text[0] != '/') {
         rp_reader_fault(reader, place,
-                        "has no weight above 0; give one service a weight");
+                        "must be a path that begins with /; correct the "
+                        "value");
+        return;
     }
+    rp_read_text(reader, place, value, field, out);
 }
 
 static void
@@ -423,28 +502,27 @@
 {
 #define ROUTE(member) offsetof(struct rp_record_route, member)
     static const struct rp_field fields[] = {
-        {"name", rp_read_name, ROUTE(name), 0, 0, 0, true},
-        {"host", rp_read_text, ROUTE(host), 0, 253, 0, false},
-        {"path_prefix", rp_read_path, ROUTE(path_prefix), 1, 1024, 0, true},
+        {"name", rp_read_label, ROUTE(name), 0, 0, 0, true},
+        {"host", rp_read_text, ROUTE(host), 0, RP_RECORD_MAX_BYTES, 0, false},
+        {"path_prefix", read_prefix, ROUTE(path_prefix), 1,
+         RP_RECORD_MAX_BYTES, 0, true},
         {"repeatable", rp_read_boolean, ROUTE(repeatable), 0, 0, 0, true},
         {"long", rp_read_boolean, ROUTE(long_answers), 0, 0, 0, false},
-        {"timeout_ms", rp_read_integer, ROUTE(timeout_ms), 1, MAX_TIMEOUT_MS,
+        {"timeout_ms", rp_read_clamped, ROUTE(timeout_ms), 1, MAX_TIMEOUT_MS,
          0, true},
-        {"aim_ms", rp_read_integer, ROUTE(aim_ms), 0, MAX_TIMEOUT_MS, 0,
+        {"aim_ms", rp_read_clamped, ROUTE(aim_ms), 0, MAX_TIMEOUT_MS, 0,
          false},
-        {"attempts", rp_read_integer, ROUTE(attempts), 1, MAX_ATTEMPTS, 0,
+        {"attempts", rp_read_clamped, ROUTE(attempts), 1, MAX_ATTEMPTS, 0,
          true},
-        {"rank", rp_read_integer, ROUTE(rank), 0, MAX_RANK, 0, false},
+        {"rank", rp_read_clamped, ROUTE(rank), 0, MAX_RANK, 0, false},
         {"services", read_parts, 0, 0, 0, 0, true},
     };
 #undef ROUTE
     struct rp_record *record = out;
     size_t count = json_array_size(value);
-    if (!json_is_array(value) || count > RP_RECORD_MAX_ROUTES) {
+    if (!json_is_array(value)) {
         rp_reader_fault(reader, place,
-                        "must be an array of at most %d routes; publish "
-                        "fewer routes",
-                        RP_RECORD_MAX_ROUTES);
+                        "must be an array of routes; write [{...}]");
         return;
     }
     record->routes = g_new0(struct rp_record_route, count);
@@ -463,19 +541,18 @@
 {
 #define POOL(member) offsetof(struct rp_record_pool, member)
     static const struct rp_field fields[] = {
-        {"name", rp_read_name, POOL(name), 0, 0, 0, true},
-        {"probe_path", rp_read_path, POOL(probe_path), 1, 1024, 0, false},
-        {"connections", rp_read_integer, POOL(connections), 1, MAX_CONNECTIONS,
+        {"name", rp_read_label, POOL(name), 0, 0, 0, true},
+        {"probe_path", read_probe_path, POOL(probe_path), 1,
+         MAX_PROBE_PATH_BYTES, 0, false},
+        {"connections", rp_read_clamped, POOL(connections), 1, MAX_CONNECTIONS,
          0, false},
     };
 #undef POOL
     struct rp_record *record = out;
     size_t count = json_array_size(value);
-    if (!json_is_array(value) || count > RP_RECORD_MAX_POOLS) {
+    if (!json_is_array(value)) {
         rp_reader_fault(reader, place,
-                        "must be an array of at most %d services; publish "
-                        "fewer services",
-                        RP_RECORD_MAX_POOLS);
+                        "must be an array of services; write [{...}]");
         return;
     }
     record->pools = g_new0(struct rp_record_pool, count);
@@ -495,14 +572,14 @@
 {
 #define LIMIT(member) offsetof(struct rp_record_limits, member)
     static const struct rp_field fields[] = {
-        {"header_bytes", rp_read_integer, LIMIT(header_bytes), 256,
-         MAX_HEADER_BYTES, 0, true},
-        {"body_bytes", rp_read_integer, LIMIT(body_bytes), 0, MAX_BODY_BYTES,
-         0, true},
-        {"header_ms", rp_read_integer, LIMIT(header_ms), 1, MAX_TIMEOUT_MS, 0,
-         true},
-        {"idle_ms", rp_read_integer, LIMIT(idle_ms), 1, MAX_TIMEOUT_MS, 0,
-         true},
+        {"header_bytes", rp_read_clamped, LIMIT(header_bytes), 256,
+         MAX_HEADER_BYTES, 0, false},
+        {"body_bytes", rp_read_clamped, LIMIT(body_bytes), 0,
+         MAX_EXACT_INTEGER, 0, false},
+        {"header_ms", rp_read_clamped, LIMIT(header_ms), 1, MAX_TIMEOUT_MS, 0,
+         false},
+        {"idle_ms", rp_read_clamped, LIMIT(idle_ms), 1, MAX_TIMEOUT_MS, 0,
+         false},
     };
 #undef LIMIT
     rp_reader_object(reader, place, value, fields, G_N_ELEMENTS(fields), true,
@@ -517,12 +594,12 @@
 {
 #define TARGET(member) offsetof(struct rp_record_target, member)
     static const struct rp_field fields[] = {
-        {"name", rp_read_name, TARGET(name), 0, 0, 0, true},
+        {"name", rp_read_label, TARGET(name), 0, 0, 0, true},
         {"instance", rp_read_text, TARGET(instance), 1, 200, 0, false},
         {"address", rp_read_address, TARGET(address), 0, 0, 0, true},
         {"domain", rp_read_text, TARGET(domain), 1, 63, 0, true},
-        {"slots", rp_read_integer, TARGET(slots), 1, MAX_SLOTS, 0, false},
-        {"cold_ms", rp_read_integer, TARGET(cold_ms), 0, MAX_TIMEOUT_MS, 0,
+        {"slots", rp_read_clamped, TARGET(slots), 1, MAX_SLOTS, 0, false},
+        {"cold_ms", rp_read_clamped, TARGET(cold_ms), 0, MAX_TIMEOUT_MS, 0,
          false},
         {"state", read_target_state, TARGET(draining), 0, 0, 0, false},
         {"schema", rp_read_ignore, 0, 0, 0, 0, false},
@@ -568,12 +645,12 @@
 #define RECORD(member) offsetof(struct rp_record, member)
 #define SETTING(member) offsetof(struct rp_record, settings.member)
 
-#define COMMON_FIELDS                                                         \
+#define COMMON_FIELDS(max_version)                                            \
     {"schema", rp_read_ignore, 0, 0, 0, 0, true}, {"version",                 \
                                                    rp_read_integer,           \
                                                    RECORD(version),           \
                                                    1,                         \
-                                                   MAX_VERSION,               \
+                                                   max_version,               \
                                                    0,                         \
                                                    true},                     \
         {"retired", rp_read_boolean, RECORD(retired), 0, 0, 0, false},        \
@@ -582,7 +659,7 @@
     }
 
 static const struct rp_field schema1_fields[] = {
-    COMMON_FIELDS,
+    COMMON_FIELDS(MAX_VERSION),
     {"service", rp_read_name, RECORD(service), 0, 0, 0, true},
     {"estate", read_schema1_estate, 0, 0, 0, 0, false},
     {"prefix", rp_read_path, SETTING(path_prefix), 1, 1024,
@@ -593,7 +670,7 @@
 };
 
 static const struct rp_field service_fields[] = {
-    COMMON_FIELDS,
+    COMMON_FIELDS(MAX_VERSION),
     {"kind", rp_read_ignore, 0, 0, 0, 0, true},
     {"name", rp_read_name, RECORD(service), 0, 0, 0, true},
     {"match", read_match, RECORD(settings), 0, 0, 0, false},
@@ -614,7 +691,7 @@
 };
 
 static const struct rp_field targets_fields[] = {
-    COMMON_FIELDS,
+    COMMON_FIELDS(MAX_VERSION),
     {"kind", rp_read_ignore, 0, 0, 0, 0, true},
     {"service", rp_read_name, RECORD(service), 0, 0, 0, true},
     {"estate", rp_read_name, RECORD(estate), 0, 0, 0, true},
@@ -622,17 +699,17 @@
 };
 
 static const struct rp_field share_fields[] = {
-    COMMON_FIELDS,
+    COMMON_FIELDS(MAX_VERSION),
     {"kind", rp_read_ignore, 0, 0, 0, 0, true},
     {"service", rp_read_name, RECORD(service), 0, 0, 0, true},
     {"shares", read_shares, 0, 0, 0, 0, true},
 };
 
 static const struct rp_field routes_fields[] = {
-    COMMON_FIELDS,
+    COMMON_FIELDS(RP_REVISION_MAX_COUNTER),
     {"kind", rp_read_ignore, 0, 0, 0, 0, true},
-    {"sequence", rp_read_integer, RECORD(position.sequence), 0, MAX_POSITION,
-     0, false},
+    {"sequence", rp_read_clamped, RECORD(position.sequence), 0,
+     MAX_EXACT_INTEGER, 0, false},
     {"limits", read_limits, RECORD(limits), 0, 0, 0, false},
     {"services", read_pools, 0, 0, 0, 0, true},
     {"routes", read_routes, 0, 0, 0, 0, true},
@@ -640,9 +717,9 @@
 
 /* read_single_target reads the fields that are ignored here. */
 static const struct rp_field target_fields[] = {
-    COMMON_FIELDS,
+    COMMON_FIELDS(RP_REVISION_MAX_COUNTER),
     {"kind", rp_read_ignore, 0, 0, 0, 0, true},
-    {"service", rp_read_name, RECORD(service), 0, 0, 0, true},
+    {"service", rp_read_label, RECORD(service), 0, 0, 0, true},
     {"name", rp_read_ignore, 0, 0, 0, 0, true},
     {"instance", rp_read_ignore, 0, 0, 0, 0, false},
     {"address", rp_read_ignore, 0, 0, 0, 0, true},
@@ -650,10 +727,10 @@
     {"slots", rp_read_ignore, 0, 0, 0, 0, false},
     {"cold_ms", rp_read_ignore, 0, 0, 0, 0, false},
     {"state", rp_read_ignore, 0, 0, 0, 0, false},
-    {"started_ms", rp_read_integer, RECORD(position.started_ms), 0,
-     MAX_POSITION, 0, false},
-    {"sequence", rp_read_integer, RECORD(position.sequence), 0, MAX_POSITION,
-     0, false},
+    {"started_ms", rp_read_clamped, RECORD(position.started_ms), 0,
+     MAX_EXACT_INTEGER, 0, false},
+    {"sequence", rp_read_clamped, RECORD(position.sequence), 0,
+     MAX_EXACT_INTEGER, 0, false},
 };
 
 static const struct {
@@ -804,6 +881,7 @@
     }
     struct rp_record *record = g_new0(struct rp_record, 1);
     record->kind = kind;
+    record->limits = (struct rp_record_limits){-1, -1, -1, -1};
     bool retired = json_is_true(json_object_get(root, "retired"));
     uint32_t fields = rp_reader_object(reader, "", root, tables[kind].fields,
                                        tables[kind].count, !retired, record);
@@ -888,13 +966,16 @@
                 GPtrArray *faults, GError **error)
 {
     GPtrArray *found = g_ptr_array_new_with_free_func(g_free);
-    struct rp_reader reader = {found, RP_RECORD_MAX_FAULTS};
+    struct rp_reader reader = {found, NULL, RP_RECORD_MAX_FAULTS};
     struct rp_record *record = NULL;
     json_t *root = load_json(&reader, text, text_bytes);
     if (root != NULL) {
         record = read_record(&reader, root, key);
         json_decref(root);
     }
+    if (record != NULL) {
+        record->warnings = g_steal_pointer(&reader.warnings);
+    }
     if (found->len > 0) {
         const char *first = g_ptr_array_index(found, 0);
         g_set_error(error, RP_ERROR, RP_ERROR_RECORD,
--- a/src/config/record.h
+++ b/src/config/record.h
@@ -16,10 +16,7 @@
 #define RP_RECORD_MAX_TARGETS 2048
 #define RP_RECORD_MAX_KEY_BYTES 200
 #define RP_RECORD_MAX_FAULTS 50
-/* Routes of one routes record; a value of 1 MB holds about 4,000. */
-#define RP_RECORD_MAX_ROUTES 8192
-/* Ten times the services in the design size. */
-#define RP_RECORD_MAX_POOLS 512
+#define RP_RECORD_MAX_LABEL_BYTES 63
 
 enum rp_record_kind {
     RP_RECORD_SCHEMA1_SERVICE, /* schema 1, key "v1/NAME" */
@@ -77,6 +74,12 @@
     int64_t connections; /* that a target accepts from the whole fleet */
 };
 
+/* A service that receives a share of a route's calls. */
+struct rp_record_part {
+    char *service;
+    int64_t weight;
+};
+
 /* One route of a routes record. */
 struct rp_record_route {
     char *name;
@@ -88,13 +91,11 @@
     int64_t aim_ms;
     int64_t attempts;
     int64_t rank;
-    struct {
-        char *service;
-        int64_t weight;
-    } parts[RP_SNAPSHOT_MAX_PARTS];
+    struct rp_record_part *parts;
     uint32_t part_count;
 };
 
+/* Limits on callers; those that the record does not have are -1. */
 struct rp_record_limits {
     int64_t header_bytes;
     int64_t body_bytes;
@@ -131,6 +132,9 @@
     struct rp_record_route *routes;
     uint32_t route_count;
     struct rp_record_limits limits;
+    /* Of char *: values that are not used as they are published, each as
+     * "place: value; what is used instead". NULL for none. */
+    GPtrArray *warnings;
 };
 
 #ifdef __cplusplus
@@ -144,6 +148,8 @@
 char *rp_record_format_retired(const struct rp_record *target,
                                uint64_t version);
 const char *rp_record_kind_name(enum rp_record_kind kind);
+bool rp_record_is_label(const char *text);
+bool rp_record_is_address(const char *text);
 
 #ifdef __cplusplus
 }
--- a/src/config/record_build.c
+++ b/src/config/record_build.c
@@ -24,6 +24,7 @@
 struct record_groups {
     GTree *services; /* name to struct service_records */
     const struct rp_record *routes;
+    GPtrArray *warnings; /* may be NULL */
 };
 
 static void
@@ -47,6 +48,21 @@
     return records;
 }
 
+static void warn(GPtrArray *warnings, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+static void
+warn(GPtrArray *warnings, const char *format, ...)
+{
+    if (warnings == NULL || warnings->len >= RP_RECORD_MAX_FAULTS) {
+        return;
+    }
+    va_list arguments;
+    va_start(arguments, format);
+    g_ptr_array_add(warnings, g_strdup_vprintf(format, arguments));
+    va_end(arguments);
+}
+
 static void
 collect_routes(struct record_groups *groups, const struct rp_record *record)
 {
@@ -66,6 +82,11 @@
         return FALSE;
     }
     struct record_groups *groups = data;
+    for (guint i = 0; record->warnings != NULL && i < record->warnings->len;
+         i++) {
+        warn(groups->warnings, "%s: %s", record->key,
+             (const char *)g_ptr_array_index(record->warnings, i));
+    }
     if (record->kind == RP_RECORD_ROUTES) {
         collect_routes(groups, record);
         return FALSE;
@@ -117,21 +138,6 @@
     return strcmp(a->record->key, b->record->key);
 }
 
-static void warn(GPtrArray *warnings, const char *format, ...)
-    __attribute__((format(printf, 2, 3)));
-
-static void
-warn(GPtrArray *warnings, const char *format, ...)
-{
-    if (warnings == NULL || warnings->len >= RP_RECORD_MAX_FAULTS) {
-        return;
-    }
-    va_list arguments;
-    va_start(arguments, format);
-    g_ptr_array_add(warnings, g_strdup_vprintf(format, arguments));
-    va_end(arguments);
-}
-
 static void
 replace_text(char **destination, const char *text)
 {
@@ -377,15 +383,21 @@
     for (uint32_t i = 0; i < record->route_count; i++) {
         add_route(snapshot, &record->routes[i]);
     }
-    if (record->limits.header_bytes > 0) {
-        struct rp_caller_limits limits = {
-            .header_bytes = (uint32_t)record->limits.header_bytes,
-            .body_bytes = (uint64_t)record->limits.body_bytes,
-            .header_ms = (uint32_t)record->limits.header_ms,
-            .idle_ms = (uint32_t)record->limits.idle_ms,
-        };
-        rp_snapshot_set_limits(snapshot, &limits);
+    const struct rp_record_limits *source = &record->limits;
+    struct rp_caller_limits limits = *rp_snapshot_limits(snapshot);
+    if (source->header_bytes >= 0) {
+        limits.header_bytes = (uint32_t)source->header_bytes;
+    }
+    if (source->body_bytes >= 0) {
+        limits.body_bytes = (uint64_t)source->body_bytes;
+    }
+    if (source->header_ms >= 0) {
+        limits.header_ms = (uint32_t)source->header_ms;
+    }
+    if (source->idle_ms >= 0) {
+        limits.idle_ms = (uint32_t)source->idle_ms;
     }
+    rp_snapshot_set_limits(snapshot, &limits);
 }
 
 static gboolean
@@ -454,6 +466,7 @@
     struct record_groups groups = {
         .services =
             g_tree_new_full(compare_names, NULL, NULL, free_service_records),
+        .warnings = warnings,
     };
     g_tree_foreach(set->entries, collect_entry, &groups);
     struct build_state state = {rp_snapshot_new(), leaving_addresses,
--- a/src/config/record_read.c
+++ b/src/config/record_read.c
@@ -1,8 +1,30 @@
 #include "record_read.h"
 
+#include <math.h>
 #include <string.h>
 
-#define MAX_NAME_BYTES 63
+#include "record.h"
+
+#define MAX_NAME_BYTES RP_RECORD_MAX_LABEL_BYTES
+#define LABEL_CHARACTERS                                                      \
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
+
+static void add_text(const struct rp_reader *reader, GPtrArray *texts,
+                     const char *place, const char *format, va_list arguments)
+    __attribute__((format(printf, 4, 0)));
+
+static void
+add_text(const struct rp_reader *reader, GPtrArray *texts, const char *place,
+         const char *format, va_list arguments)
+{
+    if (texts->len >= reader->limit) {
+        return;
+    }
+    char *text = g_strdup_vprintf(format, arguments);
+    g_ptr_array_add(
+        texts, g_strdup_printf("%s: %s", place[0] ? place : "record", text));
+    g_free(text);
+}
 
 /* Adds a fault. The formatted text contains the fault and then the remedy.
  * Faults above the limit are dropped. */
@@ -10,17 +32,25 @@
 rp_reader_fault(struct rp_reader *reader, const char *place,
                 const char *format, ...)
 {
-    if (reader->faults->len >= reader->fault_limit) {
-        return;
+    va_list arguments;
+    va_start(arguments, format);
+    add_text(reader, reader->faults, place, format, arguments);
+    va_end(arguments);
+}
+
+/* Adds a warning about a value that is used in another form. The formatted
+ * text contains what is used. Warnings above the limit are dropped. */
+void
+rp_reader_warn(struct rp_reader *reader, const char *place, const char *format,
+               ...)
+{
+    if (reader->warnings == NULL) {
+        reader->warnings = g_ptr_array_new_with_free_func(g_free);
     }
     va_list arguments;
     va_start(arguments, format);
-    char *text = g_strdup_vprintf(format, arguments);
+    add_text(reader, reader->warnings, place, format, arguments);
     va_end(arguments);
-    g_ptr_array_add(
-        reader->faults,
-        g_strdup_printf("%s: %s", place[0] ? place : "record", text));
-    g_free(text);
 }
 
 static const struct rp_field *
@@ -99,6 +129,36 @@
     *(int64_t *)out = json_integer_value(value);
 }
 
+/* Reads a number into an int64_t. A fraction is rounded down; a value outside
+ * the field's range is replaced by the nearest bound, with a warning. */
+void
+rp_read_clamped(struct rp_reader *reader, const char *place,
+                const json_t *value, const struct rp_field *field, void *out)
+{
+    if (!json_is_number(value)) {
+        rp_reader_fault(reader, place, "must be a number; correct the value");
+        return;
+    }
+    int64_t number;
+    if (json_is_integer(value)) {
+        number = CLAMP(json_integer_value(value), field->min, field->max);
+    }
+    else {
+        number = (int64_t)CLAMP(floor(json_real_value(value)),
+                                (double)field->min, (double)field->max);
+    }
+    *(int64_t *)out = number;
+    if (json_number_value(value) < (double)field->min ||
+        json_number_value(value) > (double)field->max)
+    {
+        rp_reader_warn(
+            reader, place,
+            "%g is outside of the range from %" G_GINT64_FORMAT
+            " to %" G_GINT64_FORMAT "; %" G_GINT64_FORMAT " is used",
+            json_number_value(value), field->min, field->max, number);
+    }
+}
+
 /* Reads true or false into a bool. */
 void
 rp_read_boolean(struct rp_reader *reader, const char *place,
@@ -177,6 +237,33 @@
     replace_text(out, text);
 }
 
+/* Returns whether a text may name a service, route or target in a record of
+ * schema 3. */
+bool
+rp_record_is_label(const char *text)
+{
+    size_t bytes = strlen(text);
+    return bytes >= 1 && bytes <= RP_RECORD_MAX_LABEL_BYTES &&
+           strspn(text, LABEL_CHARACTERS) == bytes;
+}
+
+/* Reads a label of schema 3 into a char *: a name that may have capitals and
+ * begin with any character, since other programs choose it. */
+void
+rp_read_label(struct rp_reader *reader, const char *place, const json_t *value,
+              const struct rp_field *field, void *out)
+{
+    const char *text = json_string_value(value);
+    if (text == NULL || !rp_record_is_label(text)) {
+        rp_reader_fault(reader, place,
+                        "must be a name of 1 to %d characters a-z A-Z 0-9 . _ "
+                        "-; correct the value",
+                        RP_RECORD_MAX_LABEL_BYTES);
+        return;
+    }
+    replace_text(out, text);
+}
+
 /* Reads an absolute URL path into a char *. */
 void
 rp_read_path(struct rp_reader *reader, const char *place, const json_t *value,
@@ -196,8 +283,9 @@
     replace_text(out, text);
 }
 
-static bool
-text_is_address(const char *text)
+/* Returns whether a text is "ip:port" or "[ipv6]:port". */
+bool
+rp_record_is_address(const char *text)
 {
     const char *colon = strrchr(text, ':');
     guint64 port;
@@ -227,7 +315,7 @@
                 const json_t *value, const struct rp_field *field, void *out)
 {
     const char *text = json_string_value(value);
-    if (text == NULL || !text_is_address(text)) {
+    if (text == NULL || !rp_record_is_address(text)) {
         rp_reader_fault(reader, place,
                         "'%.60s' is not an IP number and port; write "
                         "\"10.0.0.1:8080\" or \"[fd00::1]:8080\"",
--- a/src/config/record_read.h
+++ b/src/config/record_read.h
@@ -13,7 +13,9 @@
 
 struct rp_reader {
     GPtrArray *faults; /* of char *, "place: fault; remedy" */
-    uint32_t fault_limit;
+    /* Of char *, "place: what is used instead"; NULL until the first one. */
+    GPtrArray *warnings;
+    uint32_t limit; /* of the faults and of the warnings */
 };
 
 struct rp_field;
@@ -36,12 +38,18 @@
 void rp_reader_fault(struct rp_reader *reader, const char *place,
                      const char *format, ...)
     __attribute__((format(printf, 3, 4)));
+void rp_reader_warn(struct rp_reader *reader, const char *place,
+                    const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
 uint32_t rp_reader_object(struct rp_reader *reader, const char *place,
                           const json_t *object, const struct rp_field *fields,
                           size_t field_count, bool check_required, void *out);
 void rp_read_integer(struct rp_reader *reader, const char *place,
                      const json_t *value, const struct rp_field *field,
                      void *out);
+void rp_read_clamped(struct rp_reader *reader, const char *place,
+                     const json_t *value, const struct rp_field *field,
+                     void *out);
 void rp_read_boolean(struct rp_reader *reader, const char *place,
                      const json_t *value, const struct rp_field *field,
                      void *out);
@@ -51,6 +59,9 @@
 void rp_read_name(struct rp_reader *reader, const char *place,
                   const json_t *value, const struct rp_field *field,
                   void *out);
+void rp_read_label(struct rp_reader *reader, const char *place,
+                   const json_t *value, const struct rp_field *field,
+                   void *out);
 void rp_read_path(struct rp_reader *reader, const char *place,
                   const json_t *value, const struct rp_field *field,
                   void *out);
--- a/src/config/snapshot.h
+++ b/src/config/snapshot.h
@@ -6,7 +6,6 @@
 #include <stdint.h>
 
 #define RP_SNAPSHOT_MAX_ESTATES 8 /* of one service */
-#define RP_SNAPSHOT_MAX_PARTS 8   /* of one route */
 
 /* Flags for the methods that may be repeated. */
 #define RP_METHOD_GET (1u << 0)
@@ -88,7 +87,7 @@
     uint32_t attempts; /* max. targets of one call; 0: no limit by the route */
     uint32_t rank;     /* priority; 0 is the highest */
     enum rp_length_class length_class;
-    struct rp_route_part parts[RP_SNAPSHOT_MAX_PARTS];
+    struct rp_route_part *parts;
     uint32_t part_count;
 };
 
