End probes whose answer does not end

The prober of targets without synchronous probes would read for 1 s. Requests had such a limit, probes had none.

A probe now ends after 32 reads of 64 bytes or more, of at most 200 KB each (64 by the prober), which hold the greatest head and body that it may have.

--- a/src/balance/probe_http.c
+++ b/src/balance/probe_http.c
@@ -6,6 +6,11 @@
 /* Only the head of a probe's answer is used; a body above this fails the
  * probe. */
 #define BODY_LIMIT_BYTES 65536
+/* libcurl may consume a hundred buffers in one read. A small buffer and few
+ * reads bound what an answer without end costs; together they hold a head of
+ * 32 KiB and the greatest body. */
+#define BUFFER_BYTES 2048L
+#define MAX_READS 64
 
 struct http_probe {
     uint64_t probe_id;
@@ -13,6 +18,7 @@
     struct rp_load_report load;
     bool has_load;
     uint32_t body_bytes;
+    uint32_t reads;
     struct http_probe *next;
 };
 
@@ -85,6 +91,20 @@
     rp_prober_finish(http->prober, &finished, rp_loop_now_ns());
 }
 
+/* Ends a probe whose answer does not end. Returns whether the transfer
+ * continues. */
+static bool
+on_readable(CURL *easy, curl_socket_t socket, void *data)
+{
+    struct http_probe *probe = NULL;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &probe);
+    if (rp_curl_loop_is_small_read(socket) || ++probe->reads <= MAX_READS) {
+        return true;
+    }
+    on_done(easy, CURLE_RECV_ERROR, data);
+    return false;
+}
+
 static void
 set_options(struct http_probe *probe, const char *url)
 {
@@ -96,6 +116,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, probe);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)RP_PROBER_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BUFFER_BYTES);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -148,6 +169,7 @@
 {
     struct probe_http *http = g_new0(struct probe_http, 1);
     rp_curl_loop_start(&http->curl, rp_loop_ev(loop), on_done, http);
+    http->curl.on_readable = on_readable;
     struct rp_prober_transport transport = {
         .start = start_probe,
         .free = free_http,
--- a/src/base/curl_loop.c
+++ b/src/base/curl_loop.c
@@ -1,6 +1,10 @@
 #include "curl_loop.h"
 
 #include <glib.h>
+#include <stdint.h>
+#include <sys/socket.h>
+
+#define SMALL_READ_BYTES 64
 
 static void
 report_done(struct rp_curl_loop *loop)
@@ -101,6 +105,17 @@
     return 0;
 }
 
+/* Returns whether fewer than 64 bytes can be read. Such reads are not counted
+ * against a limit of reads, since a peer may send its framing byte by byte. */
+bool
+rp_curl_loop_is_small_read(curl_socket_t socket)
+{
+    uint8_t bytes[SMALL_READ_BYTES];
+    ssize_t count =
+        recv(socket, bytes, sizeof(bytes), MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 && (size_t)count < sizeof(bytes);
+}
+
 /* Creates a multi handle under a libev loop, which is borrowed. on_done is
  * called for each completed transfer and must remove the easy handle. loop
  * must not be moved until rp_curl_loop_stop. */
--- a/src/base/curl_loop.h
+++ b/src/base/curl_loop.h
@@ -25,6 +25,7 @@
                         void (*on_done)(CURL *easy, CURLcode result,
                                         void *data),
                         void *data);
+bool rp_curl_loop_is_small_read(curl_socket_t socket);
 void rp_curl_loop_run(struct rp_curl_loop *loop);
 void rp_curl_loop_stop(struct rp_curl_loop *loop);
 
--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -153,16 +153,21 @@
     finish_attempt(attempt, rp_upstream_attempt_end(attempt, result));
 }
 
-/* Ends an attempt whose answer consists of bytes that are no body. Returns
- * whether the transfer continues. */
+/* Ends an attempt whose answer consists of bytes that are no body, or a probe
+ * whose answer does not end. Returns whether the transfer continues. */
 static bool
 on_readable(CURL *easy, curl_socket_t socket, void *data)
 {
-    (void)data;
+    struct rp_upstream *upstream = data;
     struct rp_upstream_attempt *attempt = NULL;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &attempt);
-    if (attempt == NULL || rp_upstream_attempt_count_read(attempt, socket)) {
-        return true; /* probes have no attempt; their time is short */
+    if (attempt == NULL) {
+        return rp_upstream_probe_count_read(&upstream->probes, easy, socket) ||
+               !rp_upstream_probe_finish(&upstream->probes, easy,
+                                         CURLE_RECV_ERROR);
+    }
+    if (rp_upstream_attempt_count_read(attempt, socket)) {
+        return true;
     }
     finish_attempt(attempt, RP_END_MALFORMED);
     return false;
--- a/src/call/upstream_attempt.c
+++ b/src/call/upstream_attempt.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "curl_loop.h"
 #include "loop.h"
 
 /* Time after which unacknowledged bytes end a connection. It detects a
@@ -15,9 +16,6 @@
  * body. In each of them libcurl may consume megabytes, for example of a chunk
  * extension, without telling. */
 #define MAX_READS_WITHOUT_BODY 8
-/* Smaller reads are not counted: a target may send the framing of a body byte
- * by byte. */
-#define SMALL_READ_BYTES 64
 
 static int
 set_socket_options(void *data, curl_socket_t socket, curlsocktype purpose)
@@ -417,15 +415,6 @@
     curl_easy_pause(attempt->easy, CURLPAUSE_CONT);
 }
 
-static bool
-holds_small_read(curl_socket_t socket)
-{
-    uint8_t bytes[SMALL_READ_BYTES];
-    ssize_t count =
-        recv(socket, bytes, sizeof(bytes), MSG_PEEK | MSG_DONTWAIT);
-    return count >= 0 && (size_t)count < sizeof(bytes);
-}
-
 /* Counts a read that is about to be made. Returns false when too many in a row
  * yielded no byte of the body. */
 bool
@@ -435,7 +424,8 @@
     if (!attempt->head_complete) {
         return true;
     }
-    if (attempt->reads_without_body == 0 || !holds_small_read(socket)) {
+    if (attempt->reads_without_body == 0 ||
+        !rp_curl_loop_is_small_read(socket)) {
         attempt->reads_without_body++;
     }
     return attempt->reads_without_body <= MAX_READS_WITHOUT_BODY;
--- a/src/call/upstream_probe.c
+++ b/src/call/upstream_probe.c
@@ -2,17 +2,24 @@
 
 #include <string.h>
 
+#include "curl_loop.h"
 #include "sync_probe.h"
 #include "upstream_attempt.h"
 
 /* Only the head of a probe's answer is used; a longer body fails the probe. */
 #define MAX_BODY_BYTES 4096
+/* libcurl may consume a hundred buffers in one read. A small buffer and few
+ * reads bound what an answer without end costs; together they hold the
+ * greatest head and body. */
+#define BUFFER_BYTES 2048L
+#define MAX_READS 32
 
 struct upstream_probe {
     struct rp_upstream_probes *probes;
     struct rp_probe_done done;
     struct rp_answer *answer;
     uint32_t body_bytes;
+    uint32_t reads;
 };
 
 static size_t
@@ -61,6 +68,7 @@
     }
     CURL *easy = rp_upstream_easy_new(RP_SYNC_PROBE_TIMEOUT_NS / 1000000);
     curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, BUFFER_BYTES);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, NULL);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, parse_header_line);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, count_body);
@@ -129,6 +137,19 @@
     curl_multi_add_handle(probes->multi, easy);
 }
 
+/* Counts a read that a probe is about to make. Returns false when its answer
+ * has had more than it needs; the caller then finishes the probe. */
+bool
+rp_upstream_probe_count_read(struct rp_upstream_probes *probes, CURL *easy,
+                             curl_socket_t socket)
+{
+    struct upstream_probe *probe = g_hash_table_lookup(probes->running, easy);
+    if (probe == NULL || rp_curl_loop_is_small_read(socket)) {
+        return true;
+    }
+    return ++probe->reads <= MAX_READS;
+}
+
 /* Reports the result of a finished transfer to dispatch if it is a probe.
  * Returns false when it is none. */
 bool
--- a/src/call/upstream_probe.h
+++ b/src/call/upstream_probe.h
@@ -22,6 +22,8 @@
 void rp_upstream_probes_clear(struct rp_upstream_probes *probes);
 void rp_upstream_probe_start(struct rp_upstream_probes *probes,
                              const struct rp_probe_start *start);
+bool rp_upstream_probe_count_read(struct rp_upstream_probes *probes,
+                                  CURL *easy, curl_socket_t socket);
 bool rp_upstream_probe_finish(struct rp_upstream_probes *probes, CURL *easy,
                               CURLcode result);
 
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -15,6 +15,9 @@
 
 const int64_t MS = 1000000;
 const size_t ANSWER_BYTES = 1000000;
+// 32 reads of at most 200 KB (docs/interfaces.md), and what the buffers of two
+// sockets hold.
+const uint64_t MAX_SENT_BYTES = 32 * 204800 + 2 * (6u << 20);
 
 enum MHD_Result
 on_request(void *data, struct MHD_Connection *connection, const char *,
@@ -34,6 +37,7 @@
     bool reads; /* instead of cancelling the attempt after its head */
     uint32_t done_count;
     enum rp_attempt_end end;
+    bool answered; /* as the probe reports */
 };
 
 void
@@ -50,6 +54,12 @@
             static_cast<const struct rp_attempt_done *>(message->body)->end;
         rp_loop_end(self->loop);
     }
+    if (message->kind == RP_MSG_PROBE_DONE) {
+        self->done_count++;
+        self->answered =
+            static_cast<const struct rp_probe_done *>(message->body)->answered;
+        rp_loop_end(self->loop);
+    }
 }
 
 void
@@ -72,9 +82,39 @@
 
 const struct rp_task_ops receiver_ops = {on_message, on_timer, nullptr};
 
-// Runs an attempt at a target on a loopback port to its end, or for 5 s.
 void
-run_attempt(receiver *dispatch, uint16_t port)
+send_attempt(struct rp_task *task, struct rp_task *upstream,
+             const receiver *dispatch, uint16_t port)
+{
+    struct rp_attempt_start start = {};
+    start.call_id = 1;
+    start.generation = 1;
+    start.flags = RP_ATTEMPT_REPEATABLE;
+    start.call = rp_call_new(1, "GET", "/a", "");
+    start.call->method_flag = RP_METHOD_GET;
+    start.body = rp_stream_ref(dispatch->body);
+    start.deadline_ns = rp_loop_now_ns() + 60000 * MS;
+    g_snprintf(start.address, sizeof(start.address), "127.0.0.1:%u", port);
+    rp_task_send_owned(task, upstream, RP_MSG_ATTEMPT_START, &start,
+                       sizeof(start), rp_attempt_start_release);
+}
+
+void
+send_probe(struct rp_task *task, struct rp_task *upstream,
+           const receiver *dispatch, uint16_t port)
+{
+    (void)dispatch;
+    struct rp_probe_start start = {};
+    g_strlcpy(start.service, "a", sizeof(start.service));
+    g_strlcpy(start.path, "/health", sizeof(start.path));
+    g_snprintf(start.address, sizeof(start.address), "127.0.0.1:%u", port);
+    rp_task_send(task, upstream, RP_MSG_PROBE_START, &start, sizeof(start));
+}
+
+// Runs an attempt or a probe at a target on a loopback port to its end, or for
+// 5 s.
+void
+run_transfer(receiver *dispatch, uint16_t port, decltype(send_attempt) *begin)
 {
     struct rp_identity identity = {};
     identity.fleet_size = 1;
@@ -89,18 +129,7 @@
     config.max_connections_per_target = 4;
     config.progress_timeout_ms = 60000;
     ASSERT_NE(rp_upstream_new(loop, &config, nullptr), nullptr);
-    struct rp_attempt_start start = {};
-    start.call_id = 1;
-    start.generation = 1;
-    start.flags = RP_ATTEMPT_REPEATABLE;
-    start.call = rp_call_new(1, "GET", "/a", "");
-    start.call->method_flag = RP_METHOD_GET;
-    start.body = rp_stream_ref(dispatch->body);
-    start.deadline_ns = rp_loop_now_ns() + 60000 * MS;
-    g_snprintf(start.address, sizeof(start.address), "127.0.0.1:%u", port);
-    rp_task_send_owned(task, rp_kernel_find_task(kernel, RP_TASK_UPSTREAM),
-                       RP_MSG_ATTEMPT_START, &start, sizeof(start),
-                       rp_attempt_start_release);
+    begin(task, rp_kernel_find_task(kernel, RP_TASK_UPSTREAM), dispatch, port);
     rp_task_set_timer(task, 1, rp_loop_now_ns() + 5000 * MS);
     rp_loop_run(loop);
     rp_kernel_free(kernel);
@@ -126,13 +155,29 @@
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     receiver dispatch = {};
     dispatch.body = rp_stream_new();
-    run_attempt(&dispatch, port);
+    run_transfer(&dispatch, port, send_attempt);
     EXPECT_EQ(rp_stream_state(dispatch.body), RP_STREAM_BROKEN);
     EXPECT_EQ(dispatch.done_count, 1u);
     rp_stream_unref(dispatch.body);
     MHD_stop_daemon(daemon);
 }
 
+int
+listen_on_loopback(uint16_t *port)
+{
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    struct sockaddr_in local = {};
+    socklen_t bytes = sizeof(local);
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto *address = reinterpret_cast<struct sockaddr *>(&local);
+    EXPECT_EQ(bind(listener, address, bytes), 0);
+    EXPECT_EQ(listen(listener, 1), 0);
+    EXPECT_EQ(getsockname(listener, address, &bytes), 0);
+    *port = ntohs(local.sin_port);
+    return listener;
+}
+
 // Answers one request with chunks of a size, whose headers are sent byte by
 // byte after a pause each.
 void
@@ -178,21 +223,14 @@
         {"10;name=value", 16, 2},
     };
     for (const auto &entry : cases) {
-        int listener = socket(AF_INET, SOCK_STREAM, 0);
-        struct sockaddr_in local = {};
-        socklen_t bytes = sizeof(local);
-        local.sin_family = AF_INET;
-        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto *address = reinterpret_cast<struct sockaddr *>(&local);
-        ASSERT_EQ(bind(listener, address, bytes), 0);
-        ASSERT_EQ(listen(listener, 1), 0);
-        ASSERT_EQ(getsockname(listener, address, &bytes), 0);
+        uint16_t port = 0;
+        int listener = listen_on_loopback(&port);
         std::thread target(serve_chunks, listener, entry.size,
                            entry.chunk_bytes, entry.chunks);
         receiver dispatch = {};
         dispatch.body = rp_stream_new();
         dispatch.reads = true;
-        run_attempt(&dispatch, ntohs(local.sin_port));
+        run_transfer(&dispatch, port, send_attempt);
         target.join();
         EXPECT_EQ(dispatch.end, RP_END_COMPLETE) << entry.size;
         EXPECT_EQ(rp_stream_written(dispatch.body),
@@ -203,4 +241,77 @@
     }
 }
 
+// Answers one request with a text that is repeated until the peer closes.
+void
+serve_without_end(int listener, const std::string &begin,
+                  const std::string &repeated, uint64_t *sent_bytes)
+{
+    int connection = accept(listener, nullptr, nullptr);
+    char request[4096];
+    recv(connection, request, sizeof(request), 0);
+    send(connection, begin.data(), begin.size(), MSG_NOSIGNAL);
+    std::string text;
+    while (text.size() < 16384) {
+        text += repeated;
+    }
+    ssize_t count;
+    while ((count = send(connection, text.data(), text.size(), MSG_NOSIGNAL)) >
+           0) {
+        *sent_bytes += static_cast<uint64_t>(count);
+    }
+    close(connection);
+}
+
+// Guards against a process that runs out of memory or of processor time beside
+// an answer that does not end: libcurl keeps the fields of a head until the
+// transfer ends, and reads the framing of a body as fast as it comes.
+TEST(upstream, an_answer_without_end_is_cut)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    struct {
+        decltype(send_attempt) *begin;
+        const char *head;
+        const char *repeated;
+    } cases[] = {
+        {send_attempt, "HTTP/1.1 200 OK\r\n", "Filler: x\r\n"},
+        {send_attempt, "HTTP/1.1 200 OK\r\nFiller: ", "xxxxxxxx"},
+        {send_attempt, "HTTP/1.1 100 Continue\r\n\r\n",
+         "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
+        {send_attempt, "", "xxxxxxxx"},
+        {send_attempt, "", "\r\n"},
+        {send_probe, "", "xxxxxxxx"},
+        {send_probe, "", "\r\n"},
+        {send_probe, "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxx"},
+        {send_probe,
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=",
+         "xxxxxxxx"},
+        {send_probe,
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+         "Filler: x\r\n"},
+        {send_probe, "HTTP/1.1 200 OK\r\n", "Filler: x\r\n"},
+        {send_probe, "HTTP/1.1 200 OK\r\nFiller: ", "xxxxxxxx"},
+        {send_probe, "HTTP/1.1 100 Continue\r\n\r\n",
+         "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
+    };
+    for (const auto &entry : cases) {
+        uint16_t port = 0;
+        int listener = listen_on_loopback(&port);
+        uint64_t sent_bytes = 0;
+        std::thread target(serve_without_end, listener, entry.head,
+                           entry.repeated, &sent_bytes);
+        receiver dispatch = {};
+        dispatch.body = rp_stream_new();
+        run_transfer(&dispatch, port, entry.begin);
+        target.join();
+        EXPECT_EQ(dispatch.done_count, 1u) << entry.repeated;
+        EXPECT_FALSE(dispatch.answered) << entry.repeated;
+        if (entry.begin == send_attempt) {
+            EXPECT_NE(dispatch.end, RP_END_COMPLETE) << entry.repeated;
+        }
+        EXPECT_LE(sent_bytes, MAX_SENT_BYTES) << entry.repeated;
+        rp_stream_unref(dispatch.body);
+        close(listener);
+    }
+}
+
 } // namespace
