Test requests at each moment of a stop

Report of another operator: requests that came late in a planned stop were passed on and cut without an answer at its end.

--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -79,8 +79,9 @@
         return rp_loop_now_ns() >= rp_entry_stop_end_ns(entry);
     }
 
-    // Puts a route for "/a" in force, with time limits of callers of 100 ms.
-    void configure()
+    // Puts a route for "/a" in force, with time limits of callers of 100 ms,
+    // or of that long without a request.
+    void configure(uint32_t idle_ms = 100)
     {
         struct rp_snapshot_message message = {rp_snapshot_new(), true};
         struct rp_route *route =
@@ -89,7 +90,8 @@
         route->repeatable_methods = RP_METHODS_IDEMPOTENT;
         rp_route_add_part(route, "a", 1);
         struct rp_caller_limits limits = *rp_snapshot_limits(message.snapshot);
-        limits.idle_ms = limits.header_ms = 100;
+        limits.header_ms = 100;
+        limits.idle_ms = idle_ms;
         limits.header_bytes = 65536;
         rp_snapshot_set_limits(message.snapshot, &limits);
         rp_task_send_owned(nullptr, rp_kernel_find_task(kernel, RP_TASK_ENTRY),
@@ -797,6 +799,57 @@
     }
 }
 
+// Guards against a request that is taken late in a stop, passed on to a target
+// that needs longer than the stop lasts, and cut without an answer: one
+// request each 50 ms of the stop, on connections that are kept open.
+TEST(entry, stop_answers_requests_of_each_moment)
+{
+    const std::string get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string post = "POST /a HTTP/1.1\r\nHost: x\r\n"
+                             "Content-Length: 3\r\n\r\nabc";
+    for (const std::string &text : {get, post}) {
+        vm vm;
+        vm.configure(5000);
+        std::vector<int> callers;
+        std::vector<std::string> answers(20);
+        std::vector<bool> was_closed(answers.size());
+        for (size_t i = 0; i < answers.size(); i++) {
+            callers.push_back(vm.connect_caller());
+        }
+        vm.run();
+        vm.stop();
+        int64_t start_ns = rp_loop_now_ns();
+        size_t sent = 0;
+        while (!vm.expired()) {
+            bool closed = false;
+            if (sent < callers.size() &&
+                rp_loop_now_ns() >=
+                    start_ns + static_cast<int64_t>(sent) * 50 * MS)
+            {
+                answers[sent] += receive(callers[sent], &closed);
+                was_closed[sent] = closed;
+                send(callers[sent++], text.data(), text.size(), MSG_NOSIGNAL);
+            }
+            vm.run();
+            for (size_t i = 0; i < callers.size(); i++) {
+                answers[i] += receive(callers[i], &closed);
+            }
+            g_usleep(1000);
+        }
+        size_t passed_on = 0;
+        for (size_t i = 0; i < answers.size(); i++) {
+            std::string status = answers[i].substr(0, 12);
+            EXPECT_TRUE(status == "HTTP/1.1 504" || status == "HTTP/1.1 503" ||
+                        (status.empty() && (was_closed[i] || i + 1 >= sent)))
+                << i << " " << status;
+            passed_on += status == "HTTP/1.1 504" ? 1 : 0;
+            close(callers[i]);
+        }
+        EXPECT_EQ(vm.calls.size(), passed_on);
+        EXPECT_GT(passed_on, 0u);
+    }
+}
+
 // Guards against a stop that takes longer than its timeout, and is killed with
 // requests in progress, because the process stood still when its signal came.
 TEST(entry, stop_timeout_begins_with_the_signal)
