--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -452,6 +452,8 @@
         {"maxConnections", "50000", "10000", "services[0].connections"},
         {"maxConnections", "220.0", "220", ""},
         {"maxConnections", "0", "1", "services[0].connections"},
+        {"maxConnections", "1e999", "10000", "services[0].connections"},
+        {"kind", R"("a\u0000")", "", ""},
     };
     for (const auto &entry : cases) {
         std::map<std::string, std::string> values = usual_values();
@@ -473,6 +475,7 @@
             {"idleTimeout", std::to_string(limits.idle_ms)},
             {"host", route.host},
             {"name", route.name},
+            {"kind", route.repeatable ? "repeatable" : ""},
             {"targetLatency", std::to_string(route.aim_ms)},
             {"priority", std::to_string(route.rank)},
             {"prefix", route.path_prefix},
@@ -694,6 +697,111 @@
     });
 }
 
+// Guards against a VM that no longer follows the list of targets, or keeps
+// using the target of an entry, because of one entry of another writer.
+TEST(gateway, one_malformed_entry_does_not_hide_the_others)
+{
+    auto entry_with = [](const std::string &fields) {
+        return item("servers/i-odd", 12, "{" + fields + "}");
+    };
+    auto raw_item = [](const char *key, const char *more) {
+        return std::string(R"({"key":")") + key + R"(","revision":12,)" +
+               more + "}";
+    };
+    const std::string usual = R"("service":"a1","address":"10.0.0.9:80",)"
+                              R"("zone":"z","state":"ready","slots":)";
+    const std::string value = R"("lease":0,"value":"e30=")";
+    struct {
+        const char *what;
+        std::string odd;
+        const char *record; // of its target, or NULL for none
+    } cases[] = {
+        {"nested deeply",
+         entry_with(usual + "6,\"x\":" + std::string(100000, '[')), "retired"},
+        {"a port out of range",
+         entry_with(R"("service":"a1","address":"10.0.0.9:99999",)"
+                    R"("zone":"z","state":"ready","slots":6)"),
+         "retired"},
+        {"a negative port",
+         entry_with(R"("service":"a1","address":"10.0.0.9:-1",)"
+                    R"("zone":"z","state":"ready","slots":6)"),
+         "retired"},
+        {"a real that overflows", entry_with(usual + "1e999"), "1e308"},
+        {"an integer that overflows",
+         entry_with(usual + std::string(400, '9')), "1e308"},
+        {"NUL in a string", entry_with(usual + R"(6,"x":"\u0000")"),
+         "serving"},
+        {"half a surrogate pair", entry_with(usual + R"(6,"x":"\ud83d")"),
+         "serving"},
+        {"not base64", raw_item("servers/i-odd", R"("value":"?!")"),
+         "retired"},
+        {"a value of another type", raw_item("servers/i-odd", R"("value":7)"),
+         "retired"},
+        {"NUL in the key", raw_item("servers/i-1\\u0000", value.c_str()),
+         "retired"},
+        {"half a surrogate pair in the key",
+         raw_item("servers/\\udc80", value.c_str()), "retired"},
+        {"bytes in the key", raw_item("servers/\xff\xfe", value.c_str()),
+         "retired"},
+        {"a lease of 64 bits",
+         raw_item("servers/i-odd", R"("lease":18446744073709551615,)"
+                                   R"("value":"e30=")"),
+         "retired"},
+        {"no item", "7", nullptr},
+        {"no key", R"({"revision":12,"value":"e30="})", nullptr},
+    };
+    for (const auto &entry : cases) {
+        struct rp_platform_protocol *store = rp_gateway_store_new();
+        std::string body =
+            R"({"items":[)" + item("servers/i-1", 11, target("ready")) + "," +
+            entry.odd + "," + item("servers/i-2", 13, target("draining")) +
+            R"(],"morePages":false,"storeRevision":50})";
+        g_free(store->records_path(store->data, 0, 0, 10));
+        struct rp_platform_answer answer;
+        bool parsed = store->parse_answer(store->data, 200, 0, body.c_str(),
+                                          body.size(), &answer, nullptr);
+        EXPECT_TRUE(parsed) << entry.what;
+        if (!parsed) {
+            rp_gateway_store_free(store);
+            continue;
+        }
+        std::map<std::string, std::string> records;
+        for (const struct rp_record_batch *batch :
+             {answer.batch, answer.removed}) {
+            for (uint32_t i = 0;
+                 batch != nullptr && i < rp_record_batch_count(batch); i++) {
+                const struct rp_record_item *record =
+                    rp_record_batch_get(batch, i);
+                gsize bytes = 0;
+                const char *text = static_cast<const char *>(
+                    g_bytes_get_data(record->value, &bytes));
+                records[record->key] = std::string(text, bytes);
+                struct rp_record *target = rp_record_parse(
+                    record->key, text, bytes, nullptr, nullptr);
+                EXPECT_NE(target, nullptr) << entry.what << text;
+                rp_record_free(target);
+            }
+        }
+        auto has = [&records](const char *key, const char *part) {
+            return records.count(key) == 1 &&
+                   records[key].find(part) != std::string::npos;
+        };
+        EXPECT_TRUE(has("target/i-1", "serving")) << entry.what;
+        EXPECT_TRUE(has("target/i-2", "draining")) << entry.what;
+        EXPECT_EQ(records.size(), entry.record == nullptr ? 2u : 3u)
+            << entry.what;
+        for (const auto &record : records) {
+            if (record.first != "target/i-1" && record.first != "target/i-2") {
+                EXPECT_TRUE(has(record.first.c_str(), entry.record))
+                    << entry.what << record.second;
+            }
+        }
+        rp_record_batch_unref(answer.batch);
+        rp_record_batch_unref(answer.removed);
+        rp_gateway_store_free(store);
+    }
+}
+
 // Guards against revisions of two epochs that are compared as if they were of
 // one, and against a listing that goes on in the middle of another epoch.
 TEST(gateway, revisions_are_of_an_epoch)
