Accept control characters in hosts and prefixes of routes

A host or prefix with a control character still refused a whole configuration. No request has one, so such a route matches nothing, and its text goes nowhere else.

--- a/src/config/record.c
+++ b/src/config/record.c
@@ -480,20 +480,36 @@
     rp_read_text(reader, place, value, field, out);
 }
 
-/* Reads the prefix of a route's paths, which may have any characters: one that
- * no request has does not match. */
+/* Reads the host or the path prefix of a route, of which begin is the start. It
+ * may have any characters: one that no request has does not match. */
 static void
-read_prefix(struct rp_reader *reader, const char *place, const json_t *value,
-            const struct rp_field *field, void *out)
+read_match_text(struct rp_reader *reader, const char *place,
+                const json_t *value, const char *begin, char **out)
 {
     const char *text = json_string_value(value);
-    if (text == NULL || text[0] != '/') {
+    if (text == NULL || !g_str_has_prefix(text, begin)) {
         rp_reader_fault(reader, place,
-                        "must be a path that begins with /; correct the "
-                        "value");
+                        "must be a string that begins with \"%s\"; correct "
+                        "the value",
+                        begin);
         return;
     }
-    rp_read_text(reader, place, value, field, out);
+    g_free(*out);
+    *out = g_strdup(text);
+}
+
+static void
+read_host(struct rp_reader *reader, const char *place, const json_t *value,
+          const struct rp_field *field, void *out)
+{
+    read_match_text(reader, place, value, "", out);
+}
+
+static void
+read_prefix(struct rp_reader *reader, const char *place, const json_t *value,
+            const struct rp_field *field, void *out)
+{
+    read_match_text(reader, place, value, "/", out);
 }
 
 static void
@@ -503,9 +519,8 @@
 #define ROUTE(member) offsetof(struct rp_record_route, member)
     static const struct rp_field fields[] = {
         {"name", rp_read_label, ROUTE(name), 0, 0, 0, true},
-        {"host", rp_read_text, ROUTE(host), 0, RP_RECORD_MAX_BYTES, 0, false},
-        {"path_prefix", read_prefix, ROUTE(path_prefix), 1,
-         RP_RECORD_MAX_BYTES, 0, true},
+        {"host", read_host, ROUTE(host), 0, 0, 0, false},
+        {"path_prefix", read_prefix, ROUTE(path_prefix), 0, 0, 0, true},
         {"repeatable", rp_read_boolean, ROUTE(repeatable), 0, 0, 0, true},
         {"long", rp_read_boolean, ROUTE(long_answers), 0, 0, 0, false},
         {"timeout_ms", rp_read_clamped, ROUTE(timeout_ms), 1, MAX_TIMEOUT_MS,
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -439,6 +439,8 @@
         {"prefix", "\"/" + long_text(2000) + "/\"",
          "/" + long_text(2000) + "/", ""},
         {"prefix", R"("/a b?c/")", "/a b?c/", ""},
+        {"prefix", R"("/a\u0001/")", "/a\x01/", ""},
+        {"host", R"("h\u007f")", "h\x7f", ""},
         {"timeout", R"("5000s")", "3600000", "routes[0].timeout_ms"},
         {"timeout", R"("0.2ms")", "1", "routes[0].timeout_ms"},
         {"maxAttempts", "1000", "100", "routes[0].attempts"},
