Stop sending to a target that says that it is leaving

The platform's targets now say in each answer that they are leaving, also before their entries do. The entry VM passed such answers on and went on to send requests to the target until its entry changed, which may be later than a drain may take, or never.

Cause: only load reports had a word for it, and the next report without it takes it back. Ruled out: a wider use of that word, since a report that describes the load only would cancel it.

The notice is read when the head of an answer comes, of any status, also from an interim answer, one that is broken off, and a probe, and holds for the run of the target (its id and start). A 421 is of another target and is not used. The search for targets, retries, hedges and fresh connections leave the target out. The event target_leaving names it.

--- a/scripts/gateway_path.sh
+++ b/scripts/gateway_path.sh
@@ -51,7 +51,7 @@
     store_pid=$!
 }
 start_store
-for name in a b c; do
+for name in a b c d; do
     port=$((base + 1 + $(printf '%d' "'$name") - 97))
     start "$build/rp-standin" gateway --address "127.0.0.1:$port" \
         --instance "i-$name"
@@ -143,6 +143,29 @@
 publish "$config" "$a" "$c"
 start_store
 check store-back "$(await 'i-a 200' call /new/x id-13)" '^i-a 200$|404'
+# What a target says of itself holds while its entry says that it is ready.
+say() { # NAME WORDS: to a target
+    curl -s "http://127.0.0.1:$((base + 1 + $(printf '%d' "'$1") - 97))/say?$2"
+}
+received() { # NAME: requests that have reached a target
+    curl -s "http://127.0.0.1:$((base + 1 + $(printf '%d' "'$1") - 97))/received"
+}
+calls() { # COUNT PATH ID: prints each answer's status once
+    for i in $(seq "$1"); do
+        status_of -H 'Host: h.example' -H "X-Request-Id: $3-$i" \
+            -H 'X-Deadline-Ms: 1000' "http://$front$2"
+        echo
+    done | sort | uniq -c | tr -s ' \n' ' '
+}
+d=$(server_item i-d a1 $((base + 4)) ready)
+publish "$config" "$a" "$c" "$d"
+await 'i-d 200' call /new/x id-15 >/dev/null
+say d leaving=1
+await 'i-d 200' call /new/x id-16 >/dev/null
+before=$(received d)
+check leaving-answers "$(calls 20 /new/x id-17)" '^ 20 200 $'
+check leaving-reached "$(($(received d) - before))" '^0$'
+check leaving-logged "$(grep -c '"event":"target_leaving"' "$work/log")" '^1$'
 # A stopping VM is not ready, not listed by the other VM and cuts no request.
 call '/new/x?sleep_ms=400' id-14 >"$work/stop" &
 call_pid=$!
--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -135,6 +135,7 @@
     target->instance = g_strdup(source->instance);
     target->started_ms = source->started_ms;
     target->reported_draining = false;
+    rp_target_notice_clear(&target->notice);
     target->joined_later = true;
     rp_limit_init(&target->limit, source->slots, true);
     rp_outlier_init(&target->outlier);
@@ -721,6 +722,15 @@
     }
 }
 
+/* Records that a target has stated that it is leaving, which holds until its
+ * next run. Returns whether this was not known. */
+bool
+rp_balancer_record_leaving(struct rp_balancer *balancer, uint32_t target)
+{
+    return rp_target_notice_record_leaving(
+        &balancer_get(balancer, target)->notice);
+}
+
 /* Handles a pause of the process, after which the recorded state is old.
  * Response times of requests sent before the pause are discarded, as their
  * answers may have waited in the sockets. */
@@ -770,8 +780,7 @@
 bool
 rp_balancer_target_usable(const struct rp_balancer *balancer, uint32_t target)
 {
-    const struct balancer_target *entry = balancer_get(balancer, target);
-    return entry->present && !entry->draining && !entry->reported_draining;
+    return balancer_is_usable(balancer_get(balancer, target));
 }
 
 static const char *
@@ -781,7 +790,7 @@
     if (!target->present) {
         return "gone";
     }
-    if (target->draining || target->reported_draining) {
+    if (!balancer_is_usable(target)) {
         return "draining";
     }
     if (rp_outlier_is_ejected(&target->outlier, now_ns)) {
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -153,6 +153,7 @@
 void rp_balancer_finish_probe(struct rp_balancer *balancer, uint32_t target,
                               bool answered, const struct rp_load_report *load,
                               int64_t now_ns);
+bool rp_balancer_record_leaving(struct rp_balancer *balancer, uint32_t target);
 void rp_balancer_record_load(struct rp_balancer *balancer, const char *address,
                              const struct rp_load_report *load, int64_t age_ns,
                              int64_t now_ns);
--- a/src/balance/balancer_choose.c
+++ b/src/balance/balancer_choose.c
@@ -38,12 +38,6 @@
     enum rank estate_rank[RP_SNAPSHOT_MAX_ESTATES];
 };
 
-static bool
-is_usable(const struct balancer_target *target)
-{
-    return target->present && !target->draining && !target->reported_draining;
-}
-
 /* Returns whether there is a usable target that the call has not tried. If
  * not, it may go to one again: the fault may lie with a connection. */
 static bool
@@ -51,7 +45,7 @@
             const struct rp_balancer_call *call)
 {
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
-        if (is_usable(balancer_get(balancer, i)) &&
+        if (balancer_is_usable(balancer_get(balancer, i)) &&
             !balancer_is_avoided(call, i)) {
             return true;
         }
@@ -143,7 +137,7 @@
     for (int part = 0; part < 2; part++) {
         const struct balancer_target *target = balancer_get(balancer, index);
         for (; index < ends[part]; index++, target++) {
-            if (is_usable(target) &&
+            if (balancer_is_usable(target) &&
                 !(skip_avoided && balancer_is_avoided(call, index))) {
                 evaluate_target(target, index, is_long, bounds, choice);
             }
--- a/src/balance/balancer_private.h
+++ b/src/balance/balancer_private.h
@@ -16,6 +16,7 @@
 #include "retry_budget.h"
 #include "route.h"
 #include "sync_probe.h"
+#include "target_notice.h"
 
 struct balancer_target {
     struct rp_route_target route;
@@ -27,6 +28,7 @@
     bool joined_later; /* added or replaced after the first configuration */
     bool draining;     /* according to its record */
     bool reported_draining; /* according to its latest load report */
+    struct rp_target_notice notice;
     uint64_t sent;
     char *address;
     char *instance;
@@ -69,6 +71,14 @@
     return &g_array_index(balancer->targets, struct balancer_target, index);
 }
 
+/* Returns whether a target may get calls: it is configured and not leaving. */
+static inline bool
+balancer_is_usable(const struct balancer_target *target)
+{
+    return target->present && !target->draining &&
+           !target->reported_draining && !target->notice.leaving;
+}
+
 /* Returns whether a call has already tried a target. */
 static inline bool
 balancer_is_avoided(const struct rp_balancer_call *call, uint32_t target)
--- a/src/balance/balancer_sync_probe.c
+++ b/src/balance/balancer_sync_probe.c
@@ -45,8 +45,7 @@
 static bool
 is_candidate(const struct balancer_target *target, int64_t now_ns)
 {
-    return target->present && !target->draining &&
-           !target->reported_draining &&
+    return balancer_is_usable(target) &&
            !rp_outlier_is_ejected(&target->outlier, now_ns) &&
            !(target->outlier.trial && target->route.in_flight > 0);
 }
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -52,6 +52,7 @@
 RP_COUNTER(CALLS_CALLER_GONE, "calls_caller_gone_total", COUNTER, "Calls whose caller left before the whole answer")
 RP_COUNTER(REQUESTS_UNANSWERED, "requests_unanswered_total", COUNTER, "Complete requests whose connection ended before their answer began")
 RP_COUNTER(INPUT_DISCARDED_BYTES, "input_discarded_bytes_total", COUNTER, "Bytes from callers that came after their connection was shut down")
+RP_COUNTER(TARGET_NOTICES, "target_leaving_total", COUNTER, "Targets that stated in an answer that they are leaving")
 RP_COUNTER(CALLS_DEADLINE, "calls_deadline_total", COUNTER, "Calls that met their deadline")
 RP_COUNTER(ANSWERS_BROKEN, "answers_broken_total", COUNTER, "Answers broken off after their first byte was passed on")
 RP_COUNTER(ATTEMPTS, "attempts_total", COUNTER, "Attempts sent to targets")
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -66,6 +66,7 @@
     bool refused; /* the target states that it did not run the request */
     bool has_load;
     bool echoes_request_id;  /* the answer contains the request id */
+    bool leaving;            /* the target states that it ends soon */
     enum rp_outcome outcome; /* set by another entry VM; else NONE */
     int64_t body_bytes;      /* announced; RP_LENGTH_UNKNOWN when chunked */
     int64_t retry_after_ms;  /* 0 when the target sent none */
@@ -158,6 +159,7 @@
     uint32_t generation;
     enum rp_attempt_end end;
     bool reused;
+    bool leaving; /* also stated by an interim answer, or one broken off */
     int64_t first_byte_ns; /* 0 when there was none */
     uint64_t body_bytes;
 };
@@ -179,6 +181,7 @@
     uint32_t target;
     bool answered; /* complete; status below 500 or with a load report */
     bool has_load;
+    bool leaving; /* the target states that it ends soon */
     struct rp_load_report load;
 };
 
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -110,6 +110,9 @@
     if (service == NULL) {
         return;
     }
+    if (done->leaving) {
+        dispatch_drain_record_notice(dispatch, service, done->target, now_ns);
+    }
     if (!done->answered) {
         rp_counter_add(&dispatch->context->counters, RP_COUNTER_PROBES_FAILED,
                        1);
--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -602,12 +602,28 @@
                        observed_ns, now_ns);
 }
 
+/* Records what an answer says of its target, also when it comes too late for
+ * the call. */
+static void
+record_notice(struct dispatch_call *call, uint32_t generation, bool leaving,
+              int64_t now_ns)
+{
+    if (leaving && !dispatch_call_passed_on(call) &&
+        generation <= call->attempt_count)
+    {
+        dispatch_drain_record_notice(call->dispatch, call->service,
+                                     call->attempts[generation - 1].target,
+                                     now_ns);
+    }
+}
+
 /* Handles the head of an attempt's answer. That of a cancelled attempt is
  * ignored. */
 void
 dispatch_call_head(struct dispatch_call *call,
                    const struct rp_attempt_head *head, int64_t now_ns)
 {
+    record_notice(call, head->generation, head->answer->leaving, now_ns);
     uint32_t index = find_attempt(call, head->generation);
     if (index == RP_DISPATCH_MAX_ATTEMPTS || call->state == CALL_REPLIED) {
         return;
@@ -746,6 +762,7 @@
 dispatch_call_done(struct dispatch_call *call,
                    const struct rp_attempt_done *done, int64_t now_ns)
 {
+    record_notice(call, done->generation, done->leaving, now_ns);
     uint32_t index = find_attempt(call, done->generation);
     if (index == RP_DISPATCH_MAX_ATTEMPTS) {
         return;
--- a/src/call/dispatch_hint.c
+++ b/src/call/dispatch_hint.c
@@ -1,5 +1,7 @@
 #include "dispatch_hint.h"
 
+#include <string.h>
+
 #include "drain.h"
 #include "invariant.h"
 
@@ -15,7 +17,9 @@
     int64_t hint_sent_ns; /* 0 when none was sent */
     enum rp_target_state hint_state;
     struct rp_drain drain;
-    int64_t started_ms; /* of the run that the drain state is about */
+    /* Of the run that the drain state is about. */
+    int64_t started_ms;
+    char instance[RP_INSTANCE_BYTES];
 };
 
 static struct dispatch_target *
@@ -45,14 +49,43 @@
         const struct rp_target *target = &record->targets[i];
         struct dispatch_target *known =
             find_or_add_target(service, target->address);
-        if (known->started_ms != target->started_ms) {
+        if (known->started_ms != target->started_ms ||
+            strcmp(known->instance, target->instance) != 0)
+        {
             known->started_ms = target->started_ms;
+            g_strlcpy(known->instance, target->instance,
+                      sizeof(known->instance));
             rp_drain_set(&known->drain, RP_DRAIN_TARGET, false, now_ns);
+            rp_drain_set(&known->drain, RP_DRAIN_NOTICE, false, now_ns);
         }
         rp_drain_set(&known->drain, RP_DRAIN_RECORD, target->draining, now_ns);
     }
 }
 
+/* Records that a target, given by its index in the balancer, has stated that
+ * it is leaving. It gets no new work from this entry VM until its next run. */
+void
+dispatch_drain_record_notice(struct rp_dispatch *dispatch,
+                             struct dispatch_service *service, uint32_t target,
+                             int64_t now_ns)
+{
+    if (!rp_balancer_record_leaving(service->balancer, target)) {
+        return;
+    }
+    const char *address =
+        rp_balancer_target_address(service->balancer, target);
+    rp_drain_set(&find_or_add_target(service, address)->drain, RP_DRAIN_NOTICE,
+                 true, now_ns);
+    rp_counter_add(&dispatch->context->counters, RP_COUNTER_TARGET_NOTICES, 1);
+    struct rp_event *event =
+        rp_event_add(dispatch->context->events, RP_EVENT_TARGET_LEAVING,
+                     now_ns, address);
+    rp_event_set_service(event, service->name);
+    rp_event_set_detail(event, "instance %s states that it is leaving",
+                        rp_balancer_target_instance(service->balancer,
+                                                    target));
+}
+
 /* Records a sent attempt and checks that it is not new work for a target that
  * has been leaving for too long. */
 void
--- a/src/call/dispatch_hint.h
+++ b/src/call/dispatch_hint.h
@@ -14,6 +14,9 @@
                         struct dispatch_service *service, const char *address,
                         const struct rp_load_report *load, int64_t observed_ns,
                         int64_t now_ns);
+void dispatch_drain_record_notice(struct rp_dispatch *dispatch,
+                                  struct dispatch_service *service,
+                                  uint32_t target, int64_t now_ns);
 void dispatch_drain_apply_records(struct dispatch_service *service,
                                   int64_t now_ns);
 void dispatch_drain_record_sent(struct rp_dispatch *dispatch,
--- a/src/call/drain.c
+++ b/src/call/drain.c
@@ -1,6 +1,6 @@
 #include "drain.h"
 
-/* Records whether a source (RP_DRAIN_RECORD or RP_DRAIN_PLATFORM) reports
+/* Records whether a source (other than RP_DRAIN_TARGET) reports
  * the target as leaving. Returns whether the result of rp_drain_may_send
  * changed. */
 bool
--- a/src/call/drain.h
+++ b/src/call/drain.h
@@ -12,6 +12,8 @@
 #define RP_DRAIN_RECORD (1u << 0)
 #define RP_DRAIN_PLATFORM (1u << 1) /* the platform's list of VMs */
 #define RP_DRAIN_TARGET (1u << 2)   /* RP-Load in an answer or a probe */
+/* A notice in an answer or a probe, which holds for the target's run. */
+#define RP_DRAIN_NOTICE (1u << 3)
 
 /* Drain state of one target on one entry VM. Initially all zero. */
 struct rp_drain {
--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -109,6 +109,7 @@
         .generation = attempt->generation,
         .end = end,
         .reused = attempt->reused,
+        .leaving = attempt->answer != NULL && attempt->answer->leaving,
         .first_byte_ns = attempt->first_byte_ns,
         .body_bytes = rp_stream_written(attempt->body),
     };
--- a/src/call/upstream_probe.c
+++ b/src/call/upstream_probe.c
@@ -166,6 +166,7 @@
      * target that reports its load is reachable; whether it works is judged by
      * its answers to calls. */
     probe->done.has_load = probe->answer->has_load;
+    probe->done.leaving = probe->answer->leaving;
     probe->done.answered = result == CURLE_OK && status > 0 &&
                            (status < 500 || probe->done.has_load);
     probe->done.load = probe->answer->load;
--- a/standin/gateway.c
+++ b/standin/gateway.c
@@ -47,7 +47,11 @@
     GMutex lock;
     const char *instance;
     uint32_t running;
+    uint32_t received;      /* requests, those that are rejected included */
     GHashTable *run_counts; /* request id to number of runs */
+    bool leaving;           /* each answer says so */
+    bool rejects;           /* each request, with 503 */
+    char retry_after[32];   /* of rejections; "" for none */
 };
 
 static void
@@ -311,6 +315,19 @@
     return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
 }
 
+/* Sets what a target says of itself from now on: "/say?leaving=1&rejects=1&
+ * retry_after=2.5", each absent one false or none. */
+static void
+set_words(struct target *target, struct MHD_Connection *connection)
+{
+    g_mutex_lock(&target->lock);
+    target->leaving = query_argument(connection, "leaving")[0] == '1';
+    target->rejects = query_argument(connection, "rejects")[0] == '1';
+    g_strlcpy(target->retry_after, query_argument(connection, "retry_after"),
+              sizeof(target->retry_after));
+    g_mutex_unlock(&target->lock);
+}
+
 static enum MHD_Result
 run_request(struct target *target, struct MHD_Connection *connection)
 {
@@ -325,6 +342,20 @@
         const char *const fields[] = {"X-Instance-Id", target->instance, NULL};
         return queue_answer(connection, 421, (char *)"", fields);
     }
+    g_mutex_lock(&target->lock);
+    target->received++;
+    bool leaving = target->leaving;
+    bool rejects = target->rejects;
+    char retry_after[sizeof(target->retry_after)];
+    g_strlcpy(retry_after, target->retry_after, sizeof(retry_after));
+    g_mutex_unlock(&target->lock);
+    if (rejects) {
+        const char *const fields[] = {
+            "X-Request-Id", id, "X-Not-Executed", "1", "Server-Leaving",
+            leaving ? "1" : "0", retry_after[0] == '\0' ? NULL : "Retry-After",
+            retry_after, NULL};
+        return queue_answer(connection, 503, (char *)"", fields);
+    }
     uint32_t running = start_run(target, id);
     usleep((useconds_t)(g_ascii_strtoull(
                             query_argument(connection, "sleep_ms"), NULL, 10) *
@@ -342,6 +373,8 @@
                                   load,
                                   "Told-Deadline",
                                   deadline == NULL ? "none" : deadline,
+                                  leaving ? "Server-Leaving" : NULL,
+                                  "1",
                                   NULL};
     return queue_answer(connection, 200, (char *)target->instance, fields);
 }
@@ -370,6 +403,17 @@
                                       "X-Server-Load", load, NULL};
         return queue_answer(connection, 200, (char *)"", fields);
     }
+    if (strcmp(path, "/say") == 0) {
+        set_words(target, connection);
+        return queue_answer(connection, 200, (char *)"", NULL);
+    }
+    if (strcmp(path, "/received") == 0) {
+        char count[16];
+        g_mutex_lock(&target->lock);
+        g_snprintf(count, sizeof(count), "%u", target->received);
+        g_mutex_unlock(&target->lock);
+        return queue_answer(connection, 200, count, NULL);
+    }
     if (strcmp(path, "/ran") == 0) {
         char count[16];
         g_mutex_lock(&target->lock);
--- a/tests/test_balancer.cc
+++ b/tests/test_balancer.cc
@@ -61,6 +61,29 @@
         return verdict;
     }
 
+    // Offers a call and answers probes, of idle targets, until it is sent or
+    // refused.
+    struct rp_balancer_verdict decide(uint32_t flags = 0,
+                                      int64_t timeout_ms = 1000)
+    {
+        const struct rp_load_report idle = {
+            0, 6, 0, 5000, RP_TARGET_SERVING, 100};
+        struct rp_balancer_verdict verdict = offer(flags, timeout_ms);
+        while (verdict.action == RP_BALANCER_WAIT ||
+               verdict.action == RP_BALANCER_PROBE)
+        {
+            if (!rp_balancer_next(balancer, now_ns, &verdict)) {
+                now_ns = std::max(now_ns + 1, rp_balancer_due_ns(balancer));
+            }
+            else if (verdict.action == RP_BALANCER_PROBE) {
+                probed.push_back(verdict.target);
+                rp_balancer_finish_probe(balancer, verdict.target, true, &idle,
+                                         now_ns);
+            }
+        }
+        return verdict;
+    }
+
     void finish(uint32_t target, enum rp_attempt_outcome outcome,
                 enum rp_target_state state = RP_TARGET_SERVING)
     {
@@ -89,6 +112,7 @@
     struct rp_balancer *balancer;
     int64_t now_ns = 0;
     uint64_t calls = 0;
+    std::vector<uint32_t> probed;
 };
 
 // Guards against a target that fails fast attracting all traffic, and against
@@ -161,6 +185,35 @@
     }
 }
 
+// Guards against new work for a target that has said that it is leaving, while
+// its record and its load reports still say that it serves.
+TEST_F(balancer_test, notice_of_leaving_holds_for_the_run)
+{
+    for (bool probes : {false, true}) {
+        publish({"a", "b"}, {}, probes, 5);
+        EXPECT_TRUE(rp_balancer_record_leaving(balancer, 0));
+        EXPECT_FALSE(rp_balancer_record_leaving(balancer, 0));
+        finish(0, RP_ATTEMPT_OK, RP_TARGET_SERVING);
+        publish({"b"}, {}, probes, 5);
+        publish({"a", "b"}, {}, probes, 5);
+        now_ns += 60000 * MS;
+        EXPECT_FALSE(rp_balancer_target_usable(balancer, 0));
+        for (int i = 0; i < 20; i++) {
+            struct rp_balancer_verdict verdict = decide();
+            ASSERT_EQ(verdict.action, RP_BALANCER_SEND) << probes;
+            EXPECT_EQ(verdict.target, 1u) << probes;
+            finish(verdict.target, RP_ATTEMPT_OK);
+        }
+        for (uint32_t target : probed) {
+            EXPECT_EQ(target, 1u);
+        }
+        publish({"a"}, {}, probes, 5);
+        EXPECT_EQ(offer().action, RP_BALANCER_REFUSE) << probes;
+        publish({"a", "b"}, {}, probes, 6);
+        EXPECT_TRUE(rp_balancer_target_usable(balancer, 0)) << probes;
+    }
+}
+
 // Guards against long calls occupying all slots: some stay for short calls.
 TEST_F(balancer_test, long_calls_leave_slots)
 {
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -233,6 +233,37 @@
         run();
     }
 
+    // Ends an attempt, after the head of its answer if that has a status, with
+    // or without the notice that the target is leaving.
+    void end_with_notice(const struct rp_attempt_start &start, uint32_t status,
+                         int64_t body_bytes, bool refused,
+                         enum rp_attempt_end end)
+    {
+        struct rp_attempt_head head = {};
+        head.call_id = start.call_id;
+        head.generation = start.generation;
+        if (status > 0) {
+            head.answer = rp_answer_new(status);
+            head.answer->body_bytes = body_bytes;
+            head.answer->refused = refused;
+            head.answer->leaving = true;
+            rp_task_send_owned(upstream, dispatch(), RP_MSG_ATTEMPT_HEAD,
+                               &head, sizeof(head), rp_attempt_head_release);
+            run();
+        }
+        struct rp_attempt_done done = {};
+        done.call_id = start.call_id;
+        done.generation = start.generation;
+        done.end = end;
+        done.leaving = true;
+        if (end == RP_END_COMPLETE) {
+            rp_stream_end(start.body);
+        }
+        rp_task_send(upstream, dispatch(), RP_MSG_ATTEMPT_DONE, &done,
+                     sizeof(done));
+        run();
+    }
+
     // Returns the number of replies to each call.
     std::map<uint64_t, int> reply_counts()
     {
@@ -349,6 +380,49 @@
     }
 }
 
+// Guards against a request that is sent to a target after an answer of any kind
+// has said that the target is leaving.
+TEST(dispatch, a_leaving_target_gets_no_further_request)
+{
+    struct {
+        const char *name;
+        uint32_t status; // 0 without a head
+        int64_t body_bytes;
+        bool refused;
+        enum rp_attempt_end end;
+    } cases[] = {
+        {"success", 200, 10, false, RP_END_COMPLETE},
+        {"failure", 500, 10, false, RP_END_COMPLETE},
+        {"rejection", 503, 0, true, RP_END_COMPLETE},
+        {"long rejection", 503, 1 << 20, true, RP_END_COMPLETE},
+        {"download", 200, 1 << 20, false, RP_END_COMPLETE},
+        {"broken off", 200, 1 << 20, false, RP_END_BROKEN},
+        {"broken off while it is small", 200, 10, false, RP_END_BROKEN},
+        {"interim", 0, 0, false, RP_END_BROKEN},
+    };
+    for (const auto &entry : cases) {
+        process instance(100);
+        instance.configure(false, false);
+        instance.start_call(1);
+        ASSERT_EQ(instance.starts.size(), 1u) << entry.name;
+        struct rp_attempt_start first = instance.starts[0];
+        instance.end_with_notice(first, entry.status, entry.body_bytes,
+                                 entry.refused, entry.end);
+        instance.configure(false, false);
+        for (uint64_t id = 2; id < 12; id++) {
+            instance.start_call(id);
+            instance.run_until(instance.now_ns + 100 * MS);
+            for (size_t i = 1; i < instance.starts.size(); i++) {
+                EXPECT_STRNE(instance.starts[i].address, first.address)
+                    << entry.name;
+            }
+            instance.complete(instance.starts.back());
+        }
+        EXPECT_EQ(instance.counter(RP_COUNTER_TARGET_NOTICES), 1u)
+            << entry.name;
+    }
+}
+
 // Guards against bytes between failure domains that no metric shows: those of
 // broken answers are transferred as well.
 TEST(dispatch, counts_bytes_between_failure_domains)
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -981,6 +981,38 @@
     }
 }
 
+// Guards against a target that says that it is leaving and is not understood,
+// and against taking the word of the target that now has its address.
+TEST(gateway, parses_the_notice_of_a_leaving_target)
+{
+    struct {
+        uint32_t status;
+        const char *name;
+        const char *value;
+        bool leaving;
+    } cases[] = {
+        {200, "Server-Leaving", "1", true},
+        {503, "server-leaving", "1", true},
+        {103, "Server-Leaving", "1", true},
+        {0, "Server-Leaving", "1", true}, // a probe
+        {200, "Server-Leaving", "true", true},
+        {200, "Server-Leaving", "0", false},
+        {421, "Server-Leaving", "1", false},
+        {200, "X-Server-Leaving", "1", false},
+    };
+    for (const auto &entry : cases) {
+        struct rp_call *call = rp_call_new(1, "GET", "/", "h");
+        struct rp_answer *answer = rp_answer_new(entry.status);
+        EXPECT_EQ(rp_gateway_dialect.parse_answer_field(
+                      nullptr, call, answer, entry.name, entry.value),
+                  RP_FIELD_FORWARDED);
+        EXPECT_EQ(answer->leaving, entry.leaving)
+            << entry.status << entry.name << entry.value;
+        rp_answer_unref(answer);
+        rp_call_unref(call);
+    }
+}
+
 // Guards against a retry time in a reply whose outcome is unknown.
 TEST(gateway, sends_callers_the_retry_time)
 {
