Keep to the time for which a target wants no requests

A target that rejects a request with 503 may say by Retry-After for how long it wants no further ones. The entry VM went on to send requests, retries, hedges and probes to it, all of which it rejected, and calls waited or were sent on although each target of their service had asked for a wait.

Cause: the field was read by no module. Ruled out: an ejection, which ends by a schedule of its own, needs several failures, and is limited to 30% of the targets.

A date, a negative number and text that is no number are no wait. While no target may get calls within 40 ms, calls are refused at once, with the time of the first one and up to a quarter more as Retry-After.

--- a/scripts/gateway_path.sh
+++ b/scripts/gateway_path.sh
@@ -166,6 +166,18 @@
 check leaving-answers "$(calls 20 /new/x id-17)" '^ 20 200 $'
 check leaving-reached "$(($(received d) - before))" '^0$'
 check leaving-logged "$(grep -c '"event":"target_leaving"' "$work/log")" '^1$'
+# The target that is left wants no requests for a while: calls are refused at
+# once, with the time after which to return.
+say a 'rejects=1&retry_after=1.5'
+before=$(received a)
+check closed-answers "$(calls 20 /new/x id-18)" '^ 20 503 $'
+check closed-reached "$(($(received a) - before))" '^[12]$'
+check closed-retry-after "$(curl -s -i -m 2 -H 'Host: h.example' \
+    -H 'X-Request-Id: id-19' "http://$front/new/x" | tr -d '\r' |
+    grep -i '^retry-after')" 'Retry-After: (0\.[1-9]|1\.)'
+check closed-logged "$(grep -c '"event":"target_closed"' "$work/log")" '^[12]$'
+say a ''
+check opened "$(await 'i-a 200' call /new/x id-20)" '^i-a 200$'
 # A stopping VM is not ready, not listed by the other VM and cuts no request.
 call '/new/x?sleep_ms=400' id-14 >"$work/stop" &
 call_pid=$!
--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -11,6 +11,11 @@
 #define DEFAULT_RESPONSE_NS 5000000.0
 #define NO_TARGET_RETRY_AFTER_NS 1000000000
 #define MIN_RETRY_AFTER_NS 100000000
+/* Calls wait this long at most for the first target that may get them. */
+#define MAX_CLOSED_WAIT_NS 40000000
+/* Callers that return when a target may get calls again are spread over this
+ * part of the wait. */
+#define CLOSED_SPREAD_DIVISOR 4
 #define MAX_RETRY_AFTER_NS 5000000000
 /* Routes of a service whose calls are considered at a time. */
 #define MAX_HELD_ROUTES 4
@@ -66,6 +71,7 @@
     rp_route_pool_init(&balancer->pool, MAX(deciders, 1));
     rp_sync_probe_pool_init(&balancer->sync_probe);
     balancer->probe_due_ns = INT64_MAX;
+    balancer->open_due_ns = INT64_MAX;
     balancer->admission = rp_admission_new(config->queue_limit);
     balancer->backlog = rp_backlog_new(config->queue_limit);
     rp_length_init(&balancer->length);
@@ -90,6 +96,16 @@
     g_free(balancer);
 }
 
+/* Sets when a target may get calls. Call this after a change of what decides
+ * it. */
+static void
+update_open(struct balancer_target *target)
+{
+    bool is_usable = target->present && !target->draining &&
+                     !target->reported_draining && !target->notice.leaving;
+    target->open_ns = is_usable ? target->notice.closed_until_ns : INT64_MAX;
+}
+
 static struct balancer_target *
 find_target(struct rp_balancer *balancer, const char *address)
 {
@@ -151,6 +167,7 @@
 {
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
         balancer_get(balancer, i)->present = false;
+        update_open(balancer_get(balancer, i));
     }
     balancer->slots_total = 0;
     balancer->limit_total = 0;
@@ -173,6 +190,7 @@
         target->estate = source->estate;
         target->present = true;
         target->draining = source->draining;
+        update_open(target);
         balancer->slots_total += target->route.slots;
         balancer->limit_total += target->limit.limit;
     }
@@ -300,15 +318,42 @@
     verdict->target = index;
 }
 
-static bool
-has_usable_target(const struct rp_balancer *balancer)
+/* Returns when the first usable target may get calls: a time that has passed
+ * if one may now, INT64_MAX if there is none. */
+static int64_t
+first_open_ns(const struct rp_balancer *balancer)
 {
+    int64_t first_ns = INT64_MAX;
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
-        if (rp_balancer_target_usable(balancer, i)) {
-            return true;
+        const struct balancer_target *target = balancer_get(balancer, i);
+        int64_t open_ns = target->open_ns;
+        /* Without probes, ejected targets are the last choice. */
+        if (rp_sync_probe_in_use(&balancer->sync_probe)) {
+            open_ns = MAX(open_ns, target->outlier.ejected_until_ns);
         }
+        first_ns = MIN(first_ns, open_ns);
     }
-    return false;
+    return first_ns;
+}
+
+/* Refuses a call if no target may get it soon. Returns whether it did. */
+static bool
+refuse_if_closed(struct rp_balancer *balancer, bool is_long, int64_t now_ns,
+                 struct rp_balancer_verdict *verdict)
+{
+    int64_t open_ns = first_open_ns(balancer);
+    if (open_ns <= now_ns + MAX_CLOSED_WAIT_NS) {
+        return false;
+    }
+    refuse(balancer, RP_REFUSAL_NO_TARGET, is_long, verdict);
+    if (open_ns < INT64_MAX) {
+        int64_t wait_ns =
+            CLAMP(open_ns - now_ns, MIN_RETRY_AFTER_NS, MAX_RETRY_AFTER_NS);
+        verdict->retry_after_ns =
+            wait_ns + (int64_t)(g_rand_double(balancer->random) *
+                                (double)(wait_ns / CLOSED_SPREAD_DIVISOR));
+    }
+    return true;
 }
 
 static bool
@@ -339,8 +384,7 @@
                 const struct rp_balancer_call *call, int64_t now_ns,
                 struct rp_balancer_verdict *verdict)
 {
-    if (!has_usable_target(balancer)) {
-        refuse(balancer, RP_REFUSAL_NO_TARGET, false, verdict);
+    if (refuse_if_closed(balancer, false, now_ns, verdict)) {
         return;
     }
     struct rp_balancer_call waiting = *call;
@@ -420,9 +464,11 @@
             assign_target(balancer, target, is_long, now_ns, verdict);
             return;
         }
-        if (hedge || !has_usable_target(balancer)) {
-            refuse(balancer, hedge ? RP_REFUSAL_BUDGET : RP_REFUSAL_NO_TARGET,
-                   is_long, verdict);
+        if (hedge) {
+            refuse(balancer, RP_REFUSAL_BUDGET, is_long, verdict);
+            return;
+        }
+        if (refuse_if_closed(balancer, is_long, now_ns, verdict)) {
             return;
         }
     }
@@ -447,23 +493,40 @@
     return call;
 }
 
-/* Refuses one queued call of a service that has no usable target any more, as
- * a new call would be. Returns false when there is no such call. */
+/* Refuses one queued call of a service that has no usable target any more, or
+ * none that may get calls soon, as a new call would be. Returns false when
+ * there is no such call. */
 static bool
 refuse_without_target(struct rp_balancer *balancer, int64_t now_ns,
                       struct rp_balancer_verdict *verdict)
 {
-    if (rp_balancer_queued(balancer) == 0 || has_usable_target(balancer)) {
+    if (rp_balancer_queued(balancer) == 0 ||
+        first_open_ns(balancer) <= now_ns + MAX_CLOSED_WAIT_NS)
+    {
         return false;
     }
     const struct rp_balancer_call *queued = peek_queued(balancer, now_ns);
     bool is_long = is_long_call(balancer, queued->kind, queued->flags);
     init_verdict(queued, is_long, verdict);
-    refuse(balancer, RP_REFUSAL_NO_TARGET, is_long, verdict);
+    refuse_if_closed(balancer, is_long, now_ns, verdict);
     rp_balancer_withdraw(balancer, verdict->call_id, now_ns);
     return true;
 }
 
+/* Returns when the next closed target wants requests again, or INT64_MAX. */
+static int64_t
+next_open_ns(const struct rp_balancer *balancer, int64_t now_ns)
+{
+    int64_t next_ns = INT64_MAX;
+    for (uint32_t i = 0; i < balancer->targets->len; i++) {
+        int64_t open_ns = balancer_get(balancer, i)->open_ns;
+        if (open_ns > now_ns) {
+            next_ns = MIN(next_ns, open_ns);
+        }
+    }
+    return next_ns;
+}
+
 /* Fills in the next verdict on a queued call; returns false when there is
  * none. Short calls go before long ones, which have slots of their own. */
 bool
@@ -504,6 +567,7 @@
             return true;
         }
     }
+    balancer->open_due_ns = next_open_ns(balancer, now_ns);
     return false;
 }
 
@@ -534,6 +598,9 @@
 {
     int64_t due_ns = MIN(rp_admission_due_ns(balancer->admission),
                          rp_backlog_due_ns(balancer->backlog));
+    if (rp_balancer_queued(balancer) > 0) {
+        due_ns = MIN(due_ns, balancer->open_due_ns);
+    }
     /* Without waiting calls, the time of the next search may be an old one. */
     return rp_backlog_count(balancer->backlog) > 0
                ? MIN(due_ns, balancer->probe_due_ns)
@@ -624,6 +691,18 @@
     }
 }
 
+/* Records a success. One of a request that was sent before a wait does not
+ * show that the target is well again after it. */
+static void
+record_success(struct balancer_target *target, int64_t sent_ns)
+{
+    bool is_trial = target->outlier.trial;
+    rp_outlier_record_success(&target->outlier);
+    if (is_trial && rp_target_notice_is_closed(&target->notice, sent_ns)) {
+        target->outlier.trial = true;
+    }
+}
+
 static void
 record_outcome(struct rp_balancer *balancer, struct balancer_target *target,
                const struct rp_attempt_report *report, bool is_long,
@@ -633,7 +712,7 @@
     bool failed = true;
     switch (report->outcome) {
     case RP_ATTEMPT_OK:
-        rp_outlier_record_success(&target->outlier);
+        record_success(target, report->sent_ns);
         if (report->sent_ns >= balancer->pause_end_ns) {
             record_answer(balancer, target, report, is_long, now_ns);
         }
@@ -680,6 +759,7 @@
         return;
     }
     target->reported_draining = load->state == RP_TARGET_DRAINING;
+    update_open(target);
     rp_sync_probe_record_report(&target->sync_probe, &balancer->sync_probe,
                                 load, now_ns - age_ns);
     rp_route_record_report(&target->route, &balancer->pool, load, age_ns,
@@ -727,8 +807,24 @@
 bool
 rp_balancer_record_leaving(struct rp_balancer *balancer, uint32_t target)
 {
-    return rp_target_notice_record_leaving(
-        &balancer_get(balancer, target)->notice);
+    struct balancer_target *entry = balancer_get(balancer, target);
+    bool is_new = rp_target_notice_record_leaving(&entry->notice);
+    update_open(entry);
+    return is_new;
+}
+
+/* Records that a target wants no requests for wait_ms. Afterwards it gets one
+ * at a time until one succeeds. Returns whether it was open. */
+bool
+rp_balancer_record_wait(struct rp_balancer *balancer, uint32_t target,
+                        int64_t wait_ms, int64_t now_ns)
+{
+    struct balancer_target *entry = balancer_get(balancer, target);
+    bool was_open =
+        rp_target_notice_record_wait(&entry->notice, wait_ms, now_ns);
+    entry->outlier.trial |= wait_ms > 0;
+    update_open(entry);
+    return was_open;
 }
 
 /* Handles a pause of the process, after which the recorded state is old.
@@ -783,6 +879,15 @@
     return balancer_is_usable(balancer_get(balancer, target));
 }
 
+/* Returns whether a target may get new calls now: it is usable and has not
+ * asked for a wait. */
+bool
+rp_balancer_target_open(const struct rp_balancer *balancer, uint32_t target,
+                        int64_t now_ns)
+{
+    return balancer_is_open(balancer_get(balancer, target), now_ns);
+}
+
 static const char *
 state_name(const struct rp_balancer *balancer,
            const struct balancer_target *target, int64_t now_ns)
@@ -793,6 +898,9 @@
     if (!balancer_is_usable(target)) {
         return "draining";
     }
+    if (!balancer_is_open(target, now_ns)) {
+        return "closed";
+    }
     if (rp_outlier_is_ejected(&target->outlier, now_ns)) {
         return "ejected";
     }
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -116,7 +116,8 @@
     const char *name;
     const char *address;
     const char *estate;
-    const char *state; /* serving, cold, draining, ejected, suspect, gone */
+    /* serving, cold, draining, closed, ejected, suspect, gone */
+    const char *state;
     uint32_t in_flight;
     uint32_t limit;
     int64_t report_age_ns; /* -1 when there is none */
@@ -154,6 +155,8 @@
                               bool answered, const struct rp_load_report *load,
                               int64_t now_ns);
 bool rp_balancer_record_leaving(struct rp_balancer *balancer, uint32_t target);
+bool rp_balancer_record_wait(struct rp_balancer *balancer, uint32_t target,
+                             int64_t wait_ms, int64_t now_ns);
 void rp_balancer_record_load(struct rp_balancer *balancer, const char *address,
                              const struct rp_load_report *load, int64_t age_ns,
                              int64_t now_ns);
@@ -169,6 +172,8 @@
                                   uint32_t target);
 bool rp_balancer_target_usable(const struct rp_balancer *balancer,
                                uint32_t target);
+bool rp_balancer_target_open(const struct rp_balancer *balancer,
+                             uint32_t target, int64_t now_ns);
 void rp_balancer_view(const struct rp_balancer *balancer, uint32_t target,
                       int64_t now_ns, struct rp_balancer_target_view *view);
 uint32_t rp_balancer_queued(const struct rp_balancer *balancer);
--- a/src/balance/balancer_choose.c
+++ b/src/balance/balancer_choose.c
@@ -42,11 +42,12 @@
  * not, it may go to one again: the fault may lie with a connection. */
 static bool
 has_untried(const struct rp_balancer *balancer,
-            const struct rp_balancer_call *call)
+            const struct rp_balancer_call *call, int64_t now_ns)
 {
     for (uint32_t i = 0; i < balancer->targets->len; i++) {
-        if (balancer_is_usable(balancer_get(balancer, i)) &&
-            !balancer_is_avoided(call, i)) {
+        if (balancer_is_open(balancer_get(balancer, i), now_ns) &&
+            !balancer_is_avoided(call, i))
+        {
             return true;
         }
     }
@@ -130,15 +131,17 @@
                  const struct rp_balancer_call *call, bool is_long,
                  const struct bounds *bounds, struct choice *choice)
 {
-    bool skip_avoided = call->avoided_count > 0 && has_untried(balancer, call);
+    bool skip_avoided = call->avoided_count > 0 &&
+                        has_untried(balancer, call, bounds->route.now_ns);
     uint32_t count = balancer->targets->len;
     uint32_t index = balancer->next_index < count ? balancer->next_index : 0;
     uint32_t ends[] = {count, index};
     for (int part = 0; part < 2; part++) {
         const struct balancer_target *target = balancer_get(balancer, index);
         for (; index < ends[part]; index++, target++) {
-            if (balancer_is_usable(target) &&
-                !(skip_avoided && balancer_is_avoided(call, index))) {
+            if (balancer_is_open(target, bounds->route.now_ns) &&
+                !(skip_avoided && balancer_is_avoided(call, index)))
+            {
                 evaluate_target(target, index, is_long, bounds, choice);
             }
         }
--- a/src/balance/balancer_private.h
+++ b/src/balance/balancer_private.h
@@ -29,6 +29,8 @@
     bool draining;     /* according to its record */
     bool reported_draining; /* according to its latest load report */
     struct rp_target_notice notice;
+    /* When it may get calls, by the fields above; INT64_MAX for never. */
+    int64_t open_ns;
     uint64_t sent;
     char *address;
     char *instance;
@@ -48,6 +50,7 @@
     struct rp_sync_probe_pool sync_probe;
     double local_probes_per_s; /* this VM's part of a target's budget */
     int64_t probe_due_ns;      /* next search for waiting calls */
+    int64_t open_due_ns;       /* when the next closed target is open again */
     struct rp_estate_share shares;
     struct rp_length length;
     struct rp_retry_budget retries;
@@ -75,8 +78,15 @@
 static inline bool
 balancer_is_usable(const struct balancer_target *target)
 {
-    return target->present && !target->draining &&
-           !target->reported_draining && !target->notice.leaving;
+    return target->open_ns != INT64_MAX;
+}
+
+/* Returns whether a target may get calls now: it is usable and has not asked
+ * for a wait. */
+static inline bool
+balancer_is_open(const struct balancer_target *target, int64_t now_ns)
+{
+    return now_ns >= target->open_ns;
 }
 
 /* Returns whether a call has already tried a target. */
--- a/src/balance/balancer_sync_probe.c
+++ b/src/balance/balancer_sync_probe.c
@@ -45,7 +45,7 @@
 static bool
 is_candidate(const struct balancer_target *target, int64_t now_ns)
 {
-    return balancer_is_usable(target) &&
+    return balancer_is_open(target, now_ns) &&
            !rp_outlier_is_ejected(&target->outlier, now_ns) &&
            !(target->outlier.trial && target->route.in_flight > 0);
 }
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -53,6 +53,7 @@
 RP_COUNTER(REQUESTS_UNANSWERED, "requests_unanswered_total", COUNTER, "Complete requests whose connection ended before their answer began")
 RP_COUNTER(INPUT_DISCARDED_BYTES, "input_discarded_bytes_total", COUNTER, "Bytes from callers that came after their connection was shut down")
 RP_COUNTER(TARGET_NOTICES, "target_leaving_total", COUNTER, "Targets that stated in an answer that they are leaving")
+RP_COUNTER(TARGET_WAITS, "target_closed_total", COUNTER, "Times that a target asked for no requests for a time")
 RP_COUNTER(CALLS_DEADLINE, "calls_deadline_total", COUNTER, "Calls that met their deadline")
 RP_COUNTER(ANSWERS_BROKEN, "answers_broken_total", COUNTER, "Answers broken off after their first byte was passed on")
 RP_COUNTER(ATTEMPTS, "attempts_total", COUNTER, "Attempts sent to targets")
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -69,7 +69,7 @@
     bool leaving;            /* the target states that it ends soon */
     enum rp_outcome outcome; /* set by another entry VM; else NONE */
     int64_t body_bytes;      /* announced; RP_LENGTH_UNKNOWN when chunked */
-    int64_t retry_after_ms;  /* 0 when the target sent none */
+    int64_t retry_after_ms;  /* of a rejection; 0 when it has none */
     struct rp_load_report load;
     struct rp_fields fields;
 };
@@ -181,7 +181,8 @@
     uint32_t target;
     bool answered; /* complete; status below 500 or with a load report */
     bool has_load;
-    bool leaving; /* the target states that it ends soon */
+    bool leaving;           /* the target states that it ends soon */
+    int64_t retry_after_ms; /* of a rejection; 0 when it has none */
     struct rp_load_report load;
 };
 
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -113,6 +113,10 @@
     if (done->leaving) {
         dispatch_drain_record_notice(dispatch, service, done->target, now_ns);
     }
+    if (done->retry_after_ms > 0) {
+        dispatch_hint_record_wait(dispatch, service, done->target,
+                                  done->retry_after_ms, now_ns);
+    }
     if (!done->answered) {
         rp_counter_add(&dispatch->context->counters, RP_COUNTER_PROBES_FAILED,
                        1);
--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -331,7 +331,7 @@
 
 static bool
 has_untried_target(const struct rp_balancer *balancer,
-                   const struct rp_balancer_call *offer)
+                   const struct rp_balancer_call *offer, int64_t now_ns)
 {
     uint32_t count = rp_balancer_target_count(balancer);
     for (uint32_t target = 0; target < count; target++) {
@@ -339,7 +339,7 @@
         for (uint32_t i = 0; i < offer->avoided_count; i++) {
             tried |= offer->avoided[i] == target;
         }
-        if (!tried && rp_balancer_target_usable(balancer, target)) {
+        if (!tried && rp_balancer_target_open(balancer, target, now_ns)) {
             return true;
         }
     }
@@ -352,7 +352,7 @@
     struct rp_balancer_call offer;
     struct rp_balancer_verdict verdict;
     fill_offer(call, RP_CALL_RETRY, &offer);
-    if (!has_untried_target(call->service->balancer, &offer)) {
+    if (!has_untried_target(call->service->balancer, &offer, now_ns)) {
         /* All usable targets were tried: allow them again. */
         offer.avoided_count = 0;
     }
@@ -475,13 +475,14 @@
 }
 
 /* Returns whether a further attempt may be sent to the target of an attempt.
- * It may have begun to drain, and then gets no new request. */
+ * It may have begun to drain, or wants no requests for a time. */
 static bool
 may_retry_target(const struct dispatch_call *call,
-                 const struct dispatch_attempt *attempt)
+                 const struct dispatch_attempt *attempt, int64_t now_ns)
 {
     return dispatch_call_passed_on(call) ||
-           rp_balancer_target_usable(call->service->balancer, attempt->target);
+           rp_balancer_target_open(call->service->balancer, attempt->target,
+                                   now_ns);
 }
 
 /* A reused connection that closes before the first byte of an answer was most
@@ -497,7 +498,7 @@
     if (!done->reused || done->first_byte_ns != 0 ||
         done->end != RP_END_BROKEN || !call->repeatable ||
         call->retried_stale || call->attempts_left == 0 ||
-        !may_retry_target(call, stale) ||
+        !may_retry_target(call, stale, now_ns) ||
         call->attempt_count == RP_DISPATCH_MAX_ATTEMPTS ||
         (request != NULL && !rp_stream_can_rewind(request)) ||
         !rp_balancer_consume_retry(call->service->balancer, now_ns))
@@ -606,15 +607,27 @@
  * the call. */
 static void
 record_notice(struct dispatch_call *call, uint32_t generation, bool leaving,
-              int64_t now_ns)
+              int64_t wait_ms, int64_t now_ns)
 {
-    if (leaving && !dispatch_call_passed_on(call) &&
-        generation <= call->attempt_count)
-    {
-        dispatch_drain_record_notice(call->dispatch, call->service,
-                                     call->attempts[generation - 1].target,
+    if (dispatch_call_passed_on(call) || generation > call->attempt_count) {
+        return;
+    }
+    uint32_t target = call->attempts[generation - 1].target;
+    if (leaving) {
+        dispatch_drain_record_notice(call->dispatch, call->service, target,
                                      now_ns);
     }
+    if (wait_ms > 0) {
+        dispatch_hint_record_wait(call->dispatch, call->service, target,
+                                  wait_ms, now_ns);
+    }
+}
+
+static int64_t
+requested_wait_ms(const struct rp_answer *answer)
+{
+    bool is_rejection = answer->status == 503 || answer->status == 429;
+    return is_rejection ? answer->retry_after_ms : 0;
 }
 
 /* Handles the head of an attempt's answer. That of a cancelled attempt is
@@ -623,7 +636,8 @@
 dispatch_call_head(struct dispatch_call *call,
                    const struct rp_attempt_head *head, int64_t now_ns)
 {
-    record_notice(call, head->generation, head->answer->leaving, now_ns);
+    record_notice(call, head->generation, head->answer->leaving,
+                  requested_wait_ms(head->answer), now_ns);
     uint32_t index = find_attempt(call, head->generation);
     if (index == RP_DISPATCH_MAX_ATTEMPTS || call->state == CALL_REPLIED) {
         return;
@@ -762,7 +776,7 @@
 dispatch_call_done(struct dispatch_call *call,
                    const struct rp_attempt_done *done, int64_t now_ns)
 {
-    record_notice(call, done->generation, done->leaving, now_ns);
+    record_notice(call, done->generation, done->leaving, 0, now_ns);
     uint32_t index = find_attempt(call, done->generation);
     if (index == RP_DISPATCH_MAX_ATTEMPTS) {
         return;
@@ -849,7 +863,7 @@
     uint32_t index = find_attempt_without_head(call);
     struct rp_stream *request = call->call->request;
     if (index != RP_DISPATCH_MAX_ATTEMPTS &&
-        !may_retry_target(call, &call->attempts[index]))
+        !may_retry_target(call, &call->attempts[index], now_ns))
     {
         if (request == NULL) {
             try_hedge(call, now_ns);
--- a/src/call/dispatch_hint.c
+++ b/src/call/dispatch_hint.c
@@ -77,13 +77,33 @@
     rp_drain_set(&find_or_add_target(service, address)->drain, RP_DRAIN_NOTICE,
                  true, now_ns);
     rp_counter_add(&dispatch->context->counters, RP_COUNTER_TARGET_NOTICES, 1);
+    struct rp_event *event = rp_event_add(
+        dispatch->context->events, RP_EVENT_TARGET_LEAVING, now_ns, address);
+    rp_event_set_service(event, service->name);
+    rp_event_set_detail(
+        event, "instance %s states that it is leaving",
+        rp_balancer_target_instance(service->balancer, target));
+}
+
+/* Records that a target, given by its index in the balancer, wants no requests
+ * for wait_ms. */
+void
+dispatch_hint_record_wait(struct rp_dispatch *dispatch,
+                          struct dispatch_service *service, uint32_t target,
+                          int64_t wait_ms, int64_t now_ns)
+{
+    if (!rp_balancer_record_wait(service->balancer, target, wait_ms, now_ns)) {
+        return;
+    }
+    rp_counter_add(&dispatch->context->counters, RP_COUNTER_TARGET_WAITS, 1);
     struct rp_event *event =
-        rp_event_add(dispatch->context->events, RP_EVENT_TARGET_LEAVING,
-                     now_ns, address);
+        rp_event_add(dispatch->context->events, RP_EVENT_TARGET_CLOSED, now_ns,
+                     rp_balancer_target_address(service->balancer, target));
     rp_event_set_service(event, service->name);
-    rp_event_set_detail(event, "instance %s states that it is leaving",
-                        rp_balancer_target_instance(service->balancer,
-                                                    target));
+    event->value = wait_ms;
+    rp_event_set_detail(
+        event, "wants no requests for %" G_GINT64_FORMAT " ms, by Retry-After",
+        wait_ms);
 }
 
 /* Records a sent attempt and checks that it is not new work for a target that
--- a/src/call/dispatch_hint.h
+++ b/src/call/dispatch_hint.h
@@ -17,6 +17,10 @@
 void dispatch_drain_record_notice(struct rp_dispatch *dispatch,
                                   struct dispatch_service *service,
                                   uint32_t target, int64_t now_ns);
+void dispatch_hint_record_wait(struct rp_dispatch *dispatch,
+                               struct dispatch_service *service,
+                               uint32_t target, int64_t wait_ms,
+                               int64_t now_ns);
 void dispatch_drain_apply_records(struct dispatch_service *service,
                                   int64_t now_ns);
 void dispatch_drain_record_sent(struct rp_dispatch *dispatch,
--- a/src/call/upstream_probe.c
+++ b/src/call/upstream_probe.c
@@ -167,6 +167,9 @@
      * its answers to calls. */
     probe->done.has_load = probe->answer->has_load;
     probe->done.leaving = probe->answer->leaving;
+    if (status == 503 || status == 429) {
+        probe->done.retry_after_ms = probe->answer->retry_after_ms;
+    }
     probe->done.answered = result == CURLE_OK && status > 0 &&
                            (status < 500 || probe->done.has_load);
     probe->done.load = probe->answer->load;
--- a/tests/test_balancer.cc
+++ b/tests/test_balancer.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,13 +16,19 @@
 class balancer_test : public ::testing::Test {
   protected:
     balancer_test()
+    {
+        renew();
+        publish({"a", "b", "c", "d"}, {});
+    }
+
+    void renew()
     {
         struct rp_balancer_config config = {"d0", 1, 1, 100, 1};
         config.retry_ratio = 0.1;
         config.retry_allowance = 3;
         config.retry_window_ns = 10000 * MS;
+        rp_balancer_free(balancer);
         balancer = rp_balancer_new(&config);
-        publish({"a", "b", "c", "d"}, {});
     }
 
     ~balancer_test() override
@@ -66,8 +73,8 @@
     struct rp_balancer_verdict decide(uint32_t flags = 0,
                                       int64_t timeout_ms = 1000)
     {
-        const struct rp_load_report idle = {
-            0, 6, 0, 5000, RP_TARGET_SERVING, 100};
+        const struct rp_load_report idle = {0,  6, 0, 5000, RP_TARGET_SERVING,
+                                            100};
         struct rp_balancer_verdict verdict = offer(flags, timeout_ms);
         while (verdict.action == RP_BALANCER_WAIT ||
                verdict.action == RP_BALANCER_PROBE)
@@ -109,10 +116,11 @@
         calls = 0;
     }
 
-    struct rp_balancer *balancer;
+    struct rp_balancer *balancer = nullptr;
     int64_t now_ns = 0;
     uint64_t calls = 0;
     std::vector<uint32_t> probed;
+    int64_t starts = 100;
 };
 
 // Guards against a target that fails fast attracting all traffic, and against
@@ -214,6 +222,95 @@
     }
 }
 
+// Guards against requests, retries, hedges or probes for a target in the time
+// for which it wants none, and against all that wait reaching it at its end.
+TEST_F(balancer_test, closed_target_gets_nothing_and_opens_by_one)
+{
+    for (bool probes : {false, true}) {
+        renew();
+        publish({"a", "b"}, {}, probes);
+        struct rp_balancer_verdict running = decide();
+        uint32_t closed = running.target;
+        EXPECT_TRUE(rp_balancer_record_wait(balancer, closed, 3000, now_ns));
+        finish(closed, RP_ATTEMPT_NOT_RUN);
+        int64_t open_ns = now_ns + 3000 * MS;
+        uint32_t sent = 0;
+        while (now_ns < open_ns - 200 * MS) {
+            for (uint32_t flags :
+                 {0u, uint32_t(RP_CALL_RETRY), uint32_t(RP_CALL_HEDGE)}) {
+                probed.clear();
+                struct rp_balancer_verdict verdict = decide(flags);
+                EXPECT_EQ(std::count(probed.begin(), probed.end(), closed), 0);
+                if (verdict.action == RP_BALANCER_SEND) {
+                    EXPECT_NE(verdict.target, closed) << probes << flags;
+                    finish(verdict.target, RP_ATTEMPT_OK);
+                    sent++;
+                }
+            }
+            now_ns += 100 * MS;
+        }
+        EXPECT_GT(sent, 20u) << probes;
+        now_ns = open_ns + 1000 * MS;
+        uint32_t to_closed = 0;
+        for (int i = 0; i < 30; i++) {
+            to_closed += decide().target == closed ? 1 : 0;
+        }
+        EXPECT_EQ(to_closed, 1u) << probes;
+    }
+}
+
+// Guards against a call that waits although it is known that no target wants
+// requests in time, and against callers who are told to return too early, too
+// late or all at once.
+TEST_F(balancer_test, refuses_at_once_while_all_targets_are_closed)
+{
+    struct {
+        int64_t wait_ms;
+        bool refused;
+        int64_t min_ms, max_ms; // of Retry-After
+    } cases[] = {
+        {3000, true, 3000, 3750},    {200, true, 200, 250},
+        {60, true, 100, 125},        {20, false, 0, 0},
+        {7200000, true, 5000, 6250},
+    };
+    for (bool probes : {false, true}) {
+        for (const auto &entry : cases) {
+            publish({"a", "b"}, {}, probes, ++starts);
+            rp_balancer_record_wait(balancer, 0, entry.wait_ms, now_ns);
+            rp_balancer_record_wait(balancer, 1, entry.wait_ms + 900, now_ns);
+            int64_t from_ns = now_ns;
+            std::set<int64_t> retries;
+            for (int i = 0; i < 20; i++) {
+                struct rp_balancer_verdict verdict = offer();
+                EXPECT_EQ(verdict.action == RP_BALANCER_REFUSE, entry.refused)
+                    << entry.wait_ms;
+                if (entry.refused) {
+                    EXPECT_GE(verdict.retry_after_ns, entry.min_ms * MS);
+                    EXPECT_LE(verdict.retry_after_ns, entry.max_ms * MS);
+                    retries.insert(verdict.retry_after_ns);
+                }
+            }
+            EXPECT_EQ(retries.size() > 10, entry.refused) << entry.wait_ms;
+            struct rp_balancer_verdict verdict;
+            while (rp_balancer_queued(balancer) > 0) {
+                if (!rp_balancer_next(balancer, now_ns, &verdict)) {
+                    now_ns =
+                        std::max(now_ns + MS, rp_balancer_due_ns(balancer));
+                    ASSERT_LT(now_ns, from_ns + 3000 * MS);
+                }
+                else if (verdict.action == RP_BALANCER_PROBE) {
+                    rp_balancer_finish_probe(balancer, verdict.target, true,
+                                             nullptr, now_ns);
+                }
+                else if (verdict.action == RP_BALANCER_SEND) {
+                    finish(verdict.target, RP_ATTEMPT_OK);
+                }
+            }
+            now_ns += 20000 * MS;
+        }
+    }
+}
+
 // Guards against long calls occupying all slots: some stay for short calls.
 TEST_F(balancer_test, long_calls_leave_slots)
 {
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -1013,6 +1013,39 @@
     }
 }
 
+// Guards against a wait of a target that is read as another one.
+TEST(gateway, parses_the_wait_that_a_target_wants)
+{
+    struct {
+        const char *value;
+        int64_t wait_ms;
+    } cases[] = {
+        {"3", 3000},
+        {"2.5", 2500},
+        {"0.0004", 1},
+        {"0", 0},
+        {"-3", 0},
+        {"", 0},
+        {"soon", 0},
+        {"3 s", 0},
+        {"nan", 0},
+        {"Wed, 21 Oct 2026 07:28:00 GMT", 0},
+        {"86400", 86400000},
+        {"inf", INT64_C(1000000000000)},
+        {"1e300", INT64_C(1000000000000)},
+    };
+    for (const auto &entry : cases) {
+        struct rp_call *call = rp_call_new(1, "GET", "/", "h");
+        struct rp_answer *answer = rp_answer_new(503);
+        EXPECT_EQ(rp_gateway_dialect.parse_answer_field(
+                      nullptr, call, answer, "Retry-After", entry.value),
+                  RP_FIELD_FORWARDED);
+        EXPECT_EQ(answer->retry_after_ms, entry.wait_ms) << entry.value;
+        rp_answer_unref(answer);
+        rp_call_unref(call);
+    }
+}
+
 // Guards against a retry time in a reply whose outcome is unknown.
 TEST(gateway, sends_callers_the_retry_time)
 {
