Send no load to a target that fails each request at once

A service of two targets, of which one rejects each request at once: callers were refused although the other target could have served them. In virtual time (one entry VM, targets of 6 slots and 40 ms, load 70% of the sound target's) 974 of 2,058 calls reached the failing target and 462 were refused.

Cause: the search for a fast target goes by the reported load and speed, and a target that rejects at once reports that it is idle. It was preferred to one that works, and each rejection took a retry from the budget. With four targets or more the ejection of outliers, of 30% of the targets, hid this.

Ruled out: ejecting one of two or three targets. It mends rejections, but its test has a reason (no ejection where one target of three would have to carry the load), and it left calls waiting for a single target that answers 500.

A rejection now counts as what it says: the target has no room until one of its slots is likely to be free, twice as long after each further one in a row, for 4 s at most, and then for one request. After four in a row it counts as closed, so that calls are refused at once while all targets reject. A target with three faults in a row (500, broken off, reset) gets calls in its cooldown only if there is no other, and one at a time after it.

All 309 tests of ctest passed.

--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -104,6 +104,10 @@
     bool is_usable = target->present && !target->draining &&
                      !target->reported_draining && !target->notice.leaving;
     target->open_ns = is_usable ? target->notice.closed_until_ns : INT64_MAX;
+    if (is_usable && rp_rejection_is_lasting(&target->rejection)) {
+        target->open_ns =
+            MAX(target->open_ns, target->rejection.full_until_ns);
+    }
 }
 
 static struct balancer_target *
@@ -152,6 +156,7 @@
     target->started_ms = source->started_ms;
     target->reported_draining = false;
     rp_target_notice_clear(&target->notice);
+    rp_rejection_record_success(&target->rejection);
     target->joined_later = true;
     rp_limit_init(&target->limit, source->slots, true);
     rp_outlier_init(&target->outlier);
@@ -291,6 +296,14 @@
     verdict->flags = call->flags | (is_long ? RP_CALL_LONG : 0);
 }
 
+/* Returns the usual time until one of a target's slots is free. */
+static double
+slot_turn_ns(const struct rp_balancer *balancer,
+             const struct balancer_target *target)
+{
+    return usual_response_ns(balancer, false) / fmax(target->route.slots, 1);
+}
+
 static void
 assign_target(struct rp_balancer *balancer, uint32_t index, bool is_long,
               int64_t now_ns, struct rp_balancer_verdict *verdict)
@@ -308,6 +321,9 @@
                                  ? now_ns - target->sync_probe.report_ns
                                  : -1;
     rp_sync_probe_record_sent(&target->sync_probe, now_ns);
+    rp_rejection_record_sent(&target->rejection,
+                             slot_turn_ns(balancer, target), now_ns);
+    update_open(target);
     rp_estate_share_record_sent(&balancer->shares, target->estate);
     target->sent++;
     balancer->local_in_flight++;
@@ -697,6 +713,8 @@
 record_success(struct balancer_target *target, int64_t sent_ns)
 {
     bool is_trial = target->outlier.trial;
+    rp_rejection_record_success(&target->rejection);
+    update_open(target);
     rp_outlier_record_success(&target->outlier);
     if (is_trial && rp_target_notice_is_closed(&target->notice, sent_ns)) {
         target->outlier.trial = true;
@@ -735,6 +753,9 @@
             return; /* a draining target has not failed */
         }
         rp_limit_record_refusal(&target->limit);
+        rp_rejection_record(&target->rejection, slot_turn_ns(balancer, target),
+                            now_ns);
+        update_open(target);
         record_failure(balancer, target, now_ns);
         break;
     case RP_ATTEMPT_ERROR:
--- a/src/balance/balancer_choose.c
+++ b/src/balance/balancer_choose.c
@@ -85,7 +85,9 @@
 has_room(const struct balancer_target *target, double remote, bool is_long,
          const struct bounds *bounds)
 {
-    if (target->outlier.trial && target->route.in_flight > 0) {
+    if ((target->outlier.trial && target->route.in_flight > 0) ||
+        rp_rejection_is_full(&target->rejection, bounds->route.now_ns))
+    {
         return false;
     }
     if (is_long && !allows_long(target, remote, bounds)) {
--- a/src/balance/balancer_private.h
+++ b/src/balance/balancer_private.h
@@ -13,6 +13,7 @@
 #include "length.h"
 #include "limit.h"
 #include "outlier.h"
+#include "rejection.h"
 #include "retry_budget.h"
 #include "route.h"
 #include "sync_probe.h"
@@ -31,6 +32,7 @@
     struct rp_target_notice notice;
     /* When it may get calls, by the fields above; INT64_MAX for never. */
     int64_t open_ns;
+    struct rp_rejection rejection;
     uint64_t sent;
     char *address;
     char *instance;
--- a/src/balance/balancer_sync_probe.c
+++ b/src/balance/balancer_sync_probe.c
@@ -47,7 +47,8 @@
 {
     return balancer_is_open(target, now_ns) &&
            !rp_outlier_is_ejected(&target->outlier, now_ns) &&
-           !(target->outlier.trial && target->route.in_flight > 0);
+           !(target->outlier.trial && target->route.in_flight > 0) &&
+           !rp_rejection_is_full(&target->rejection, now_ns);
 }
 
 /* Returns whether a call or a probe needs a new connection. A target that was
@@ -189,23 +190,40 @@
            (scan->probing_local || scan->stale_local != RP_BALANCER_NO_TARGET);
 }
 
-static void
-scan_targets(const struct rp_balancer *balancer,
-             const struct rp_balancer_call *call, int64_t now_ns,
-             struct scan *scan)
+/* Evaluates the candidates that fail, or those that do not. Returns their
+ * number. */
+static uint32_t
+scan_part(const struct rp_balancer *balancer,
+          const struct rp_balancer_call *call, bool failing, int64_t now_ns,
+          struct scan *scan)
 {
     bool skip_avoided =
         call->avoided_count > 0 && has_untried(balancer, call, now_ns);
+    uint32_t evaluated = 0;
     uint32_t count = balancer->targets->len;
     uint32_t index = balancer->next_index < count ? balancer->next_index : 0;
     for (uint32_t i = 0; i < count; i++) {
-        if (is_candidate(balancer_get(balancer, index), now_ns) &&
+        const struct balancer_target *target = balancer_get(balancer, index);
+        if (is_candidate(target, now_ns) &&
+            rp_sync_probe_is_failing(&target->sync_probe, now_ns) == failing &&
             !(skip_avoided && balancer_is_avoided(call, index)))
         {
             evaluate_target(balancer, call, index, now_ns, scan);
+            evaluated++;
         }
         index = index + 1 < count ? index + 1 : 0;
     }
+    return evaluated;
+}
+
+static void
+scan_targets(const struct rp_balancer *balancer,
+             const struct rp_balancer_call *call, int64_t now_ns,
+             struct scan *scan)
+{
+    if (scan_part(balancer, call, false, now_ns, scan) == 0) {
+        scan_part(balancer, call, true, now_ns, scan);
+    }
 }
 
 /* Decides the next step for a waiting call: send it to *target, probe *target,
--- a/src/balance/sync_probe.c
+++ b/src/balance/sync_probe.c
@@ -53,6 +53,8 @@
  * the replacement of a target takes. */
 #define BASE_COOLDOWN_NS INT64_C(500000000)
 #define MAX_CONSECUTIVE_FAULTS 4
+/* A target that fails a part of its calls seldom fails this many in a row. */
+#define FAILING_FAULTS 3
 /* Lets a new process probe targets for its first calls. */
 #define INITIAL_PROBE_TOKENS 2.0
 /* Largest burst of probes after an idle time, in seconds of the rate. */
@@ -133,6 +135,9 @@
 {
     target->sends_ns[target->send_count++ % RP_SYNC_PROBE_RECENT_SENDS] =
         now_ns;
+    if (target->consecutive_faults >= FAILING_FAULTS) {
+        target->fault_ns = now_ns; /* one call at a time */
+    }
 }
 
 /* Records the response time of a request of a route. expected_slowness and
@@ -193,6 +198,16 @@
     return end_ns > now_ns ? end_ns - now_ns : 0;
 }
 
+/* Returns whether the target is in the cooldown of several faults in a row. It
+ * then gets calls only if there is no other target. */
+bool
+rp_sync_probe_is_failing(const struct rp_sync_probe_target *target,
+                         int64_t now_ns)
+{
+    return target->consecutive_faults >= FAILING_FAULTS &&
+           rp_sync_probe_cooldown_ns(target, now_ns) > 0;
+}
+
 /* Returns whether one more request brings a target with this load near its
  * capacity. */
 bool
--- a/src/balance/sync_probe.h
+++ b/src/balance/sync_probe.h
@@ -80,6 +80,8 @@
                                  int64_t now_ns);
 void rp_sync_probe_record_fault(struct rp_sync_probe_target *target,
                                 int64_t now_ns);
+bool rp_sync_probe_is_failing(const struct rp_sync_probe_target *target,
+                              int64_t now_ns);
 int64_t rp_sync_probe_cooldown_ns(const struct rp_sync_probe_target *target,
                                   int64_t now_ns);
 bool rp_sync_probe_is_near_capacity(double load, double slots);
