Assert that closed targets get no requests, in the program and the soak

The wait that a target asks for is kept by the balancer alone, and attempts over a fresh connection are not chosen by it. Before each attempt the program now checks the wait against a record of its own (invariant I8), and the soak counts the requests that reach a target in it; two of three targets that shed load there ask for a wait of up to 3 s.

--- a/src/base/invariant.c
+++ b/src/base/invariant.c
@@ -4,7 +4,7 @@
 
 static const char *const invariant_names[RP_INVARIANT_COUNT] = {
     "measuring-budget", "whole-answer",  "not-run-is-true",  "at-most-once",
-    "drain-stops-work", "graceful-stop", "config-monotonic",
+    "drain-stops-work", "graceful-stop", "config-monotonic", "closed-target",
 };
 
 /* Counts and logs an invariant that does not hold and adds an event. Builds
--- a/src/call/dispatch_attempt.c
+++ b/src/call/dispatch_attempt.c
@@ -124,6 +124,8 @@
         g_strlcpy(start.instance,
                   rp_balancer_target_instance(balancer, attempt->target),
                   sizeof(start.instance));
+        dispatch_hint_check_open(call->dispatch, call->service, start.address,
+                                 now_ns);
     }
     struct rp_task *upstream =
         rp_kernel_find_task(rp_task_kernel(task), RP_TASK_UPSTREAM);
--- a/src/call/dispatch_hint.c
+++ b/src/call/dispatch_hint.c
@@ -4,6 +4,7 @@
 
 #include "drain.h"
 #include "invariant.h"
+#include "target_notice.h"
 
 /* Interval between two hints about a target whose state has not changed. It is
  * half of the age at which the prober considers a report old, so that a target
@@ -17,6 +18,7 @@
     int64_t hint_sent_ns; /* 0 when none was sent */
     enum rp_target_state hint_state;
     struct rp_drain drain;
+    int64_t closed_until_ns; /* it wants no requests before */
     /* Of the run that the drain state is about. */
     int64_t started_ms;
     char instance[RP_INSTANCE_BYTES];
@@ -57,6 +59,7 @@
                       sizeof(known->instance));
             rp_drain_set(&known->drain, RP_DRAIN_TARGET, false, now_ns);
             rp_drain_set(&known->drain, RP_DRAIN_NOTICE, false, now_ns);
+            known->closed_until_ns = 0;
         }
         rp_drain_set(&known->drain, RP_DRAIN_RECORD, target->draining, now_ns);
     }
@@ -92,13 +95,18 @@
                           struct dispatch_service *service, uint32_t target,
                           int64_t wait_ms, int64_t now_ns)
 {
+    const char *address =
+        rp_balancer_target_address(service->balancer, target);
+    struct dispatch_target *known = find_or_add_target(service, address);
+    known->closed_until_ns =
+        MAX(known->closed_until_ns,
+            now_ns + MIN(wait_ms, RP_TARGET_NOTICE_MAX_WAIT_MS) * 1000000);
     if (!rp_balancer_record_wait(service->balancer, target, wait_ms, now_ns)) {
         return;
     }
     rp_counter_add(&dispatch->context->counters, RP_COUNTER_TARGET_WAITS, 1);
-    struct rp_event *event =
-        rp_event_add(dispatch->context->events, RP_EVENT_TARGET_CLOSED, now_ns,
-                     rp_balancer_target_address(service->balancer, target));
+    struct rp_event *event = rp_event_add(
+        dispatch->context->events, RP_EVENT_TARGET_CLOSED, now_ns, address);
     rp_event_set_service(event, service->name);
     event->value = wait_ms;
     rp_event_set_detail(
@@ -106,6 +114,19 @@
         wait_ms);
 }
 
+/* Checks before an attempt, also one that is not chosen by the balancer, that
+ * its target wants requests. */
+void
+dispatch_hint_check_open(struct rp_dispatch *dispatch,
+                         struct dispatch_service *service, const char *address,
+                         int64_t now_ns)
+{
+    rp_invariant_check(
+        dispatch->context, RP_INVARIANT_CLOSED_TARGET,
+        now_ns >= find_or_add_target(service, address)->closed_until_ns,
+        now_ns, address);
+}
+
 /* Records a sent attempt and checks that it is not new work for a target that
  * has been leaving for too long. */
 void
--- a/src/call/dispatch_hint.h
+++ b/src/call/dispatch_hint.h
@@ -21,6 +21,9 @@
                                struct dispatch_service *service,
                                uint32_t target, int64_t wait_ms,
                                int64_t now_ns);
+void dispatch_hint_check_open(struct rp_dispatch *dispatch,
+                              struct dispatch_service *service,
+                              const char *address, int64_t now_ns);
 void dispatch_drain_apply_records(struct dispatch_service *service,
                                   int64_t now_ns);
 void dispatch_drain_record_sent(struct rp_dispatch *dispatch,
--- a/tests/fake_target.c
+++ b/tests/fake_target.c
@@ -240,6 +240,9 @@
     attempt->answered_ns = fake_clock_now_ns(targets->clock);
     struct rp_answer *answer = rp_answer_new(attempt->refused ? 503 : 200);
     answer->refused = attempt->refused;
+    if (attempt->refused) {
+        answer->retry_after_ms = attempt->target->wait_ms;
+    }
     answer->has_load = true;
     fake_targets_fill_load(attempt->target, &answer->load);
     uint64_t total = attempt->refused ? 0 : attempt->target->body_bytes;
@@ -253,6 +256,10 @@
         .reused = (attempt->start.flags & RP_ATTEMPT_FRESH) == 0,
         .answer = answer,
     };
+    if (answer->retry_after_ms > 0 && !attempt->cancelled) {
+        targets->hooks.wait_received(targets->hooks.data, process,
+                                     attempt->target);
+    }
     if (attempt->target->draining && !attempt->cancelled) {
         targets->hooks.drain_received(targets->hooks.data, process,
                                       attempt->target);
@@ -290,6 +297,8 @@
     struct fake_target *target = attempt->target;
     int64_t now_ns = fake_clock_now_ns(targets->clock);
     int64_t service_ns = MS / 10;
+    targets->hooks.request_arrived(targets->hooks.data, target,
+                                   attempt->process);
     attempt->refused = target->refuses_all ||
                        (uint32_t)g_rand_int_range(targets->random, 0, 1000) <
                            target->shed_permille;
--- a/tests/fake_target.h
+++ b/tests/fake_target.h
@@ -26,6 +26,7 @@
     bool refuses_all;         /* answers every request with 503 */
     int64_t leaving_since_ns; /* 0 while it is not leaving */
     uint32_t shed_permille;
+    int64_t wait_ms; /* Retry-After of its rejections; 0 for none */
     uint32_t break_permille;
 };
 
@@ -35,6 +36,13 @@
     void (*request_started)(void *data, struct fake_target *target,
                             const struct rp_call *call,
                             struct fake_process *process);
+    /* A request reached a target, which may reject it. */
+    void (*request_arrived)(void *data, struct fake_target *target,
+                            struct fake_process *process);
+    /* An entry process received a rejection by which the target wants no
+     * requests for a time. */
+    void (*wait_received)(void *data, struct fake_process *process,
+                          const struct fake_target *target);
     /* An entry process received the target's report that it is draining. */
     void (*drain_received)(void *data, struct fake_process *process,
                            const struct fake_target *target);
--- a/tests/soak_check.c
+++ b/tests/soak_check.c
@@ -186,6 +186,45 @@
     }
 }
 
+/* Records that an entry process received that a target wants no requests for
+ * a time, unless it is in such a time. */
+void
+soak_record_wait_received(struct soak *soak, uint32_t vm_index,
+                          const struct fake_target *target)
+{
+    struct soak_vm *vm = &soak->vms[vm_index];
+    uint32_t index = soak_target_index(soak, target);
+    int64_t now_ns = soak_now_ns(soak);
+    if (now_ns >= vm->wait_until_ns[index]) {
+        vm->wait_received_ns[index] = now_ns;
+        vm->sent_in_wait[index] = 0;
+    }
+    vm->wait_until_ns[index] =
+        MAX(vm->wait_until_ns[index], now_ns + target->wait_ms * SOAK_MS);
+}
+
+/* Checks invariant I8 when a request reaches a target: at most two do between
+ * half a second after the process received that the target wants none, and the
+ * end of that time, unless the process was disturbed. */
+void
+soak_check_request_arrived(struct soak *soak, const struct fake_target *target,
+                           const struct fake_process *process)
+{
+    struct soak_vm *vm = &soak->vms[process->vm_index];
+    uint32_t index = soak_target_index(soak, target);
+    int64_t from_ns = vm->wait_received_ns[index] + 500 * SOAK_MS;
+    int64_t now_ns = soak_now_ns(soak);
+    if (vm->process != process || now_ns < from_ns ||
+        now_ns >= vm->wait_until_ns[index] ||
+        vm->disturbed_until_ns >= vm->wait_received_ns[index])
+    {
+        return;
+    }
+    if (++vm->sent_in_wait[index] > 2) {
+        soak_fail(soak, "closed-target", target->address);
+    }
+}
+
 /* Checks invariant I6 when a draining target stops: no request is in flight.
  * Applies only if the bound has passed for every VM. */
 void
--- a/tests/soak_schedule.c
+++ b/tests/soak_schedule.c
@@ -202,6 +202,7 @@
     target->dead = false;
     target->silent = false;
     target->shed_permille = 0;
+    target->wait_ms = 0;
     target->break_permille = 0;
     target->service_ns =
         target->body_bytes > 1000 ? 50 * SOAK_MS : 5 * SOAK_MS;
@@ -223,6 +224,9 @@
     target->silent = kind == 1;
     target->shed_permille =
         kind == 2 ? (uint32_t)g_rand_int_range(soak->random, 100, 1001) : 0;
+    /* Two of three that shed ask for a wait, up to 3 s. */
+    target->wait_ms =
+        target->shed_permille % 3 > 0 ? target->shed_permille * 3 : 0;
     target->break_permille =
         kind == 3 ? (uint32_t)g_rand_int_range(soak->random, 100, 1001) : 0;
     if (kind == 4) {
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -220,6 +220,7 @@
     vm->events_seen = 0;
     memset(vm->orders, 0, sizeof(vm->orders));
     memset(vm->drain_received_ns, 0, sizeof(vm->drain_received_ns));
+    memset(vm->wait_until_ns, 0, sizeof(vm->wait_until_ns));
     soak_add_line(soak, "start entry %u incarnation %u", vm_index,
                   (unsigned)vm->incarnation);
     soak_disturb(soak, vm_index, soak_now_ns(soak));
@@ -318,6 +319,20 @@
     soak_check_request_started(soak, target, process);
 }
 
+static void
+on_request_arrived(void *data, struct fake_target *target,
+                   struct fake_process *process)
+{
+    soak_check_request_arrived(data, target, process);
+}
+
+static void
+on_wait_received(void *data, struct fake_process *process,
+                 const struct fake_target *target)
+{
+    soak_record_wait_received(data, process->vm_index, target);
+}
+
 static void
 on_drain_received(void *data, struct fake_process *process,
                   const struct fake_target *target)
@@ -425,6 +440,8 @@
                    "10.0.1.%u:7000", i);
     }
     struct fake_target_hooks target_hooks = {on_request_started,
+                                             on_request_arrived,
+                                             on_wait_received,
                                              on_drain_received,
                                              on_check_failed,
                                              is_cut,
--- a/tests/soak_world.h
+++ b/tests/soak_world.h
@@ -49,6 +49,11 @@
     struct rp_record_order orders[SOAK_MAX_KEYS]; /* in force, by key */
     /* When the process received the drain of a target; 0 if it did not. */
     int64_t drain_received_ns[SOAK_ALL_TARGETS];
+    /* By target, when the process received that it wants no requests, until
+     * when, and how many have reached it since; 0 if it did not. */
+    int64_t wait_received_ns[SOAK_ALL_TARGETS];
+    int64_t wait_until_ns[SOAK_ALL_TARGETS];
+    uint32_t sent_in_wait[SOAK_ALL_TARGETS];
 };
 
 /* Times of the probes sent to a target by all entry VMs. */
@@ -123,6 +128,11 @@
 bool soak_operator_is_entry(uint32_t key);
 
 void soak_check_config(struct soak *soak, struct soak_vm *vm);
+void soak_record_wait_received(struct soak *soak, uint32_t vm_index,
+                               const struct fake_target *target);
+void soak_check_request_arrived(struct soak *soak,
+                                const struct fake_target *target,
+                                const struct fake_process *process);
 void soak_record_drain_received(struct soak *soak, uint32_t vm_index,
                                 const struct fake_target *target);
 void soak_check_agreement(struct soak *soak);
