Tidy the notices of targets for the linter

A rejection by a leaving target is not counted as a failure of its service, as with a draining one, and a generation of 0 is not taken for an index.

--- a/src/balance/balancer.c
+++ b/src/balance/balancer.c
@@ -367,7 +367,7 @@
             CLAMP(open_ns - now_ns, MIN_RETRY_AFTER_NS, MAX_RETRY_AFTER_NS);
         verdict->retry_after_ns =
             wait_ns + (int64_t)(g_rand_double(balancer->random) *
-                                (double)(wait_ns / CLOSED_SPREAD_DIVISOR));
+                                (double)wait_ns / CLOSED_SPREAD_DIVISOR);
     }
     return true;
 }
@@ -749,7 +749,9 @@
         }
         return;
     case RP_ATTEMPT_NOT_RUN:
-        if (report->has_load && report->load.state == RP_TARGET_DRAINING) {
+        if (target->notice.leaving ||
+            (report->has_load && report->load.state == RP_TARGET_DRAINING))
+        {
             return; /* a draining target has not failed */
         }
         rp_limit_record_refusal(&target->limit);
--- a/src/call/dispatch_call.c
+++ b/src/call/dispatch_call.c
@@ -609,7 +609,9 @@
 record_notice(struct dispatch_call *call, uint32_t generation, bool leaving,
               int64_t wait_ms, int64_t now_ns)
 {
-    if (dispatch_call_passed_on(call) || generation > call->attempt_count) {
+    if (dispatch_call_passed_on(call) || generation == 0 ||
+        generation > call->attempt_count)
+    {
         return;
     }
     uint32_t target = call->attempts[generation - 1].target;
--- a/src/call/drain.c
+++ b/src/call/drain.c
@@ -1,8 +1,7 @@
 #include "drain.h"
 
-/* Records whether a source (other than RP_DRAIN_TARGET) reports
- * the target as leaving. Returns whether the result of rp_drain_may_send
- * changed. */
+/* Records whether a source other than RP_DRAIN_TARGET reports the target as
+ * leaving. Returns whether the result of rp_drain_may_send changed. */
 bool
 rp_drain_set(struct rp_drain *drain, uint32_t source, bool leaving,
              int64_t now_ns)
--- a/src/config/record.c
+++ b/src/config/record.c
@@ -480,8 +480,8 @@
     rp_read_text(reader, place, value, field, out);
 }
 
-/* Reads the host or the path prefix of a route, of which begin is the start. It
- * may have any characters: one that no request has does not match. */
+/* Reads the host or the path prefix of a route, of which begin is the start.
+ * It may have any characters: one that no request has does not match. */
 static void
 read_match_text(struct rp_reader *reader, const char *place,
                 const json_t *value, const char *begin, char **out)
--- a/standin/gateway.c
+++ b/standin/gateway.c
@@ -350,10 +350,16 @@
     g_strlcpy(retry_after, target->retry_after, sizeof(retry_after));
     g_mutex_unlock(&target->lock);
     if (rejects) {
-        const char *const fields[] = {
-            "X-Request-Id", id, "X-Not-Executed", "1", "Server-Leaving",
-            leaving ? "1" : "0", retry_after[0] == '\0' ? NULL : "Retry-After",
-            retry_after, NULL};
+        const char *const fields[] = {"X-Request-Id",
+                                      id,
+                                      "X-Not-Executed",
+                                      "1",
+                                      "Server-Leaving",
+                                      leaving ? "1" : "0",
+                                      retry_after[0] == '\0' ? NULL
+                                                             : "Retry-After",
+                                      retry_after,
+                                      NULL};
         return queue_answer(connection, 503, (char *)"", fields);
     }
     uint32_t running = start_run(target, id);
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -380,8 +380,8 @@
     }
 }
 
-// Guards against a request that is sent to a target after an answer of any kind
-// has said that the target is leaving.
+// Guards against a request that is sent to a target after an answer of any
+// kind has said that the target is leaving.
 TEST(dispatch, a_leaving_target_gets_no_further_request)
 {
     struct {
