Bench targets that fail at once at 50, 70 and 90% load

The regime fast-failer had one load and one failure. One target now answers errors or rejects each call at once at three loads, and up to 70% of all slots at most 1% of the calls may be refused or failed, which is the aim.

--- a/bench/check.c
+++ b/bench/check.c
@@ -20,6 +20,10 @@
 #define MIN_GOODPUT 0.95
 #define MAX_RECOVERY_MS 1000
 #define MAX_PROBES_PER_CALL 0.01
+/* Calls that are refused or failed beside a target that fails each request at
+ * once, up to this load. */
+#define MAX_UNSERVED_PER_CALL 0.01
+#define FAST_FAILURE_LOAD 0.7
 #define MAX_EXTRA_ATTEMPTS_PER_CALL 0.05
 
 #define P99_QUANTILE 0.99
@@ -110,6 +114,13 @@
     double calls = (double)result->calls;
     check_bound(check, cell, "probes", (double)result->probes / calls,
                 MAX_PROBES_PER_CALL);
+    if (cell->regime->fast_failure != RP_ATTEMPT_OK &&
+        cell->regime->load <= FAST_FAILURE_LOAD)
+    {
+        check_bound(check, cell, "unserved",
+                    (double)(result->refused + result->failed) / calls,
+                    MAX_UNSERVED_PER_CALL);
+    }
     if (cell->regime->equal_targets) {
         check_bound(check, cell, "retries-and-hedges",
                     (double)(result->retries + result->hedges) / calls,
--- a/bench/fake_target.h
+++ b/bench/fake_target.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "balancer.h"
 #include "load.h"
 
 #define FAKE_TARGET_SLOTS 6
@@ -16,7 +17,8 @@
     uint32_t running;    /* slots in use */
     uint32_t in_transit; /* requests sent but not yet received */
     double slow_factor;  /* of service times: noise, straggler */
-    bool failing;        /* answers errors at once */
+    /* Of each request, at once; RP_ATTEMPT_OK: it serves them. */
+    enum rp_attempt_outcome fast_failure;
     bool gone;
     uint32_t warm_up_calls; /* served since a cold start */
     double cold_factor;     /* of the first service time; 1: warm start */
--- a/bench/policy.c
+++ b/bench/policy.c
@@ -84,7 +84,8 @@
         sim, (uint32_t)(decider - sim->deciders), target);
     return 2 * delay_ns +
            service_ns * (1 + waiting_calls / FAKE_TARGET_SLOTS) +
-           (fake->failing ? SIM_SHORT_TIMEOUT_NS : 0) + ahead_calls;
+           (fake->fast_failure != RP_ATTEMPT_OK ? SIM_SHORT_TIMEOUT_NS : 0) +
+           ahead_calls;
 }
 
 static uint32_t
--- a/bench/regime.c
+++ b/bench/regime.c
@@ -40,7 +40,16 @@
     {.name = "maps-rush", .load = 1.5, .long_fraction = 0.1, .overload = true},
     {.name = "rush-alone", .load = 1.5, .long_fraction = -0.1},
     {.name = "rain", .load = 0.3, .peak_factor = 10},
-    {.name = "fast-failer", .load = 0.7, .fast_failer = true},
+    {.name = "fast-failer", .load = 0.7, .fast_failure = RP_ATTEMPT_ERROR},
+    {.name = "fast-failer-50", .load = 0.5, .fast_failure = RP_ATTEMPT_ERROR},
+    {.name = "fast-failer-90", .load = 0.9, .fast_failure = RP_ATTEMPT_ERROR},
+    {.name = "fast-rejecter", .load = 0.7, .fast_failure = RP_ATTEMPT_NOT_RUN},
+    {.name = "fast-rejecter-50",
+     .load = 0.5,
+     .fast_failure = RP_ATTEMPT_NOT_RUN},
+    {.name = "fast-rejecter-90",
+     .load = 0.9,
+     .fast_failure = RP_ATTEMPT_NOT_RUN},
     {.name = "cold-half", .load = 0.5, .cold_factor = 4},
     {.name = "estates", .load = 0.5, .estate_handover = true},
     {.name = "lag-5ms", .load = 0.8, .report_lag_ns = 5 * MS},
@@ -70,7 +79,7 @@
            left->pause_ns == right->pause_ns &&
            left->decider_count == right->decider_count &&
            left->unsteered == right->unsteered &&
-           left->fast_failer == right->fast_failer &&
+           left->fast_failure == right->fast_failure &&
            left->estate_handover == right->estate_handover &&
            left->equal_targets == right->equal_targets;
 }
--- a/bench/regime.h
+++ b/bench/regime.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "balancer.h"
+
 /* A service of the deployments in section 1 of docs/design.md. */
 struct bench_deployment {
     const char *name;
@@ -28,10 +30,12 @@
     int64_t pause_ns;       /* pause of one entry VM at 1/2 */
     uint32_t decider_count; /* entry VMs; 0: SIM_DEFAULT_DECIDERS */
     bool unsteered;         /* callers use all entry VMs */
-    bool fast_failer;       /* one target answers errors at once from 1/4 on */
-    bool estate_handover;   /* shares change from 9:1 to 1:9 at 1/4 */
-    bool equal_targets;     /* checked with MAX_EQUAL_RATIO in check.c */
-    bool overload;          /* long calls alone exceed the capacity */
+    /* Outcome of each request at one target from 1/4 on, at once;
+     * RP_ATTEMPT_OK: none fails so. */
+    enum rp_attempt_outcome fast_failure;
+    bool estate_handover; /* shares change from 9:1 to 1:9 at 1/4 */
+    bool equal_targets;   /* checked with MAX_EQUAL_RATIO in check.c */
+    bool overload;        /* long calls alone exceed the capacity */
 };
 
 extern const struct bench_deployment bench_deployments[];
