Let targets of the soak say that they are leaving

Listed targets with an even number now say so in each answer from the time they begin to leave until they start again, whether their entries tell it or not, and the soak fails when a request reaches one later than 5 ms after the entry process was told.

--- a/tests/fake_target.c
+++ b/tests/fake_target.c
@@ -256,6 +256,11 @@
         .reused = (attempt->start.flags & RP_ATTEMPT_FRESH) == 0,
         .answer = answer,
     };
+    answer->leaving = attempt->target->leaving;
+    if (answer->leaving && !attempt->cancelled) {
+        targets->hooks.notice_received(targets->hooks.data, process,
+                                       attempt->target);
+    }
     if (answer->retry_after_ms > 0 && !attempt->cancelled) {
         targets->hooks.wait_received(targets->hooks.data, process,
                                      attempt->target);
--- a/tests/fake_target.h
+++ b/tests/fake_target.h
@@ -23,6 +23,7 @@
     bool dead;
     bool silent;              /* sends no answers on reused connections */
     bool draining;            /* reports in its load that it is draining */
+    bool leaving;             /* states in each answer that it is leaving */
     bool refuses_all;         /* answers every request with 503 */
     int64_t leaving_since_ns; /* 0 while it is not leaving */
     uint32_t shed_permille;
@@ -39,6 +40,9 @@
     /* A request reached a target, which may reject it. */
     void (*request_arrived)(void *data, struct fake_target *target,
                             struct fake_process *process);
+    /* An entry process received the statement that a target is leaving. */
+    void (*notice_received)(void *data, struct fake_process *process,
+                            const struct fake_target *target);
     /* An entry process received a rejection by which the target wants no
      * requests for a time. */
     void (*wait_received)(void *data, struct fake_process *process,
--- a/tests/soak_check.c
+++ b/tests/soak_check.c
@@ -203,6 +203,34 @@
         MAX(vm->wait_until_ns[index], now_ns + target->wait_ms * SOAK_MS);
 }
 
+/* Records that an entry process received the statement that a target is
+ * leaving, unless it had it. */
+void
+soak_record_notice_received(struct soak *soak, uint32_t vm_index,
+                            const struct fake_target *target)
+{
+    int64_t *received_ns =
+        &soak->vms[vm_index]
+             .notice_received_ns[soak_target_index(soak, target)];
+    if (*received_ns == 0) {
+        *received_ns = soak_now_ns(soak);
+    }
+}
+
+/* Checks invariant I5 when a request reaches a target: none does after the
+ * process received that the target is leaving. */
+static void
+check_notice(struct soak *soak, const struct fake_target *target,
+             const struct soak_vm *vm)
+{
+    int64_t received_ns =
+        vm->notice_received_ns[soak_target_index(soak, target)];
+    /* 5 ms for the time between sending a request and its arrival. */
+    if (received_ns != 0 && soak_now_ns(soak) - received_ns > 5 * SOAK_MS) {
+        soak_fail(soak, "drain-stops-work", target->address);
+    }
+}
+
 /* Checks invariant I8 when a request reaches a target: at most two do between
  * half a second after the process received that the target wants none, and the
  * end of that time, unless the process was disturbed. */
@@ -214,6 +242,9 @@
     uint32_t index = soak_target_index(soak, target);
     int64_t from_ns = vm->wait_received_ns[index] + 500 * SOAK_MS;
     int64_t now_ns = soak_now_ns(soak);
+    if (vm->process == process && !process->paused) {
+        check_notice(soak, target, vm);
+    }
     if (vm->process != process || now_ns < from_ns ||
         now_ns >= vm->wait_until_ns[index] ||
         vm->disturbed_until_ns >= vm->wait_received_ns[index])
--- a/tests/soak_restore.c
+++ b/tests/soak_restore.c
@@ -88,6 +88,10 @@
         fake_targets_get(soak->targets, (uint32_t)index);
     soak_add_line(soak, "target %s starts again", target->address);
     target->leaving_since_ns = 0;
+    target->leaving = false;
+    for (uint32_t i = 0; i < SOAK_VMS; i++) {
+        soak->vms[i].notice_received_ns[index] = 0;
+    }
     soak_operator_start_target(soak->operators, (uint32_t)index);
 }
 
@@ -121,6 +125,7 @@
     soak_add_line(soak, "target %s leaves%s", target->address,
                   says_so ? "" : " without a word");
     target->leaving_since_ns = soak_now_ns(soak);
+    target->leaving = index % 2 == 0;
     if (says_so) {
         soak_operator_set_draining(soak->operators, index, true);
     }
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -221,6 +221,7 @@
     memset(vm->orders, 0, sizeof(vm->orders));
     memset(vm->drain_received_ns, 0, sizeof(vm->drain_received_ns));
     memset(vm->wait_until_ns, 0, sizeof(vm->wait_until_ns));
+    memset(vm->notice_received_ns, 0, sizeof(vm->notice_received_ns));
     soak_add_line(soak, "start entry %u incarnation %u", vm_index,
                   (unsigned)vm->incarnation);
     soak_disturb(soak, vm_index, soak_now_ns(soak));
@@ -326,6 +327,13 @@
     soak_check_request_arrived(data, target, process);
 }
 
+static void
+on_notice_received(void *data, struct fake_process *process,
+                   const struct fake_target *target)
+{
+    soak_record_notice_received(data, process->vm_index, target);
+}
+
 static void
 on_wait_received(void *data, struct fake_process *process,
                  const struct fake_target *target)
@@ -441,6 +449,7 @@
     }
     struct fake_target_hooks target_hooks = {on_request_started,
                                              on_request_arrived,
+                                             on_notice_received,
                                              on_wait_received,
                                              on_drain_received,
                                              on_check_failed,
--- a/tests/soak_world.h
+++ b/tests/soak_world.h
@@ -54,6 +54,9 @@
     int64_t wait_received_ns[SOAK_ALL_TARGETS];
     int64_t wait_until_ns[SOAK_ALL_TARGETS];
     uint32_t sent_in_wait[SOAK_ALL_TARGETS];
+    /* When the process received the statement that a target is leaving, of its
+     * present run; 0 if it did not. */
+    int64_t notice_received_ns[SOAK_ALL_TARGETS];
 };
 
 /* Times of the probes sent to a target by all entry VMs. */
@@ -128,6 +131,8 @@
 bool soak_operator_is_entry(uint32_t key);
 
 void soak_check_config(struct soak *soak, struct soak_vm *vm);
+void soak_record_notice_received(struct soak *soak, uint32_t vm_index,
+                                 const struct fake_target *target);
 void soak_record_wait_received(struct soak *soak, uint32_t vm_index,
                                const struct fake_target *target);
 void soak_check_request_arrived(struct soak *soak,
